--- /dev/null
+++ b/Source/Core/EngineRole.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+namespace almondscale {
+
+// What part of the work on a request an engine takes.
+enum class EngineRole {
+    Mixed,
+    Prefill,
+    Decode,
+};
+
+const char* engineRoleWord(EngineRole);
+std::optional<EngineRole> parseEngineRole(const std::string&);
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Core/LogEvent.cpp
@@ -0,0 +1,88 @@
+#include "Core/LogEvent.h"
+
+#include <easylogging++.h>
+
+#include <algorithm>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace almondscale {
+
+namespace {
+
+    bool needsQuotes(const std::string& value)
+    {
+        if (value.empty())
+            return true;
+        return std::any_of(value.begin(), value.end(),
+            [](unsigned char c) { return c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7f; });
+    }
+
+    std::string quoted(const std::string& value)
+    {
+        if (!needsQuotes(value))
+            return value;
+        std::string text = "\"";
+        for (const char c : value) {
+            if (c == '"' || c == '\\')
+                text += '\\';
+            // A line break would let a caller's text forge a second event.
+            text += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+        }
+        return text + '"';
+    }
+
+} // namespace
+
+LogEvent::LogEvent(const char* event, LogLevel level)
+    : m_level(level)
+    , m_line(std::string("event=") + event)
+{
+}
+
+LogEvent::~LogEvent()
+{
+    switch (m_level) {
+    case LogLevel::Debug:
+        LOG(DEBUG) << m_line;
+        return;
+    case LogLevel::Info:
+        LOG(INFO) << m_line;
+        return;
+    case LogLevel::Warning:
+        LOG(WARNING) << m_line;
+        return;
+    case LogLevel::Error:
+        LOG(ERROR) << m_line;
+        return;
+    }
+}
+
+LogEvent& LogEvent::add(const char* key, const std::string& value)
+{
+    m_line += ' ';
+    m_line += key;
+    m_line += '=';
+    m_line += quoted(value);
+    return *this;
+}
+
+void configureLog(LogLevel lowest)
+{
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    configuration.setGlobally(
+        el::ConfigurationType::Format, "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level %msg");
+    const char* off = "false";
+    if (lowest > LogLevel::Debug)
+        configuration.set(el::Level::Debug, el::ConfigurationType::Enabled, off);
+    if (lowest > LogLevel::Info)
+        configuration.set(el::Level::Info, el::ConfigurationType::Enabled, off);
+    if (lowest > LogLevel::Warning)
+        configuration.set(el::Level::Warning, el::ConfigurationType::Enabled, off);
+    el::Loggers::reconfigureAllLoggers(configuration);
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Core/OrderNumber.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "Core/Quantity.h"
+
+namespace almondscale {
+
+// Rises with each order to one engine.
+using OrderNumber = Quantity<struct OrderNumberTag, std::uint64_t>;
+
+} // namespace almondscale
--- /dev/null
+++ b/Tests/Core/AddressTest.cpp
@@ -0,0 +1,23 @@
+#include "Core/Address.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+
+TEST_CASE("Address, an IP number and a port, is read whole")
+{
+    const auto address = parseAddress("127.0.0.1:8080");
+    REQUIRE(address);
+    CHECK(address->ip == "127.0.0.1");
+    CHECK(address->port == 8080);
+    CHECK(address->text() == "127.0.0.1:8080");
+}
+
+TEST_CASE("Address, anything but an IP number and a port, is refused")
+{
+    for (const char* text : { "", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536",
+             "127.0.0.1:80x", "localhost:80", "300.0.0.1:80", ":80" }) {
+        CAPTURE(text);
+        CHECK_FALSE(parseAddress(text));
+    }
+}
