--- /dev/null
+++ b/Programs/almondscale-bench/ControlFixture.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "ControlHost.h"
+
+#include "Core/RandomSource.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace almondscale {
+
+// How the in-memory link behaves.
+struct LinkBehaviour {
+    double loss = 0;
+    Nanoseconds within = std::chrono::microseconds(300);
+    Nanoseconds across = std::chrono::milliseconds(5);
+    // The bytes of the rules text that a pull carries.
+    std::size_t rulesBytes = 20000;
+};
+
+// Puts a fake clock and an in-memory link under the real control code of some hosts.
+class ControlFixture {
+public:
+    using Tune = std::function<void(MembershipSettings&)>;
+    using Cut = std::function<bool(const ControlHost& from, const ControlHost& to)>;
+    using Reported = std::function<void(const ControlHost& at, const Member& about)>;
+
+    ControlFixture(std::uint64_t seed, const LinkBehaviour&);
+    ~ControlFixture();
+    ControlFixture(const ControlFixture&) = delete;
+    ControlFixture& operator=(const ControlFixture&) = delete;
+
+    // Changes the settings of hosts started from now on.
+    void tune(Tune);
+    // Frames for which it answers true are lost.
+    void cut(Cut);
+    // Called for each change of a member at any host.
+    void onReported(Reported);
+    // The addresses that hosts started from now on try.
+    void seeds(std::vector<SeedHost>);
+
+    ControlHost& start(const HostId&, const Address&, const DataCentre&);
+    void kill(const HostId&);
+    // A paused host does nothing; its frames wait.
+    void pause(const HostId&);
+    void resume(const HostId&);
+    // Brings a rules version into force at one host, as from the platform.
+    void applyRules(const HostId&, RulesVersion);
+    // Gives bytes to a host as if a peer had sent them.
+    void inject(const HostId&, const std::string& bytes);
+
+    void run(Nanoseconds);
+    MonotonicTime now() const { return m_now; }
+    ControlHost* find(const HostId&);
+    std::vector<ControlHost*> hosts();
+    // The number of running hosts that hold the host for live.
+    std::size_t holdLive(const HostId&);
+    // Whether each running host holds exactly the running hosts for live.
+    bool converged();
+
+private:
+    // Something that arrives at an address.
+    struct Delivery {
+        Address from;
+        Address to;
+        std::string frame;
+        // For pulls of the rules: the version that is asked for or carried.
+        RulesVersion askedRules;
+        RulesVersion carriedRules;
+    };
+
+    void send(const Address& from, const Address& to, Delivery, std::size_t bytes);
+    void deliver(const Delivery&);
+    void runTicks();
+    void pullRules(ControlHost&, const Address& from);
+    ControlHost* at(const Address&);
+    MembershipHooks hooksFor(ControlHost&);
+
+    LinkBehaviour m_link;
+    RandomSource m_random;
+    MonotonicTime m_now;
+    Tune m_tune;
+    Cut m_cut;
+    Reported m_reported;
+    std::vector<SeedHost> m_seeds;
+    std::uint64_t m_incarnations = 0;
+    std::map<Address, std::unique_ptr<ControlHost>> m_hosts;
+    std::multimap<MonotonicTime, Delivery> m_deliveries;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Programs/almondscale-bench/ControlHost.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "Core/MonotonicTime.h"
+#include "Membership/Membership.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace almondscale {
+
+// One process of a host under the fake clock: its real membership code and what was counted around it.
+struct ControlHost {
+    HostId host;
+    Address address;
+    DataCentre dataCentre;
+    Incarnation incarnation;
+    std::unique_ptr<Membership> membership;
+    bool paused = false;
+    MonotonicTime startedAt {};
+    MonotonicTime nextTick {};
+    std::uint64_t bytesIn = 0;
+    std::uint64_t bytesOut = 0;
+    RulesVersion rules;
+    // When to ask again for a newer version of the rules, and whom.
+    RulesVersion wantedRules;
+    MonotonicTime pullAgainAt = MonotonicTime::max();
+    Address pullFrom;
+    // The last state of each peer that was reported.
+    std::map<HostId, Member> reported;
+    // The last value of each peer's items that was reported, by host and key.
+    std::map<std::string, std::string> items;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Membership/Frame.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Membership/MemberRecord.h"
+#include "Membership/SharedItem.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace almondscale {
+
+enum class FrameKind {
+    // Asks the receiver for an Ack.
+    Ping,
+    Ack,
+    // Asks the receiver to ping a third host.
+    PingRequest,
+    // Carries news at once.
+    Push,
+    // Carries a hash for each host, so that the receiver answers with what differs.
+    Digest,
+    // Carries the records and items that differ.
+    State,
+};
+
+// How long ago a host of the sender's data centre had an answer from another data centre.
+struct ContactAge {
+    DataCentre dataCentre;
+    std::uint32_t ageMs = 0;
+};
+
+// A hash over all that the sender knows of one host.
+struct HostDigest {
+    std::uint64_t host = 0;
+    std::uint32_t hash = 0;
+};
+
+// One message between hosts.
+struct Frame {
+    FrameKind kind = FrameKind::Ping;
+    std::uint64_t sequence = 0;
+    MemberRecord sender;
+    // Ping and PingRequest: the host to probe. Ack: the host that answered.
+    HostId target;
+    // PingRequest: where the host to probe is.
+    Address subject;
+    // Ping: the sender gave up its former connection; the receiver should open a new one for the answer.
+    bool reconnect = false;
+    // Ping: a hash over all that the sender knows.
+    std::uint64_t view = 0;
+    std::vector<MemberRecord> members;
+    std::vector<SharedItem> items;
+    std::vector<ContactAge> contacts;
+    std::vector<HostDigest> digests;
+    std::vector<std::uint64_t> wanted;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Membership/MemberTable.cpp
@@ -0,0 +1,111 @@
+#include "Membership/MemberTable.h"
+
+#include <algorithm>
+
+namespace almondscale {
+
+MemberTable::MemberTable(const MembershipSettings& settings)
+    : m_settings(settings)
+{
+}
+
+RecordChange MemberTable::apply(const MemberRecord& record, MonotonicTime now)
+{
+    const auto found = m_entries.find(record.host);
+    if (found == m_entries.end()) {
+        if (m_entries.size() >= m_settings.maxMembers)
+            return RecordChange::Refused;
+        replace(m_entries[record.host], record, now);
+        return RecordChange::Replaced;
+    }
+    auto& entry = found->second;
+    if (record.newerThan(entry.record)) {
+        replace(entry, record, now);
+        return RecordChange::Replaced;
+    }
+    if (record.incarnation != entry.record.incarnation)
+        return RecordChange::Nothing;
+    entry.record.rules = std::max(entry.record.rules, record.rules);
+    entry.record.itemFloor = std::max(entry.record.itemFloor, record.itemFloor);
+    return confirm(entry, record);
+}
+
+RecordChange MemberTable::confirm(MemberEntry& entry, const MemberRecord& record) const
+{
+    const bool same = record.refutation == entry.record.refutation && record.state == entry.record.state;
+    if (!same || record.state != MemberState::Suspect || record.accuser.empty())
+        return RecordChange::Nothing;
+    if (entry.accusers.size() >= m_settings.accusersForShortSuspicion)
+        return RecordChange::Nothing;
+    if (!entry.accusers.insert(record.accuser).second)
+        return RecordChange::Nothing;
+    if (entry.accusers.size() == m_settings.accusersForShortSuspicion)
+        entry.suspicionEndsAt -= m_settings.longSuspicion - m_settings.shortSuspicion;
+    entry.record.accuser = record.accuser;
+    return RecordChange::Confirmed;
+}
+
+void MemberTable::replace(MemberEntry& entry, const MemberRecord& record, MonotonicTime now) const
+{
+    const bool restarted = record.incarnation != entry.record.incarnation;
+    const auto floor = restarted ? record.itemFloor : std::max(record.itemFloor, entry.record.itemFloor);
+    const auto rules = restarted ? record.rules : std::max(record.rules, entry.record.rules);
+    entry.record = record;
+    entry.record.itemFloor = floor;
+    entry.record.rules = rules;
+    entry.accusers.clear();
+    if (record.state == MemberState::Suspect) {
+        entry.suspicionEndsAt = now + m_settings.longSuspicion;
+        entry.accusers.insert(record.accuser);
+    }
+    if (!record.live())
+        entry.forgetAt = now + m_settings.forgetAfter;
+}
+
+const MemberEntry* MemberTable::find(const HostId& host) const
+{
+    const auto found = m_entries.find(host);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+const MemberEntry* MemberTable::liveOnAddress(const Address& address, const HostId& except) const
+{
+    for (const auto& [host, entry] : m_entries) {
+        if (host != except && entry.record.live() && entry.record.address == address)
+            return &entry;
+    }
+    return nullptr;
+}
+
+std::vector<HostId> MemberTable::suspicionsEnded(MonotonicTime now) const
+{
+    std::vector<HostId> hosts;
+    for (const auto& [host, entry] : m_entries) {
+        const bool own = entry.record.dataCentre == m_settings.dataCentre;
+        if (own && entry.record.state == MemberState::Suspect && now >= entry.suspicionEndsAt)
+            hosts.push_back(host);
+    }
+    return hosts;
+}
+
+void MemberTable::extendSuspicions(MonotonicTime now)
+{
+    for (auto& [host, entry] : m_entries) {
+        if (entry.record.state == MemberState::Suspect)
+            entry.suspicionEndsAt = std::max(entry.suspicionEndsAt, now + m_settings.longSuspicion);
+    }
+}
+
+std::vector<HostId> MemberTable::forget(MonotonicTime now)
+{
+    std::vector<HostId> gone;
+    for (auto at = m_entries.begin(); at != m_entries.end();) {
+        const bool over = !at->second.record.live() && now >= at->second.forgetAt;
+        if (over)
+            gone.push_back(at->first);
+        at = over ? m_entries.erase(at) : std::next(at);
+    }
+    return gone;
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Membership/MembershipCounters.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+
+namespace almondscale {
+
+// What the membership protocol did since the start.
+struct MembershipCounters {
+    std::uint64_t framesSent = 0;
+    std::uint64_t framesReceived = 0;
+    // Truncated, hostile or oversized frames.
+    std::uint64_t framesRefused = 0;
+    // Records and items beyond a bound.
+    std::uint64_t entriesRefused = 0;
+    std::uint64_t bytesSent = 0;
+    std::uint64_t suspicions = 0;
+    std::uint64_t refutations = 0;
+    std::uint64_t deaths = 0;
+    std::uint64_t pauses = 0;
+    std::uint64_t pingsRepeated = 0;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Membership/MembershipDigests.cpp
@@ -0,0 +1,167 @@
+#include "Membership/FrameCodec.h"
+#include "Membership/MembershipImpl.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace almondscale {
+
+namespace {
+
+    constexpr std::size_t stateBytesPerFrame = 16384;
+    constexpr std::size_t maxStateFrames = 8;
+
+    std::uint64_t hashHost(const HostId& host) { return XXH64(host.text().data(), host.text().size(), 0); }
+
+    struct RecordHash {
+        std::uint64_t incarnation;
+        std::uint64_t refutation;
+        std::uint64_t floor;
+        std::uint64_t items;
+    };
+
+} // namespace
+
+// A hash over all that is compared about a live host; 0 for hosts that are not live.
+std::uint32_t Membership::Impl::hostHash(const HostId& host, bool everywhereOnly) const
+{
+    const auto* entry = m_members.find(host);
+    if (!entry && host != m_settings.host)
+        return 0;
+    const auto record = entry ? entry->record : ownRecord();
+    if (!record.live())
+        return 0;
+    const RecordHash all { record.incarnation.count(), record.refutation, record.itemFloor,
+        m_items.hash(host, everywhereOnly) };
+    return XXH32(&all, sizeof(all), 1) | 1U;
+}
+
+std::vector<HostDigest> Membership::Impl::digests(bool everywhereOnly) const
+{
+    std::vector<HostDigest> all;
+    const auto add = [&](const HostId& host) {
+        const auto hash = hostHash(host, everywhereOnly);
+        if (hash != 0)
+            all.push_back({ hashHost(host), hash });
+    };
+    add(m_settings.host);
+    for (const auto& [host, entry] : m_members.entries())
+        add(host);
+    return all;
+}
+
+std::uint64_t Membership::Impl::viewHash(bool everywhereOnly) const
+{
+    std::uint64_t sum = 1;
+    for (const auto& digest : digests(everywhereOnly))
+        sum ^= XXH64(&digest.hash, sizeof(digest.hash), digest.host);
+    return sum;
+}
+
+void Membership::Impl::sendDigest(const MemberRecord& to, MonotonicTime now)
+{
+    if (now < m_nextDigest)
+        return;
+    auto frame = makeFrame(FrameKind::Digest);
+    frame.digests = digests(to.dataCentre != m_settings.dataCentre);
+    constexpr std::size_t digestBytes = sizeof(std::uint64_t) + sizeof(std::uint32_t);
+    if (!spendBudget(frame.digests.size() * digestBytes))
+        return;
+    m_nextDigest = now + m_settings.digestInterval;
+    send(to.address, frame);
+}
+
+// Answers with all that differs and asks for what the peer knows about the same hosts.
+void Membership::Impl::onDigest(const Frame& frame)
+{
+    const bool remote = frame.sender.dataCentre != m_settings.dataCentre;
+    std::map<std::uint64_t, std::uint32_t> theirs;
+    for (const auto& digest : frame.digests)
+        theirs[digest.host] = digest.hash;
+    std::vector<HostId> differing;
+    std::vector<std::uint64_t> wanted;
+    const auto compare = [&](const HostId& host) {
+        const auto id = hashHost(host);
+        const auto found = theirs.find(id);
+        const auto hash = found == theirs.end() ? 0 : found->second;
+        if (hash != hostHash(host, remote)) {
+            differing.push_back(host);
+            if (hash != 0)
+                wanted.push_back(id);
+        }
+        if (found != theirs.end())
+            theirs.erase(found);
+    };
+    compare(m_settings.host);
+    for (const auto& [host, entry] : m_members.entries())
+        compare(host);
+    // What is left is unknown here.
+    for (const auto& [id, hash] : theirs)
+        wanted.push_back(id);
+    sendStates(frame.sender, differing, std::move(wanted));
+}
+
+void Membership::Impl::onWanted(const Frame& frame)
+{
+    const std::set<std::uint64_t> wanted(frame.wanted.begin(), frame.wanted.end());
+    std::vector<HostId> hosts;
+    // The peer holds a host for live that is known here to be gone.
+    for (const auto& record : frame.members) {
+        const auto* entry = m_members.find(record.host);
+        if (entry && !entry->record.live() && entry->record.newerThan(record))
+            hosts.push_back(record.host);
+    }
+    const auto add = [&](const HostId& host) {
+        if (wanted.count(hashHost(host)) != 0)
+            hosts.push_back(host);
+    };
+    add(m_settings.host);
+    for (const auto& [host, entry] : m_members.entries())
+        add(host);
+    sendStates(frame.sender, hosts, {});
+}
+
+void Membership::Impl::sendStates(
+    const MemberRecord& to, const std::vector<HostId>& hosts, std::vector<std::uint64_t> wanted)
+{
+    auto order = hosts;
+    shuffleHosts(order, m_hooks.random);
+    auto next = order.begin();
+    for (std::size_t frames = 0; frames < maxStateFrames; ++frames) {
+        if (next == order.end() && wanted.empty())
+            return;
+        auto frame = makeFrame(FrameKind::State);
+        frame.wanted = std::move(wanted);
+        wanted.clear();
+        std::size_t bytes = frame.wanted.size() * sizeof(std::uint64_t);
+        for (; next != order.end() && bytes < stateBytesPerFrame; ++next) {
+            const auto members = frame.members.size();
+            const auto items = frame.items.size();
+            addState(frame, *next, to.dataCentre);
+            for (auto i = members; i < frame.members.size(); ++i)
+                bytes += encodedBytes(frame.members[i]);
+            for (auto i = items; i < frame.items.size(); ++i)
+                bytes += encodedBytes(frame.items[i]);
+        }
+        if (!spendBudget(bytes))
+            return;
+        send(to.address, frame);
+    }
+}
+
+void Membership::Impl::addState(Frame& frame, const HostId& host, const DataCentre& to) const
+{
+    const auto* entry = m_members.find(host);
+    if (entry)
+        frame.members.push_back(entry->record);
+    const auto* held = m_items.of(host);
+    if (!held)
+        return;
+    for (const auto& [key, item] : held->items) {
+        if (item.scope == ItemScope::Everywhere || to == m_settings.dataCentre)
+            frame.items.push_back(item);
+    }
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Membership/MembershipFrames.cpp
@@ -0,0 +1,216 @@
+#include "Membership/FrameCodec.h"
+#include "Membership/LinkChoice.h"
+#include "Membership/MembershipImpl.h"
+
+#include <algorithm>
+
+namespace almondscale {
+
+namespace {
+
+    constexpr std::size_t maxErrands = 256;
+    constexpr std::size_t frameBaseBytes = 160;
+    constexpr std::size_t maxDataCentres = 64;
+
+} // namespace
+
+Frame Membership::Impl::makeFrame(FrameKind kind) const
+{
+    Frame frame;
+    frame.kind = kind;
+    frame.sender = ownRecord();
+    return frame;
+}
+
+void Membership::Impl::send(const Address& address, const Frame& frame)
+{
+    const auto bytes = encodeFrame(frame);
+    ++m_counters.framesSent;
+    m_counters.bytesSent += bytes.size();
+    m_hooks.send(address, bytes);
+}
+
+void Membership::Impl::onFrame(const std::string& bytes)
+{
+    ++m_counters.framesReceived;
+    const auto decoded = decodeFrame(bytes);
+    if (!decoded || decoded.value().sender.host == m_settings.host) {
+        ++m_counters.framesRefused;
+        return;
+    }
+    const auto& frame = decoded.value();
+    const auto now = m_hooks.clock();
+    // A ping may tell this host that it is held for dead; the answer then refutes it.
+    applyNews(frame, now);
+    switch (frame.kind) {
+    case FrameKind::Ping:
+        onPing(frame, now);
+        break;
+    case FrameKind::Ack:
+        onAck(frame, now);
+        break;
+    case FrameKind::PingRequest:
+        onPingRequest(frame, now);
+        break;
+    case FrameKind::Push:
+        break;
+    case FrameKind::Digest:
+        onDigest(frame);
+        break;
+    case FrameKind::State:
+        onWanted(frame);
+        break;
+    }
+}
+
+void Membership::Impl::applyNews(const Frame& frame, MonotonicTime now)
+{
+    applyRecord(frame.sender, now);
+    const auto* sender = m_members.find(frame.sender.host);
+    // The accusations of a host that is itself held for dead count nothing.
+    const bool trusted = sender && sender->record.live();
+    for (const auto& record : frame.members) {
+        const bool accuses = record.state == MemberState::Suspect || record.state == MemberState::Dead;
+        if (trusted || !accuses || record.host == m_settings.host)
+            applyRecord(record, now);
+    }
+    for (const auto& item : frame.items)
+        applyItem(item);
+    mergeContacts(frame, now);
+}
+
+void Membership::Impl::mergeContacts(const Frame& frame, MonotonicTime now)
+{
+    if (frame.sender.dataCentre != m_settings.dataCentre)
+        return;
+    for (const auto& contact : frame.contacts) {
+        if (contact.dataCentre == m_settings.dataCentre)
+            continue;
+        const auto at = now - std::chrono::milliseconds(contact.ageMs);
+        const auto found = m_contacts.find(contact.dataCentre);
+        if (found != m_contacts.end())
+            found->second = std::max(found->second, at);
+        else if (m_contacts.size() < maxDataCentres)
+            m_contacts[contact.dataCentre] = at;
+    }
+}
+
+void Membership::Impl::addContacts(Frame& frame, MonotonicTime now) const
+{
+    for (const auto& [dataCentre, contact] : m_contacts) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - contact);
+        if (now - contact < m_settings.contactTimeout)
+            frame.contacts.push_back(
+                { dataCentre, static_cast<std::uint32_t>(std::max<long long>(0, age.count())) });
+    }
+}
+
+void Membership::Impl::onPing(const Frame& frame, MonotonicTime now)
+{
+    if (frame.reconnect && m_hooks.reconnect)
+        m_hooks.reconnect(frame.sender.address);
+    auto ack = makeFrame(FrameKind::Ack);
+    ack.sequence = frame.sequence;
+    ack.target = m_settings.host;
+    const auto* sender = m_members.find(frame.sender.host);
+    // The sender has to hear that it is suspected or held for dead, so that it can refute.
+    if (sender && sender->record.state != MemberState::Alive)
+        ack.members.push_back(sender->record);
+    addContacts(ack, now);
+    addNews(ack, frame.sender.dataCentre);
+    send(frame.sender.address, ack);
+    const bool remote = frame.sender.dataCentre != m_settings.dataCentre;
+    if (frame.view != 0 && frame.view != viewHash(remote))
+        sendDigest(frame.sender, now);
+}
+
+void Membership::Impl::onAck(const Frame& frame, MonotonicTime now)
+{
+    const auto errand = m_errands.find(frame.sequence);
+    if (errand != m_errands.end() && errand->second.target == frame.target) {
+        auto ack = makeFrame(FrameKind::Ack);
+        ack.sequence = errand->second.askerSequence;
+        ack.target = frame.target;
+        send(errand->second.asker, ack);
+        m_errands.erase(errand);
+        return;
+    }
+    const auto probe = m_probes.find(frame.sequence);
+    if (probe == m_probes.end())
+        return;
+    if (frame.sender.dataCentre != m_settings.dataCentre)
+        m_contacts[frame.sender.dataCentre] = now;
+    // A replaced host answers under another name, which proves nothing for the probed one.
+    if (probe->second.host == frame.target || !probe->second.suspects)
+        m_probes.erase(probe);
+}
+
+void Membership::Impl::onPingRequest(const Frame& frame, MonotonicTime now)
+{
+    if (m_errands.size() >= maxErrands || frame.subject.empty())
+        return;
+    const auto sequence = ++m_sequence;
+    m_errands[sequence]
+        = Errand { frame.sender.address, frame.sequence, frame.target, now + m_settings.probeTimeout };
+    sendPing(sequence, frame.target, frame.subject, false);
+}
+
+void Membership::Impl::addNews(Frame& frame, const DataCentre& to)
+{
+    std::size_t bytes = 0;
+    // Whatever goes beyond the budget waits; the comparisons bring it later at the latest.
+    if (m_budget <= 0)
+        return;
+    m_news.offer(
+        carryLimit(), [&](const NewsKey& key) { return addNewsAbout(frame, key, to, bytes); },
+        [&] { return bytes >= m_settings.newsBytesPerFrame; });
+    spendBudget(bytes);
+}
+
+bool Membership::Impl::addNewsAbout(
+    Frame& frame, const NewsKey& key, const DataCentre& to, std::size_t& bytes) const
+{
+    if (key.item.empty()) {
+        const auto* entry = m_members.find(key.host);
+        if (!entry)
+            return false;
+        frame.members.push_back(entry->record);
+        bytes += encodedBytes(entry->record);
+        return true;
+    }
+    const auto* item = m_items.find(key.host, key.item);
+    if (!item || (item->scope == ItemScope::DataCentre && to != m_settings.dataCentre))
+        return false;
+    frame.items.push_back(*item);
+    bytes += encodedBytes(*item);
+    return true;
+}
+
+// Sends fresh news at once to a few hosts here and over the links of this host, so that it is everywhere in a
+// few hops and need not wait for probes.
+void Membership::Impl::pushUrgent(MonotonicTime now)
+{
+    if (!m_urgent || now < m_nextPush || !spendBudget(frameBaseBytes))
+        return;
+    m_urgent = false;
+    m_nextPush = now + m_settings.pushGap;
+    auto home = liveHosts(m_settings.dataCentre);
+    auto targets = home;
+    shuffleHosts(targets, m_hooks.random);
+    targets.resize(std::min(targets.size(), m_settings.pushFanout));
+    home.push_back(m_settings.host);
+    for (const auto& dataCentre : remoteDataCentres()) {
+        const auto chosen = linkHosts(home, m_settings.dataCentre, dataCentre, m_settings.linksPerDataCentre);
+        const auto remote = liveHosts(dataCentre);
+        if (std::find(chosen.begin(), chosen.end(), m_settings.host) != chosen.end())
+            targets.push_back(remote[uniformBelow(m_hooks.random, remote.size())]);
+    }
+    for (const auto& target : targets) {
+        const auto& record = m_members.find(target)->record;
+        auto frame = makeFrame(FrameKind::Push);
+        addNews(frame, record.dataCentre);
+        send(record.address, frame);
+    }
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Membership/MembershipHooks.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "Core/MonotonicTime.h"
+#include "Core/RandomSource.h"
+#include "Membership/Member.h"
+#include "Membership/SharedItem.h"
+
+#include <functional>
+#include <string>
+
+namespace almondscale {
+
+// What the membership protocol needs from outside, and whom it tells about changes.
+struct MembershipHooks {
+    Clock clock;
+    RandomSource random;
+    // Sends a frame without waiting; it may be lost.
+    std::function<void(const Address&, const std::string& bytes)> send;
+    // Gives up the open connection to a peer that does not answer; may be empty.
+    std::function<void(const Address&)> reconnect;
+    // A member was found, or its state changed; may be empty.
+    std::function<void(const Member&)> memberChanged;
+    // A peer's item changed or was removed; may be empty.
+    std::function<void(const SharedItem&)> itemChanged;
+    // A peer has a higher rules version in force than it had; may be empty.
+    std::function<void(const Member&)> rulesChanged;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Membership/MembershipImpl.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "Membership/Frame.h"
+#include "Membership/ItemTable.h"
+#include "Membership/MemberTable.h"
+#include "Membership/Membership.h"
+#include "Membership/NewsQueue.h"
+#include "Membership/ProbeOrder.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace almondscale {
+
+// The state and the steps of the membership protocol.
+class Membership::Impl {
+public:
+    Impl(const MembershipSettings&, MembershipHooks);
+
+    void tick();
+    void onFrame(const std::string& bytes);
+    void setSeeds(std::vector<SeedHost>);
+    std::error_code publish(const std::string& key, const std::string& value, ItemScope);
+    void retract(const std::string& key);
+    std::vector<SharedItem> items(const std::string& keyPrefix) const;
+    void setRules(RulesVersion);
+    std::vector<Member> members() const;
+    std::optional<Member> member(const HostId&) const;
+    void leave();
+    const MembershipCounters& counters() const { return m_counters; }
+
+private:
+    // A ping that waits for its answer.
+    struct Probe {
+        HostId host;
+        Address address;
+        MonotonicTime sentAt;
+        std::size_t repeats = 0;
+        bool askedOthers = false;
+        // A failed probe of a link or of a listed host raises no suspicion.
+        bool suspects = false;
+    };
+
+    // A ping sent for another host.
+    struct Errand {
+        Address asker;
+        std::uint64_t askerSequence = 0;
+        HostId target;
+        MonotonicTime endsAt;
+    };
+
+    // Probes (MembershipProbes.cpp).
+    void handlePause(MonotonicTime now);
+    void expireProbes(MonotonicTime now);
+    bool advanceProbe(std::uint64_t sequence, Probe&, MonotonicTime now);
+    void askOthers(std::uint64_t sequence, const Probe&);
+    void suspect(const HostId&, MonotonicTime now);
+    void endSuspicions(MonotonicTime now);
+    void probeNext(MonotonicTime now);
+    void probeLinks(MonotonicTime now);
+    void probeLink(const DataCentre&, MonotonicTime now);
+    void rejoin(MonotonicTime now);
+    void startProbe(const HostId&, const Address&, bool suspects, MonotonicTime now);
+    void sendPing(std::uint64_t sequence, const HostId&, const Address&, bool reconnect);
+    void forgetOld(MonotonicTime now);
+
+    // Frames (MembershipFrames.cpp).
+    Frame makeFrame(FrameKind) const;
+    void send(const Address&, const Frame&);
+    void onPing(const Frame&, MonotonicTime now);
+    void onAck(const Frame&, MonotonicTime now);
+    void onPingRequest(const Frame&, MonotonicTime now);
+    void applyNews(const Frame&, MonotonicTime now);
+    void mergeContacts(const Frame&, MonotonicTime now);
+    void addContacts(Frame&, MonotonicTime now) const;
+    void addNews(Frame&, const DataCentre& to);
+    bool addNewsAbout(Frame&, const NewsKey&, const DataCentre& to, std::size_t& bytes) const;
+    void pushUrgent(MonotonicTime now);
+
+    // Comparisons (MembershipDigests.cpp).
+    std::uint64_t viewHash(bool everywhereOnly) const;
+    std::uint32_t hostHash(const HostId&, bool everywhereOnly) const;
+    std::vector<HostDigest> digests(bool everywhereOnly) const;
+    void sendDigest(const MemberRecord& to, MonotonicTime now);
+    void onDigest(const Frame&);
+    void onWanted(const Frame&);
+    void sendStates(const MemberRecord& to, const std::vector<HostId>&, std::vector<std::uint64_t> wanted);
+    void addState(Frame&, const HostId&, const DataCentre& to) const;
+
+    // Records and items (MembershipState.cpp).
+    void applyRecord(const MemberRecord&, MonotonicTime now);
+    void applyOwnRecord(const MemberRecord&);
+    MemberRecord settleAddress(const MemberRecord&, MonotonicTime now);
+    void declareDead(const MemberRecord&, MonotonicTime now);
+    void applyItem(const SharedItem&);
+    void compactOwnItems();
+    std::size_t ownRemovedItems() const;
+    MemberRecord ownRecord() const;
+    void announceSelf();
+    Member memberOf(const MemberRecord&) const;
+    bool reachable(const DataCentre&) const;
+    void reportReachability();
+    void reportMember(const MemberRecord&) const;
+    std::vector<HostId> liveHosts(const DataCentre&) const;
+    std::vector<DataCentre> remoteDataCentres() const;
+    std::size_t carryLimit() const;
+    void refillBudget(MonotonicTime now);
+    bool spendBudget(std::size_t bytes);
+
+    MembershipSettings m_settings;
+    MembershipHooks m_hooks;
+    MembershipCounters m_counters;
+    Incarnation m_incarnation;
+    std::uint32_t m_refutation = 0;
+    RulesVersion m_rules;
+    bool m_leaving = false;
+    std::uint64_t m_itemVersion = 0;
+    std::uint64_t m_itemFloor = 0;
+
+    MemberTable m_members;
+    ItemTable m_items;
+    NewsQueue m_news;
+    ProbeOrder m_order;
+    std::vector<SeedHost> m_seeds;
+    std::map<std::uint64_t, Probe> m_probes;
+    std::map<std::uint64_t, Errand> m_errands;
+    std::uint64_t m_sequence = 0;
+    // The last answer from each other data centre that any host here had.
+    std::map<DataCentre, MonotonicTime> m_contacts;
+    std::map<DataCentre, bool> m_reported;
+
+    bool m_urgent = false;
+    long long m_budget = 0;
+    MonotonicTime m_lastTick;
+    MonotonicTime m_budgetAt;
+    MonotonicTime m_nextProbe;
+    MonotonicTime m_nextLinks;
+    MonotonicTime m_nextRejoin;
+    MonotonicTime m_nextPush;
+    MonotonicTime m_nextDigest;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Membership/MembershipProbes.cpp
@@ -0,0 +1,215 @@
+#include "Membership/LinkChoice.h"
+#include "Membership/MembershipImpl.h"
+
+#include <algorithm>
+
+namespace almondscale {
+
+void Membership::Impl::tick()
+{
+    const auto now = m_hooks.clock();
+    if (now - m_lastTick > m_settings.pauseThreshold)
+        handlePause(now);
+    m_lastTick = now;
+    refillBudget(now);
+    expireProbes(now);
+    endSuspicions(now);
+    if (!m_leaving) {
+        probeNext(now);
+        probeLinks(now);
+        rejoin(now);
+    }
+    pushUrgent(now);
+    forgetOld(now);
+    reportReachability();
+}
+
+// After a pause of this process, answers that are missing prove nothing about the peers.
+void Membership::Impl::handlePause(MonotonicTime now)
+{
+    ++m_counters.pauses;
+    m_probes.clear();
+    m_members.extendSuspicions(now);
+    for (auto& [dataCentre, contact] : m_contacts)
+        contact = now;
+}
+
+void Membership::Impl::probeNext(MonotonicTime now)
+{
+    if (now < m_nextProbe)
+        return;
+    m_nextProbe = now + m_settings.probeInterval;
+    const auto host = m_order.next(liveHosts(m_settings.dataCentre), m_hooks.random);
+    if (host)
+        startProbe(*host, m_members.find(*host)->record.address, true, now);
+}
+
+void Membership::Impl::startProbe(
+    const HostId& host, const Address& address, bool suspects, MonotonicTime now)
+{
+    const auto sequence = ++m_sequence;
+    m_probes[sequence] = Probe { host, address, now, 0, false, suspects };
+    sendPing(sequence, host, address, false);
+}
+
+void Membership::Impl::sendPing(
+    std::uint64_t sequence, const HostId& host, const Address& address, bool reconnect)
+{
+    auto frame = makeFrame(FrameKind::Ping);
+    frame.sequence = sequence;
+    frame.target = host;
+    frame.reconnect = reconnect;
+    const auto* entry = m_members.find(host);
+    const auto to = entry ? entry->record.dataCentre : DataCentre();
+    // A host that is held for dead has to hear it, so that it can refute.
+    if (entry && entry->record.state != MemberState::Alive)
+        frame.members.push_back(entry->record);
+    frame.view = viewHash(to != m_settings.dataCentre);
+    addContacts(frame, m_hooks.clock());
+    addNews(frame, to);
+    send(address, frame);
+}
+
+void Membership::Impl::expireProbes(MonotonicTime now)
+{
+    std::vector<std::uint64_t> ended;
+    for (auto& [sequence, probe] : m_probes) {
+        if (!advanceProbe(sequence, probe, now))
+            ended.push_back(sequence);
+    }
+    for (const auto sequence : ended) {
+        const auto probe = m_probes[sequence];
+        m_probes.erase(sequence);
+        if (probe.suspects)
+            suspect(probe.host, now);
+    }
+    for (auto at = m_errands.begin(); at != m_errands.end();)
+        at = now >= at->second.endsAt ? m_errands.erase(at) : std::next(at);
+}
+
+// Repeats an unanswered ping and asks others for help; false when the probe has failed.
+bool Membership::Impl::advanceProbe(std::uint64_t sequence, Probe& probe, MonotonicTime now)
+{
+    const auto waited = now - probe.sentAt;
+    if (waited >= m_settings.probeTimeout)
+        return false;
+    const auto& repeats = m_settings.pingRepeats;
+    if (probe.repeats < repeats.size() && waited >= repeats[probe.repeats]) {
+        ++probe.repeats;
+        ++m_counters.pingsRepeated;
+        // The connection may have gone silent: the last repeat takes a new one.
+        const bool last = probe.repeats == repeats.size();
+        if (last && m_hooks.reconnect)
+            m_hooks.reconnect(probe.address);
+        sendPing(sequence, probe.host, probe.address, last);
+    }
+    if (probe.suspects && !probe.askedOthers && waited >= m_settings.indirectAfter) {
+        probe.askedOthers = true;
+        askOthers(sequence, probe);
+    }
+    return true;
+}
+
+void Membership::Impl::askOthers(std::uint64_t sequence, const Probe& probe)
+{
+    auto helpers = liveHosts(m_settings.dataCentre);
+    helpers.erase(std::remove(helpers.begin(), helpers.end(), probe.host), helpers.end());
+    shuffleHosts(helpers, m_hooks.random);
+    const auto wanted = static_cast<std::size_t>(m_settings.indirectProbes);
+    for (const auto& dataCentre : remoteDataCentres()) {
+        if (helpers.size() >= wanted)
+            break;
+        auto remote = liveHosts(dataCentre);
+        shuffleHosts(remote, m_hooks.random);
+        helpers.insert(helpers.end(), remote.begin(), remote.end());
+    }
+    helpers.resize(std::min(helpers.size(), wanted));
+    for (const auto& helper : helpers) {
+        auto frame = makeFrame(FrameKind::PingRequest);
+        frame.sequence = sequence;
+        frame.target = probe.host;
+        frame.subject = probe.address;
+        send(m_members.find(helper)->record.address, frame);
+    }
+}
+
+void Membership::Impl::suspect(const HostId& host, MonotonicTime now)
+{
+    const auto* entry = m_members.find(host);
+    if (!entry || !entry->record.live())
+        return;
+    auto record = entry->record;
+    if (record.state == MemberState::Alive)
+        ++m_counters.suspicions;
+    record.state = MemberState::Suspect;
+    record.accuser = m_settings.host;
+    applyRecord(record, now);
+}
+
+void Membership::Impl::endSuspicions(MonotonicTime now)
+{
+    for (const auto& host : m_members.suspicionsEnded(now))
+        declareDead(m_members.find(host)->record, now);
+}
+
+void Membership::Impl::probeLinks(MonotonicTime now)
+{
+    if (now < m_nextLinks)
+        return;
+    m_nextLinks = now + m_settings.linkInterval;
+    auto home = liveHosts(m_settings.dataCentre);
+    home.push_back(m_settings.host);
+    for (const auto& dataCentre : remoteDataCentres()) {
+        const auto chosen = linkHosts(home, m_settings.dataCentre, dataCentre, m_settings.linksPerDataCentre);
+        if (std::find(chosen.begin(), chosen.end(), m_settings.host) != chosen.end())
+            probeLink(dataCentre, now);
+    }
+}
+
+// Half of the probes go to the hosts that keep the link at the other end, the others to any host there, so
+// that a wrong view of the other end cannot cut the link for good.
+void Membership::Impl::probeLink(const DataCentre& dataCentre, MonotonicTime now)
+{
+    auto hosts = liveHosts(dataCentre);
+    if (m_hooks.random() % 2 == 0)
+        hosts = linkHosts(hosts, dataCentre, m_settings.dataCentre, m_settings.linksPerDataCentre);
+    const auto host = hosts[uniformBelow(m_hooks.random, hosts.size())];
+    startProbe(host, m_members.find(host)->record.address, false, now);
+}
+
+// Tries a listed or lost host that is not a live member; the hosts of a data centre share the work.
+void Membership::Impl::rejoin(MonotonicTime now)
+{
+    if (now < m_nextRejoin)
+        return;
+    m_nextRejoin = now + m_settings.rejoinInterval;
+    const auto home = liveHosts(m_settings.dataCentre).size() + 1;
+    constexpr std::size_t hostsThatTry = 8;
+    if (home > hostsThatTry && uniformBelow(m_hooks.random, home) >= hostsThatTry)
+        return;
+    std::vector<SeedHost> candidates;
+    for (const auto& seed : m_seeds) {
+        const auto* entry = m_members.find(seed.host);
+        if (seed.host != m_settings.host && seed.address != m_settings.address
+            && !(entry && entry->record.live()))
+            candidates.push_back(seed);
+    }
+    for (const auto& [host, entry] : m_members.entries()) {
+        if (entry.record.state == MemberState::Dead && entry.record.address != m_settings.address)
+            candidates.push_back({ host, entry.record.address, entry.record.dataCentre });
+    }
+    if (candidates.empty())
+        return;
+    const auto& seed = candidates[uniformBelow(m_hooks.random, candidates.size())];
+    startProbe(seed.host, seed.address, false, now);
+}
+
+void Membership::Impl::forgetOld(MonotonicTime now)
+{
+    for (const auto& host : m_members.forget(now)) {
+        m_items.remove(host);
+        m_news.drop({ host, {} });
+    }
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Membership/MembershipSettings.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "Core/Address.h"
+#include "Core/DataCentre.h"
+#include "Core/HostId.h"
+#include "Core/Incarnation.h"
+#include "Core/MonotonicTime.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace almondscale {
+
+// Who this host is, and the pace of the membership protocol.
+struct MembershipSettings {
+    HostId host;
+    // Where peers reach this host.
+    Address address;
+    DataCentre dataCentre;
+    // Higher than that of any former process of this host or on this address; microseconds of wall time
+    // serve.
+    Incarnation incarnation;
+
+    // Between two probes of hosts of the own data centre.
+    Nanoseconds probeInterval = std::chrono::milliseconds(500);
+    // When an unanswered ping is sent again, counted from the first.
+    std::vector<Nanoseconds> pingRepeats
+        = { std::chrono::milliseconds(50), std::chrono::milliseconds(150), std::chrono::milliseconds(350) };
+    // When other hosts are asked to ping, counted from the first ping.
+    Nanoseconds indirectAfter = std::chrono::milliseconds(250);
+    int indirectProbes = 3;
+    // When the host is suspected, counted from the first ping.
+    Nanoseconds probeTimeout = std::chrono::milliseconds(900);
+    // How long a suspect has to refute, with one accuser and with several.
+    Nanoseconds longSuspicion = std::chrono::milliseconds(2000);
+    Nanoseconds shortSuspicion = std::chrono::milliseconds(1200);
+    std::size_t accusersForShortSuspicion = 3;
+    // How long the dead and the left are remembered.
+    Nanoseconds forgetAfter = std::chrono::seconds(120);
+
+    // Hosts per pair of data centres that keep a link, and the pace of their probes.
+    std::size_t linksPerDataCentre = 3;
+    Nanoseconds linkInterval = std::chrono::seconds(1);
+    // A data centre counts as unreachable when nobody here had an answer from it for so long.
+    Nanoseconds contactTimeout = std::chrono::seconds(6);
+
+    // Between two tries of a listed host that is not a member.
+    Nanoseconds rejoinInterval = std::chrono::seconds(1);
+    // Between two comparisons of all that is known.
+    Nanoseconds digestInterval = std::chrono::seconds(4);
+
+    // Urgent news goes at once to so many hosts, but no faster than the gap.
+    std::size_t pushFanout = 3;
+    Nanoseconds pushGap = std::chrono::milliseconds(100);
+    // A piece of news is carried so many times log2 of the number of hosts.
+    std::size_t carriesPerDoubling = 2;
+    // News in one frame.
+    std::size_t newsBytesPerFrame = 900;
+    // What news, comparisons and answers to them may take together.
+    std::size_t bytesPerSecond = 4000;
+    std::size_t burstBytes = 65536;
+
+    // A longer gap between two ticks means that this process was paused.
+    Nanoseconds pauseThreshold = std::chrono::seconds(1);
+    std::size_t maxMembers = 1024;
+    std::size_t maxItemsPerHost = 160;
+    std::size_t maxItemBytesPerHost = 16384;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Membership/MembershipState.cpp
@@ -0,0 +1,357 @@
+#include "Membership/FrameCodec.h"
+#include "Membership/MembershipImpl.h"
+
+#include <algorithm>
+
+namespace almondscale {
+
+namespace {
+
+    // Removed items that this host keeps in mind before it raises the floor over them.
+    constexpr std::size_t maxRemovedItems = 32;
+
+} // namespace
+
+Membership::Impl::Impl(const MembershipSettings& settings, MembershipHooks hooks)
+    : m_settings(settings)
+    , m_hooks(std::move(hooks))
+    , m_incarnation(settings.incarnation)
+    , m_members(settings)
+    , m_items(settings)
+    , m_budget(static_cast<long long>(settings.burstBytes))
+    , m_lastTick(m_hooks.clock())
+    , m_budgetAt(m_lastTick)
+    , m_nextProbe(m_lastTick)
+    , m_nextLinks(m_lastTick)
+    , m_nextRejoin(m_lastTick)
+    , m_nextPush(m_lastTick)
+    , m_nextDigest(m_lastTick)
+{
+    announceSelf();
+}
+
+void Membership::Impl::setSeeds(std::vector<SeedHost> seeds)
+{
+    if (seeds.size() > m_settings.maxMembers)
+        seeds.resize(m_settings.maxMembers);
+    m_seeds = std::move(seeds);
+}
+
+MemberRecord Membership::Impl::ownRecord() const
+{
+    MemberRecord record;
+    record.host = m_settings.host;
+    record.address = m_settings.address;
+    record.dataCentre = m_settings.dataCentre;
+    record.incarnation = m_incarnation;
+    record.refutation = m_refutation;
+    record.state = m_leaving ? MemberState::Left : MemberState::Alive;
+    record.itemFloor = m_itemFloor;
+    record.rules = m_rules;
+    return record;
+}
+
+void Membership::Impl::announceSelf()
+{
+    // Each frame carries the record of its sender.
+    m_urgent = true;
+}
+
+void Membership::Impl::applyRecord(const MemberRecord& record, MonotonicTime now)
+{
+    if (record.host == m_settings.host) {
+        applyOwnRecord(record);
+        return;
+    }
+    const auto* former = m_members.find(record.host);
+    const auto formerRules = former ? former->record.rules : RulesVersion();
+    const auto settled = settleAddress(record, now);
+    const auto change = m_members.apply(settled, now);
+    if (change == RecordChange::Refused) {
+        ++m_counters.entriesRefused;
+        return;
+    }
+    const auto& entry = *m_members.find(record.host);
+    m_items.settle(record.host, entry.record.incarnation, entry.record.itemFloor);
+    if (change == RecordChange::Replaced || change == RecordChange::Confirmed)
+        m_news.add({ record.host, {} });
+    if (change == RecordChange::Replaced) {
+        m_urgent = true;
+        reportMember(entry.record);
+    }
+    if (formerRules < entry.record.rules && m_hooks.rulesChanged)
+        m_hooks.rulesChanged(memberOf(entry.record));
+}
+
+// Of two hosts on one address, the one with the lower incarnation is gone.
+MemberRecord Membership::Impl::settleAddress(const MemberRecord& record, MonotonicTime now)
+{
+    if (!record.live())
+        return record;
+    auto settled = record;
+    if (record.address == m_settings.address) {
+        if (record.incarnation < m_incarnation)
+            settled.state = MemberState::Dead;
+        return settled;
+    }
+    const auto* other = m_members.liveOnAddress(record.address, record.host);
+    if (!other)
+        return settled;
+    if (other->record.incarnation < record.incarnation)
+        declareDead(other->record, now);
+    else
+        settled.state = MemberState::Dead;
+    return settled;
+}
+
+void Membership::Impl::declareDead(const MemberRecord& record, MonotonicTime now)
+{
+    auto dead = record;
+    dead.state = MemberState::Dead;
+    ++m_counters.deaths;
+    applyRecord(dead, now);
+}
+
+// A peer believes something else about this host than this host does.
+void Membership::Impl::applyOwnRecord(const MemberRecord& record)
+{
+    if (record.incarnation < m_incarnation)
+        return;
+    if (m_incarnation < record.incarnation) {
+        // A former process of this host had a later clock; its items are not ours.
+        m_incarnation = Incarnation(record.incarnation.count() + 1);
+        m_refutation = 0;
+        const auto* own = m_items.of(m_settings.host);
+        const auto items = own ? own->items : std::map<std::string, SharedItem>();
+        for (auto item : items) {
+            item.second.incarnation = m_incarnation;
+            m_items.apply(item.second);
+            m_news.add({ m_settings.host, item.first });
+        }
+        announceSelf();
+        return;
+    }
+    if (record.state == MemberState::Alive || m_leaving || record.refutation < m_refutation)
+        return;
+    m_refutation = record.refutation + 1;
+    ++m_counters.refutations;
+    announceSelf();
+}
+
+void Membership::Impl::applyItem(const SharedItem& item)
+{
+    if (item.host == m_settings.host)
+        return;
+    // Items of hosts without a record would escape the bound on hosts.
+    const auto* entry = m_members.find(item.host);
+    if (!entry)
+        return;
+    const auto change = m_items.apply(item);
+    if (change == ItemChange::Refused)
+        ++m_counters.entriesRefused;
+    if (change != ItemChange::Replaced)
+        return;
+    m_news.add({ item.host, item.key });
+    m_urgent = m_urgent || item.scope == ItemScope::Everywhere;
+    if (m_hooks.itemChanged)
+        m_hooks.itemChanged(item);
+}
+
+std::error_code Membership::Impl::publish(const std::string& key, const std::string& value, ItemScope scope)
+{
+    if (key.empty() || value.empty())
+        return ErrorKind::BadRequest;
+    if (key.size() > maxItemKeyBytes || value.size() > maxItemValueBytes)
+        return ErrorKind::LimitExceeded;
+    const auto* former = m_items.find(m_settings.host, key);
+    if (former && former->value == value && former->scope == scope)
+        return {};
+    SharedItem item { m_settings.host, m_incarnation, key, m_itemVersion + 1, scope, value };
+    if (m_items.apply(item) != ItemChange::Replaced)
+        return ErrorKind::LimitExceeded;
+    ++m_itemVersion;
+    m_news.add({ m_settings.host, key });
+    m_urgent = m_urgent || scope == ItemScope::Everywhere;
+    return {};
+}
+
+void Membership::Impl::retract(const std::string& key)
+{
+    const auto* former = m_items.find(m_settings.host, key);
+    if (!former || former->value.empty())
+        return;
+    auto item = *former;
+    item.value.clear();
+    item.version = ++m_itemVersion;
+    m_items.apply(item);
+    m_news.add({ m_settings.host, key });
+    m_urgent = true;
+    if (ownRemovedItems() > maxRemovedItems)
+        compactOwnItems();
+}
+
+std::size_t Membership::Impl::ownRemovedItems() const
+{
+    const auto* own = m_items.of(m_settings.host);
+    if (!own)
+        return 0;
+    return static_cast<std::size_t>(std::count_if(
+        own->items.begin(), own->items.end(), [](const auto& item) { return item.second.value.empty(); }));
+}
+
+// Gives the items that stay new versions and raises the floor over the removed ones, so that peers can forget
+// these without ever taking an old version for a new item.
+void Membership::Impl::compactOwnItems()
+{
+    m_itemFloor = m_itemVersion;
+    const auto items = m_items.of(m_settings.host)->items;
+    m_items.settle(m_settings.host, m_incarnation, m_itemFloor);
+    for (auto [key, item] : items) {
+        m_news.drop({ m_settings.host, key });
+        if (item.value.empty())
+            continue;
+        item.version = ++m_itemVersion;
+        m_items.apply(item);
+        m_news.add({ m_settings.host, key });
+    }
+    announceSelf();
+}
+
+std::vector<SharedItem> Membership::Impl::items(const std::string& keyPrefix) const
+{
+    std::vector<SharedItem> found;
+    for (const auto& [host, held] : m_items.all()) {
+        const auto known = member(host);
+        if (!known || !known->live())
+            continue;
+        for (const auto& [key, item] : held.items) {
+            if (!item.value.empty() && key.compare(0, keyPrefix.size(), keyPrefix) == 0)
+                found.push_back(item);
+        }
+    }
+    return found;
+}
+
+void Membership::Impl::setRules(RulesVersion version)
+{
+    if (version <= m_rules)
+        return;
+    m_rules = version;
+    announceSelf();
+}
+
+void Membership::Impl::leave()
+{
+    if (m_leaving)
+        return;
+    m_leaving = true;
+    announceSelf();
+}
+
+Member Membership::Impl::memberOf(const MemberRecord& record) const
+{
+    Member member { record.host, record.address, record.dataCentre, record.incarnation, record.state,
+        record.rules };
+    if (record.live() && !reachable(record.dataCentre))
+        member.state = MemberState::Unreachable;
+    return member;
+}
+
+std::vector<Member> Membership::Impl::members() const
+{
+    std::vector<Member> all { memberOf(ownRecord()) };
+    for (const auto& [host, entry] : m_members.entries())
+        all.push_back(memberOf(entry.record));
+    return all;
+}
+
+std::optional<Member> Membership::Impl::member(const HostId& host) const
+{
+    if (host == m_settings.host)
+        return memberOf(ownRecord());
+    const auto* entry = m_members.find(host);
+    if (!entry)
+        return std::nullopt;
+    return memberOf(entry->record);
+}
+
+bool Membership::Impl::reachable(const DataCentre& dataCentre) const
+{
+    if (dataCentre == m_settings.dataCentre)
+        return true;
+    const auto found = m_reported.find(dataCentre);
+    return found == m_reported.end() || found->second;
+}
+
+// Tells about all hosts of a data centre when contact with it is lost or comes back.
+void Membership::Impl::reportReachability()
+{
+    const auto now = m_hooks.clock();
+    for (const auto& dataCentre : remoteDataCentres()) {
+        const auto contact = m_contacts.emplace(dataCentre, now).first->second;
+        const bool inContact = now - contact < m_settings.contactTimeout;
+        const auto reported = m_reported.emplace(dataCentre, true).first;
+        if (reported->second == inContact)
+            continue;
+        reported->second = inContact;
+        for (const auto& [host, entry] : m_members.entries()) {
+            if (entry.record.dataCentre == dataCentre && entry.record.live())
+                reportMember(entry.record);
+        }
+    }
+}
+
+void Membership::Impl::reportMember(const MemberRecord& record) const
+{
+    if (m_hooks.memberChanged)
+        m_hooks.memberChanged(memberOf(record));
+}
+
+std::vector<HostId> Membership::Impl::liveHosts(const DataCentre& dataCentre) const
+{
+    std::vector<HostId> hosts;
+    for (const auto& [host, entry] : m_members.entries()) {
+        if (entry.record.dataCentre == dataCentre && entry.record.live())
+            hosts.push_back(host);
+    }
+    return hosts;
+}
+
+std::vector<DataCentre> Membership::Impl::remoteDataCentres() const
+{
+    std::set<DataCentre> found;
+    for (const auto& [host, entry] : m_members.entries()) {
+        if (entry.record.live() && entry.record.dataCentre != m_settings.dataCentre)
+            found.insert(entry.record.dataCentre);
+    }
+    return { found.begin(), found.end() };
+}
+
+std::size_t Membership::Impl::carryLimit() const
+{
+    std::size_t doublings = 1;
+    for (std::size_t hosts = m_members.entries().size() + 1; hosts > 1; hosts /= 2)
+        ++doublings;
+    return doublings * m_settings.carriesPerDoubling;
+}
+
+void Membership::Impl::refillBudget(MonotonicTime now)
+{
+    const auto elapsed = now - m_budgetAt;
+    const auto gained = static_cast<long long>(
+        std::chrono::duration<double>(elapsed).count() * static_cast<double>(m_settings.bytesPerSecond));
+    if (gained <= 0)
+        return;
+    m_budget = std::min(m_budget + gained, static_cast<long long>(m_settings.burstBytes));
+    m_budgetAt = now;
+}
+
+bool Membership::Impl::spendBudget(std::size_t bytes)
+{
+    if (m_budget <= 0)
+        return false;
+    m_budget -= static_cast<long long>(bytes);
+    return true;
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Membership/NewsQueue.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Core/HostId.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace almondscale {
+
+// What a piece of news is about; an empty item key stands for the host's record.
+struct NewsKey {
+    HostId host;
+    std::string item;
+
+    friend bool operator<(const NewsKey& a, const NewsKey& b)
+    {
+        return a.host < b.host || (a.host == b.host && a.item < b.item);
+    }
+};
+
+// Decides which news a frame carries: the least carried first, each a bounded number of times.
+class NewsQueue {
+public:
+    void add(const NewsKey&);
+    void drop(const NewsKey&);
+    bool empty() const { return m_carried.empty(); }
+    std::size_t size() const { return m_carried.size(); }
+
+    // Offers news to `take`, which answers whether it went into the frame; stops when `full` says so.
+    void offer(std::size_t carryLimit, const std::function<bool(const NewsKey&)>& take,
+        const std::function<bool()>& full);
+
+private:
+    std::map<NewsKey, std::size_t> m_carried;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Tests/Membership/MembershipTest.cpp
@@ -0,0 +1,53 @@
+#include "FixtureSupport.h"
+
+#include <catch2/catch.hpp>
+
+namespace almondscale {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    constexpr auto meetingLimit = seconds(30);
+    constexpr auto knownEverywhere = seconds(4);
+    constexpr auto detectionLimit = seconds(8);
+
+    MemberState stateAt(ControlFixture& fixture, int observer, int subject)
+    {
+        return fixture.find(hostNumber(observer))->membership->member(hostNumber(subject))->state;
+    }
+
+} // namespace
+
+TEST_CASE("Membership, hosts of three data centres start with a listed address each, all know all")
+{
+    ControlFixture fixture(1, {});
+    startHosts(fixture, 9, 3);
+    CHECK(runUntilConverged(fixture, meetingLimit));
+}
+
+TEST_CASE("Membership, a host is killed, it is dead everywhere and nobody else is")
+{
+    ControlFixture fixture(2, {});
+    startHosts(fixture, 9, 3);
+    REQUIRE(runUntilConverged(fixture, meetingLimit));
+    fixture.kill(hostNumber(4));
+    CHECK(runUntilConverged(fixture, detectionLimit));
+    CHECK(stateAt(fixture, 0, 4) == MemberState::Dead);
+}
+
+TEST_CASE("Membership, a host is paused and woken, it is dead meanwhile and comes back by refutation")
+{
+    ControlFixture fixture(3, {});
+    startHosts(fixture, 9, 3);
+    REQUIRE(runUntilConverged(fixture, meetingLimit));
+    fixture.pause(hostNumber(4));
+    fixture.run(detectionLimit);
+    CHECK(fixture.holdLive(hostNumber(4)) <= 1);
+    fixture.resume(hostNumber(4));
+    CHECK(runUntilConverged(fixture, detectionLimit));
+    CHECK(fixture.find(hostNumber(4))->membership->counters().pauses == 1);
+}
+
+} // namespace almondscale
