Run membership over TCP with authenticated frames

The protocol's frames travel length-prefixed over TCP, each signed by HMAC-SHA256 over the receiver's challenge for the connection, the number of the frame, the receiver's address and the bytes. Two keys are accepted at once, so that keys change host by host without a restart. Accepting, receiving, sending and the protocol have a thread each, joined by bounded rings; a peer that does not take its bytes has its connection given up and never holds up the others.

--- /dev/null
+++ b/Source/Membership/InboundLink.cpp
@@ -0,0 +1,66 @@
+#include "Membership/InboundLink.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace almondscale {
+
+namespace {
+
+    // A stranger may not hold a connection for longer.
+    constexpr auto proofTimeout = std::chrono::seconds(5);
+    constexpr auto idleTimeout = std::chrono::seconds(120);
+    constexpr std::size_t readBytes = 16384;
+
+} // namespace
+
+InboundLink::InboundLink(
+    std::shared_ptr<cxxtools::net::TcpSocket> socket, const Address& self, MonotonicTime now)
+    : m_socket(std::move(socket))
+    , m_context { FrameAuthenticator::makeChallenge(), 0, self }
+    , m_closeAt(now + proofTimeout)
+{
+}
+
+bool InboundLink::sendChallenge()
+{
+    const auto& challenge = m_context.challenge;
+    const auto sent = ::send(descriptor(), challenge.data(), challenge.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    return sent == static_cast<ssize_t>(challenge.size());
+}
+
+bool InboundLink::receive(
+    const FrameAuthenticator& keys, TransportCounters& counters, const Received& received, MonotonicTime now)
+{
+    std::array<char, readBytes> buffer {};
+    const auto count = ::recv(descriptor(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (count < 0)
+        return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    if (count == 0)
+        return false;
+    counters.bytesReceived += static_cast<std::uint64_t>(count);
+    m_reader.append(buffer.data(), static_cast<std::size_t>(count));
+    return take(keys, counters, received, now);
+}
+
+bool InboundLink::take(
+    const FrameAuthenticator& keys, TransportCounters& counters, const Received& received, MonotonicTime now)
+{
+    while (auto frame = m_reader.next()) {
+        if (!keys.accepts(m_context, frame->frame, frame->code)) {
+            ++counters.framesUnauthorised;
+            return false;
+        }
+        ++m_context.sequence;
+        m_closeAt = now + idleTimeout;
+        received(frame->frame);
+    }
+    if (m_reader.broken())
+        ++counters.framesOversized;
+    return !m_reader.broken();
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Membership/MembershipService.cpp
@@ -0,0 +1,276 @@
+#include "Membership/MembershipService.h"
+
+#include "Core/BoundedRing.h"
+#include "Core/ErrorKind.h"
+#include "Core/LogEvent.h"
+#include "Membership/FrameAuthenticator.h"
+#include "Membership/Membership.h"
+#include "Membership/PeerReceiver.h"
+#include "Membership/PeerSender.h"
+
+#include <atomic>
+#include <exception>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace almondscale {
+
+namespace {
+
+    constexpr std::size_t receivedCapacity = 4096;
+    constexpr std::size_t outgoingCapacity = 4096;
+    constexpr int frameWaitMs = 10;
+    constexpr auto tickInterval = std::chrono::milliseconds(50);
+    constexpr auto refusalReportInterval = std::chrono::seconds(10);
+    // Several rounds of immediate pushes.
+    constexpr auto leaveSpreadTime = std::chrono::milliseconds(600);
+
+} // namespace
+
+class MembershipService::Impl {
+public:
+    Impl(const MembershipServiceSettings& settings, MembershipObservers observers)
+        : m_settings(settings)
+        , m_observers(std::move(observers))
+        , m_clock(monotonicClock())
+        , m_received(receivedCapacity)
+        , m_outgoing(outgoingCapacity)
+        , m_membership(settings.membership, hooks())
+        , m_receiver(settings.listen, settings.membership.address, m_keys, m_transportCounters, m_received,
+              receivedCapacity)
+        , m_sender(m_keys, m_transportCounters, m_outgoing)
+    {
+    }
+
+    ~Impl() { stop(); }
+
+    std::error_code start()
+    {
+        if (!m_keys.setKeys(m_settings.keys))
+            return refuseKeys();
+        try {
+            m_receiver.start();
+        } catch (const std::exception& error) {
+            LogEvent("peer_port_not_opened", LogLevel::Error)
+                .with("address", m_settings.listen.text())
+                .with("error", error.what())
+                .with("remedy", "free the port or change the control address in the settings");
+            return ErrorKind::SettingsInvalid;
+        }
+        m_sender.start();
+        m_thread = std::thread([this] { tickLoop(); });
+        return {};
+    }
+
+    void stop()
+    {
+        if (m_stopping.exchange(true))
+            return;
+        m_receiver.stop();
+        if (m_thread.joinable())
+            m_thread.join();
+        m_sender.stop();
+    }
+
+    void leave()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_membership.leave();
+        }
+        std::this_thread::sleep_for(leaveSpreadTime);
+    }
+
+    std::error_code setKeys(const FrameKeys& keys)
+    {
+        if (!m_keys.setKeys(keys))
+            return refuseKeys();
+        LogEvent("peer_keys_changed").with("accepted", keys.alsoAccepted.empty() ? 1 : 2);
+        return {};
+    }
+
+    // Runs a step on the protocol's state, which the service's own thread uses as well.
+    template <typename Step> auto locked(Step step)
+    {
+        const std::lock_guard lock(m_mutex);
+        return step(m_membership);
+    }
+
+    const TransportCounters& transportCounters() const { return m_transportCounters; }
+
+private:
+    static std::error_code refuseKeys()
+    {
+        LogEvent("peer_keys_refused", LogLevel::Error)
+            .with("remedy", "give a shared key of at least 16 bytes, the same on all hosts");
+        return ErrorKind::SettingsInvalid;
+    }
+
+    MembershipHooks hooks()
+    {
+        MembershipHooks hooks;
+        hooks.clock = m_clock;
+        hooks.random = systemRandom();
+        hooks.send = [this](const Address& to, const std::string& bytes) { handOver({ to, bytes, false }); };
+        hooks.reconnect = [this](const Address& to) { handOver({ to, {}, true }); };
+        hooks.memberChanged = [this](const Member& member) {
+            m_events.emplace_back([this, member] { reportMember(member); });
+        };
+        hooks.itemChanged = [this](const SharedItem& item) {
+            if (m_observers.itemChanged)
+                m_events.emplace_back([this, item] { m_observers.itemChanged(item); });
+        };
+        hooks.rulesChanged = [this](const Member& member) {
+            if (m_observers.rulesChanged)
+                m_events.emplace_back([this, member] { m_observers.rulesChanged(member); });
+        };
+        return hooks;
+    }
+
+    void reportMember(const Member& member) const
+    {
+        LogEvent("member")
+            .with("host", member.host)
+            .with("address", member.address.text())
+            .with("data_centre", member.dataCentre)
+            .with("incarnation", member.incarnation)
+            .with("state", memberStateWord(member.state));
+        if (m_observers.memberChanged)
+            m_observers.memberChanged(member);
+    }
+
+    // Called with the lock held, so that the ring cannot become full after the look.
+    void handOver(const OutgoingFrame& frame)
+    {
+        if (m_outgoing.size() < outgoingCapacity)
+            m_outgoing.push(frame);
+        else
+            ++m_transportCounters.framesDropped;
+    }
+
+    void tickLoop()
+    {
+        auto nextTick = m_clock();
+        while (!m_stopping) {
+            const auto frame = m_received.pop(frameWaitMs);
+            std::vector<std::function<void()>> events;
+            {
+                const std::lock_guard lock(m_mutex);
+                if (frame)
+                    m_membership.onFrame(*frame);
+                const auto now = m_clock();
+                if (now >= nextTick) {
+                    m_membership.tick();
+                    nextTick = now + tickInterval;
+                }
+                events.swap(m_events);
+            }
+            // Observers may call the service again, so the lock is not held here.
+            for (const auto& event : events)
+                event();
+            reportRefusals();
+        }
+    }
+
+    // One line for all refusals of an interval, so that a stranger cannot fill the log.
+    void reportRefusals()
+    {
+        const auto now = m_clock();
+        if (now < m_reportRefusalsAt)
+            return;
+        m_reportRefusalsAt = now + refusalReportInterval;
+        const std::uint64_t unauthorised = m_transportCounters.framesUnauthorised;
+        const std::uint64_t refused = counters().framesRefused + m_transportCounters.framesOversized;
+        if (unauthorised == m_reportedUnauthorised && refused == m_reportedRefused)
+            return;
+        m_reportedUnauthorised = unauthorised;
+        m_reportedRefused = refused;
+        LogEvent("peer_frames_refused", LogLevel::Warning)
+            .with("unauthorised", unauthorised)
+            .with("invalid", refused);
+    }
+
+    MembershipCounters counters()
+    {
+        return locked([](const Membership& membership) { return membership.counters(); });
+    }
+
+    MembershipServiceSettings m_settings;
+    MembershipObservers m_observers;
+    Clock m_clock;
+    FrameAuthenticator m_keys;
+    TransportCounters m_transportCounters;
+    BoundedRing<std::string> m_received;
+    BoundedRing<OutgoingFrame> m_outgoing;
+    std::vector<std::function<void()>> m_events;
+    std::mutex m_mutex;
+    Membership m_membership;
+    PeerReceiver m_receiver;
+    PeerSender m_sender;
+    std::atomic<bool> m_stopping { false };
+    MonotonicTime m_reportRefusalsAt {};
+    std::uint64_t m_reportedUnauthorised = 0;
+    std::uint64_t m_reportedRefused = 0;
+    std::thread m_thread;
+};
+
+MembershipService::MembershipService(const MembershipServiceSettings& settings, MembershipObservers observers)
+    : m_impl(std::make_unique<Impl>(settings, std::move(observers)))
+{
+}
+
+MembershipService::~MembershipService() = default;
+
+std::error_code MembershipService::start() { return m_impl->start(); }
+
+void MembershipService::stop() { m_impl->stop(); }
+
+void MembershipService::leave() { m_impl->leave(); }
+
+std::error_code MembershipService::setKeys(const FrameKeys& keys) { return m_impl->setKeys(keys); }
+
+void MembershipService::setSeeds(std::vector<SeedHost> seeds)
+{
+    m_impl->locked([&](Membership& membership) { membership.setSeeds(std::move(seeds)); });
+}
+
+std::error_code MembershipService::publish(const std::string& key, const std::string& value, ItemScope scope)
+{
+    return m_impl->locked([&](Membership& membership) { return membership.publish(key, value, scope); });
+}
+
+void MembershipService::retract(const std::string& key)
+{
+    m_impl->locked([&](Membership& membership) { membership.retract(key); });
+}
+
+std::vector<SharedItem> MembershipService::items(const std::string& keyPrefix) const
+{
+    return m_impl->locked([&](const Membership& membership) { return membership.items(keyPrefix); });
+}
+
+void MembershipService::setRules(RulesVersion version)
+{
+    m_impl->locked([&](Membership& membership) { membership.setRules(version); });
+}
+
+std::vector<Member> MembershipService::members() const
+{
+    return m_impl->locked([](const Membership& membership) { return membership.members(); });
+}
+
+std::optional<Member> MembershipService::member(const HostId& host) const
+{
+    return m_impl->locked([&](const Membership& membership) { return membership.member(host); });
+}
+
+MembershipCounters MembershipService::counters() const
+{
+    return m_impl->locked([](const Membership& membership) { return membership.counters(); });
+}
+
+const TransportCounters& MembershipService::transportCounters() const { return m_impl->transportCounters(); }
+
+} // namespace almondscale
--- /dev/null
+++ b/Tests/Membership/MembershipServiceTest.cpp
@@ -0,0 +1,137 @@
+#include "Membership/MembershipService.h"
+
+#include "Core/ErrorKind.h"
+#include "Core/RandomSource.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace almondscale {
+
+namespace {
+
+    const std::string firstKey = "a shared key of 32 bytes, no. 1.";
+    const std::string secondKey = "a shared key of 32 bytes, no. 2.";
+
+    // Gives up only after far longer than any duty takes.
+    bool eventually(const std::function<bool()>& holds)
+    {
+        for (int i = 0; i < 3000; ++i) {
+            if (holds())
+                return true;
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        return false;
+    }
+
+    // Services on free ports of the loopback address.
+    class ServiceFixture {
+    public:
+        MembershipServiceSettings settings(const std::string& host, const FrameKeys& keys)
+        {
+            constexpr std::uint64_t firstPort = 20000;
+            constexpr std::uint64_t ports = 40000;
+            MembershipServiceSettings settings;
+            settings.listen
+                = { "127.0.0.1", static_cast<std::uint16_t>(firstPort + uniformBelow(m_random, ports)) };
+            settings.membership.host = HostId(host);
+            settings.membership.address = settings.listen;
+            settings.membership.dataCentre = DataCentre("dc1");
+            settings.membership.incarnation = Incarnation(++m_incarnations);
+            settings.keys = keys;
+            return settings;
+        }
+
+        // Another port is tried when one is taken.
+        std::unique_ptr<MembershipService> start(
+            const std::string& host, const FrameKeys& keys, Address& address)
+        {
+            for (;;) {
+                const auto wanted = settings(host, keys);
+                auto service = std::make_unique<MembershipService>(wanted, MembershipObservers());
+                address = wanted.listen;
+                if (!service->start())
+                    return service;
+            }
+        }
+
+    private:
+        RandomSource m_random = systemRandom();
+        std::uint64_t m_incarnations = 0;
+    };
+
+    bool holdsLive(const MembershipService& service, const std::string& host)
+    {
+        const auto member = service.member(HostId(host));
+        return member && member->live();
+    }
+
+    SeedHost seed(const std::string& host, const Address& address)
+    {
+        return { HostId(host), address, DataCentre("dc1") };
+    }
+
+} // namespace
+
+TEST_CASE("MembershipService, three hosts share a key, they find each other and items reach all")
+{
+    ServiceFixture fixture;
+    Address a;
+    Address b;
+    Address c;
+    const auto first = fixture.start("a", { firstKey, {} }, a);
+    const auto second = fixture.start("b", { firstKey, {} }, b);
+    const auto third = fixture.start("c", { firstKey, {} }, c);
+    second->setSeeds({ seed("a", a) });
+    third->setSeeds({ seed("a", a) });
+    CHECK(eventually(
+        [&] { return holdsLive(*second, "c") && holdsLive(*third, "b") && holdsLive(*first, "c"); }));
+    REQUIRE_FALSE(first->publish("leaving/engine7", "yes", ItemScope::Everywhere));
+    CHECK(eventually([&] { return third->items("leaving/").size() == 1; }));
+    first->leave();
+    CHECK(eventually([&] { return third->member(HostId("a"))->state == MemberState::Left; }));
+}
+
+TEST_CASE("MembershipService, a stranger has another key, its frames are refused and counted")
+{
+    ServiceFixture fixture;
+    Address a;
+    Address b;
+    const auto host = fixture.start("a", { firstKey, {} }, a);
+    const auto stranger = fixture.start("b", { secondKey, {} }, b);
+    stranger->setSeeds({ seed("a", a) });
+    CHECK(eventually([&] { return host->transportCounters().framesUnauthorised > 2; }));
+    CHECK_FALSE(host->member(HostId("b")));
+    CHECK_FALSE(holdsLive(*stranger, "a"));
+}
+
+TEST_CASE("MembershipService, the key is changed host by host, the hosts stay together throughout")
+{
+    ServiceFixture fixture;
+    Address a;
+    Address b;
+    const auto first = fixture.start("a", { firstKey, {} }, a);
+    const auto second = fixture.start("b", { firstKey, {} }, b);
+    second->setSeeds({ seed("a", a) });
+    const auto together = [&] { return holdsLive(*first, "b") && holdsLive(*second, "a"); };
+    REQUIRE(eventually(together));
+    REQUIRE_FALSE(first->setKeys({ firstKey, secondKey }));
+    REQUIRE_FALSE(second->setKeys({ firstKey, secondKey }));
+    REQUIRE_FALSE(first->setKeys({ secondKey, firstKey }));
+    REQUIRE_FALSE(second->setKeys({ secondKey, firstKey }));
+    REQUIRE_FALSE(first->setKeys({ secondKey, {} }));
+    REQUIRE_FALSE(second->setKeys({ secondKey, {} }));
+    const auto received = second->counters().framesReceived;
+    CHECK(eventually([&] { return second->counters().framesReceived > received + 5; }));
+    CHECK(together());
+    CHECK(first->transportCounters().framesUnauthorised == 0);
+    CHECK(second->transportCounters().framesUnauthorised == 0);
+    CHECK(first->setKeys({ "short", {} }) == ErrorKind::SettingsInvalid);
+}
+
+} // namespace almondscale
