Measure the control traffic and pace the local items

Causes: ages of contact with each data centre as tables with names, comparisons that named all hosts when only local items differed, and local items carried 18 times. Ages are now structs of eight bytes in local frames only, comparisons of local items name local hosts only, local items are paced by the number of hosts in the data centre and carried twice.

--- a/Programs/almondscale-bench/ControlFixture.h
+++ b/Programs/almondscale-bench/ControlFixture.h
@@ -3,6 +3,7 @@
 #include "ControlHost.h"
 
 #include "Core/RandomSource.h"
+#include "Membership/FrameAuthenticator.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -22,6 +23,8 @@
     Nanoseconds across = std::chrono::milliseconds(5);
     // The bytes of the rules text that a pull carries.
     std::size_t rulesBytes = 20000;
+    // Whether each frame is signed and checked, as on the peers' port.
+    bool sign = false;
 };
 
 // Puts a fake clock and an in-memory link under the real control code of some hosts.
@@ -70,12 +73,15 @@
         Address from;
         Address to;
         std::string frame;
+        std::string code;
         // For pulls of the rules: the version that is asked for or carried.
         RulesVersion askedRules;
         RulesVersion carriedRules;
     };
 
     void send(const Address& from, const Address& to, Delivery, std::size_t bytes);
+    void sendFrame(const Address& from, const Address& to, const std::string& frame);
+    bool accepts(const Delivery&) const;
     void deliver(const Delivery&);
     void runTicks();
     void pullRules(ControlHost&, const Address& from);
@@ -83,6 +89,7 @@
     MembershipHooks hooksFor(ControlHost&);
 
     LinkBehaviour m_link;
+    FrameAuthenticator m_keys;
     RandomSource m_random;
     MonotonicTime m_now;
     Tune m_tune;
--- a/Programs/almondscale-bench/ControlHost.h
+++ b/Programs/almondscale-bench/ControlHost.h
@@ -22,6 +22,8 @@
     MonotonicTime nextTick {};
     std::uint64_t bytesIn = 0;
     std::uint64_t bytesOut = 0;
+    // The part of both that carried rules.
+    std::uint64_t rulesBytes = 0;
     RulesVersion rules;
     // When to ask again for a newer version of the rules, and whom.
     RulesVersion wantedRules;
--- a/Source/Membership/Frame.h
+++ b/Source/Membership/Frame.h
@@ -24,7 +24,8 @@
 
 // How long ago a host of the sender's data centre had an answer from another data centre.
 struct ContactAge {
-    DataCentre dataCentre;
+    // The hash of the data centre's name.
+    std::uint32_t dataCentre = 0;
     std::uint32_t ageMs = 0;
 };
 
@@ -45,8 +46,11 @@
     Address subject;
     // Ping: the sender gave up its former connection; the receiver should open a new one for the answer.
     bool reconnect = false;
-    // Ping: a hash over all that the sender knows.
+    // Ping: a hash over all that the sender knows, and over what travels between data centres.
     std::uint64_t view = 0;
+    std::uint64_t everywhereView = 0;
+    // Digest: only the hosts of the sender's data centre are named.
+    bool partial = false;
     std::vector<MemberRecord> members;
     std::vector<SharedItem> items;
     std::vector<ContactAge> contacts;
--- a/Source/Membership/FrameCodec.cpp
+++ b/Source/Membership/FrameCodec.cpp
@@ -56,12 +56,6 @@
         return builder.CreateVector(offsets);
     }
 
-    flatbuffers::Offset<wire::Contact> encodeContact(Builder& builder, const ContactAge& contact)
-    {
-        const auto dataCentre = text(builder, contact.dataCentre.text());
-        return wire::CreateContact(builder, dataCentre, contact.ageMs);
-    }
-
     bool readName(const flatbuffers::String* name, std::string& value, std::size_t limit = maxNameBytes)
     {
         value = name ? name->str() : std::string();
@@ -112,14 +106,6 @@
         return true;
     }
 
-    bool decodeContact(const wire::Contact* from, ContactAge& contact)
-    {
-        if (!from || !readId(from->data_centre(), contact.dataCentre))
-            return false;
-        contact.ageMs = from->age_ms();
-        return !contact.dataCentre.empty();
-    }
-
     template <typename Vector, typename Items, typename Decode>
     bool decodeAll(const Vector* from, Items& items, Decode decode)
     {
@@ -134,6 +120,14 @@
         return true;
     }
 
+    void decodeContacts(const wire::Frame& from, Frame& frame)
+    {
+        if (!from.contacts())
+            return;
+        for (const auto* contact : *from.contacts())
+            frame.contacts.push_back({ contact->data_centre(), contact->age_ms() });
+    }
+
     bool decodeDigests(const wire::Frame& from, Frame& frame)
     {
         const std::size_t hosts = from.digest_hosts() ? from.digest_hosts()->size() : 0;
@@ -155,6 +149,8 @@
         frame.sequence = from.sequence();
         frame.reconnect = from.reconnect();
         frame.view = from.view();
+        frame.everywhereView = from.everywhere_view();
+        frame.partial = from.partial();
         if (!from.subject())
             return readId(from.target(), frame.target);
         frame.subject.port = from.subject()->port();
@@ -163,9 +159,9 @@
 
     bool decodeBody(const wire::Frame& from, Frame& frame)
     {
+        decodeContacts(from, frame);
         return decodeAll(from.members(), frame.members, decodeRecord)
-            && decodeAll(from.items(), frame.items, decodeItem)
-            && decodeAll(from.contacts(), frame.contacts, decodeContact) && decodeDigests(from, frame);
+            && decodeAll(from.items(), frame.items, decodeItem) && decodeDigests(from, frame);
     }
 
 } // namespace
@@ -182,7 +178,11 @@
     }
     const auto members = encodeAll<wire::MemberRecord>(builder, frame.members, encodeRecord);
     const auto items = encodeAll<wire::Item>(builder, frame.items, encodeItem);
-    const auto contacts = encodeAll<wire::Contact>(builder, frame.contacts, encodeContact);
+    std::vector<wire::Contact> ages;
+    ages.reserve(frame.contacts.size());
+    for (const auto& contact : frame.contacts)
+        ages.emplace_back(contact.dataCentre, contact.ageMs);
+    const auto contacts = ages.empty() ? 0 : builder.CreateVectorOfStructs(ages);
     std::vector<std::uint64_t> hosts;
     std::vector<std::uint32_t> hashes;
     for (const auto& digest : frame.digests) {
@@ -193,8 +193,8 @@
     const auto digestHashes = hashes.empty() ? 0 : builder.CreateVector(hashes);
     const auto wanted = frame.wanted.empty() ? 0 : builder.CreateVector(frame.wanted);
     const auto root = wire::CreateFrame(builder, static_cast<wire::FrameKind>(frame.kind), frame.sequence,
-        sender, target, subject, frame.reconnect, frame.view, members, items, contacts, digestHosts,
-        digestHashes, wanted);
+        sender, target, subject, frame.reconnect, frame.view, frame.everywhereView, frame.partial, members,
+        items, contacts, digestHosts, digestHashes, wanted);
     wire::FinishFrameBuffer(builder, root);
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
--- a/Source/Membership/Frames_generated.h
+++ b/Source/Membership/Frames_generated.h
@@ -26,7 +26,6 @@
 struct ItemBuilder;
 
 struct Contact;
-struct ContactBuilder;
 
 struct Frame;
 struct FrameBuilder;
@@ -109,6 +108,29 @@
   return EnumNamesState()[index];
 }
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) Contact FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t data_centre_;
+  uint32_t age_ms_;
+
+ public:
+  Contact()
+      : data_centre_(0),
+        age_ms_(0) {
+  }
+  Contact(uint32_t _data_centre, uint32_t _age_ms)
+      : data_centre_(flatbuffers::EndianScalar(_data_centre)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint32_t data_centre() const {
+    return flatbuffers::EndianScalar(data_centre_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Contact, 8);
+
 struct Endpoint FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EndpointBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -452,69 +474,6 @@
       value__);
 }
 
-struct Contact FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef ContactBuilder Builder;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_DATA_CENTRE = 4,
-    VT_AGE_MS = 6
-  };
-  const flatbuffers::String *data_centre() const {
-    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
-  }
-  uint32_t age_ms() const {
-    return GetField<uint32_t>(VT_AGE_MS, 0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_DATA_CENTRE) &&
-           verifier.VerifyString(data_centre()) &&
-           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
-           verifier.EndTable();
-  }
-};
-
-struct ContactBuilder {
-  typedef Contact Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
-    fbb_.AddOffset(Contact::VT_DATA_CENTRE, data_centre);
-  }
-  void add_age_ms(uint32_t age_ms) {
-    fbb_.AddElement<uint32_t>(Contact::VT_AGE_MS, age_ms, 0);
-  }
-  explicit ContactBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<Contact> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Contact>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<Contact> CreateContact(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
-    uint32_t age_ms = 0) {
-  ContactBuilder builder_(_fbb);
-  builder_.add_age_ms(age_ms);
-  builder_.add_data_centre(data_centre);
-  return builder_.Finish();
-}
-
-inline flatbuffers::Offset<Contact> CreateContactDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *data_centre = nullptr,
-    uint32_t age_ms = 0) {
-  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
-  return almondscale::wire::CreateContact(
-      _fbb,
-      data_centre__,
-      age_ms);
-}
-
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -525,12 +484,14 @@
     VT_SUBJECT = 12,
     VT_RECONNECT = 14,
     VT_VIEW = 16,
-    VT_MEMBERS = 18,
-    VT_ITEMS = 20,
-    VT_CONTACTS = 22,
-    VT_DIGEST_HOSTS = 24,
-    VT_DIGEST_HASHES = 26,
-    VT_WANTED = 28
+    VT_EVERYWHERE_VIEW = 18,
+    VT_PARTIAL = 20,
+    VT_MEMBERS = 22,
+    VT_ITEMS = 24,
+    VT_CONTACTS = 26,
+    VT_DIGEST_HOSTS = 28,
+    VT_DIGEST_HASHES = 30,
+    VT_WANTED = 32
   };
   almondscale::wire::FrameKind kind() const {
     return static_cast<almondscale::wire::FrameKind>(GetField<uint8_t>(VT_KIND, 0));
@@ -553,14 +514,20 @@
   uint64_t view() const {
     return GetField<uint64_t>(VT_VIEW, 0);
   }
+  uint64_t everywhere_view() const {
+    return GetField<uint64_t>(VT_EVERYWHERE_VIEW, 0);
+  }
+  bool partial() const {
+    return GetField<uint8_t>(VT_PARTIAL, 0) != 0;
+  }
   const flatbuffers::Vector<flatbuffers::Offset<almondscale::wire::MemberRecord>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::wire::MemberRecord>> *>(VT_MEMBERS);
   }
   const flatbuffers::Vector<flatbuffers::Offset<almondscale::wire::Item>> *items() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::wire::Item>> *>(VT_ITEMS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<almondscale::wire::Contact>> *contacts() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::wire::Contact>> *>(VT_CONTACTS);
+  const flatbuffers::Vector<const almondscale::wire::Contact *> *contacts() const {
+    return GetPointer<const flatbuffers::Vector<const almondscale::wire::Contact *> *>(VT_CONTACTS);
   }
   const flatbuffers::Vector<uint64_t> *digest_hosts() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_DIGEST_HOSTS);
@@ -583,6 +550,8 @@
            verifier.VerifyTable(subject()) &&
            VerifyField<uint8_t>(verifier, VT_RECONNECT, 1) &&
            VerifyField<uint64_t>(verifier, VT_VIEW, 8) &&
+           VerifyField<uint64_t>(verifier, VT_EVERYWHERE_VIEW, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PARTIAL, 1) &&
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
@@ -591,7 +560,6 @@
            verifier.VerifyVectorOfTables(items()) &&
            VerifyOffset(verifier, VT_CONTACTS) &&
            verifier.VerifyVector(contacts()) &&
-           verifier.VerifyVectorOfTables(contacts()) &&
            VerifyOffset(verifier, VT_DIGEST_HOSTS) &&
            verifier.VerifyVector(digest_hosts()) &&
            VerifyOffset(verifier, VT_DIGEST_HASHES) &&
@@ -627,13 +595,19 @@
   void add_view(uint64_t view) {
     fbb_.AddElement<uint64_t>(Frame::VT_VIEW, view, 0);
   }
+  void add_everywhere_view(uint64_t everywhere_view) {
+    fbb_.AddElement<uint64_t>(Frame::VT_EVERYWHERE_VIEW, everywhere_view, 0);
+  }
+  void add_partial(bool partial) {
+    fbb_.AddElement<uint8_t>(Frame::VT_PARTIAL, static_cast<uint8_t>(partial), 0);
+  }
   void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::wire::MemberRecord>>> members) {
     fbb_.AddOffset(Frame::VT_MEMBERS, members);
   }
   void add_items(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::wire::Item>>> items) {
     fbb_.AddOffset(Frame::VT_ITEMS, items);
   }
-  void add_contacts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::wire::Contact>>> contacts) {
+  void add_contacts(flatbuffers::Offset<flatbuffers::Vector<const almondscale::wire::Contact *>> contacts) {
     fbb_.AddOffset(Frame::VT_CONTACTS, contacts);
   }
   void add_digest_hosts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> digest_hosts) {
@@ -665,13 +639,16 @@
     flatbuffers::Offset<almondscale::wire::Endpoint> subject = 0,
     bool reconnect = false,
     uint64_t view = 0,
+    uint64_t everywhere_view = 0,
+    bool partial = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::wire::MemberRecord>>> members = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::wire::Item>>> items = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::wire::Contact>>> contacts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const almondscale::wire::Contact *>> contacts = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> digest_hosts = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> digest_hashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> wanted = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_everywhere_view(everywhere_view);
   builder_.add_view(view);
   builder_.add_sequence(sequence);
   builder_.add_wanted(wanted);
@@ -683,6 +660,7 @@
   builder_.add_subject(subject);
   builder_.add_target(target);
   builder_.add_sender(sender);
+  builder_.add_partial(partial);
   builder_.add_reconnect(reconnect);
   builder_.add_kind(kind);
   return builder_.Finish();
@@ -697,16 +675,18 @@
     flatbuffers::Offset<almondscale::wire::Endpoint> subject = 0,
     bool reconnect = false,
     uint64_t view = 0,
+    uint64_t everywhere_view = 0,
+    bool partial = false,
     const std::vector<flatbuffers::Offset<almondscale::wire::MemberRecord>> *members = nullptr,
     const std::vector<flatbuffers::Offset<almondscale::wire::Item>> *items = nullptr,
-    const std::vector<flatbuffers::Offset<almondscale::wire::Contact>> *contacts = nullptr,
+    const std::vector<almondscale::wire::Contact> *contacts = nullptr,
     const std::vector<uint64_t> *digest_hosts = nullptr,
     const std::vector<uint32_t> *digest_hashes = nullptr,
     const std::vector<uint64_t> *wanted = nullptr) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<almondscale::wire::MemberRecord>>(*members) : 0;
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<almondscale::wire::Item>>(*items) : 0;
-  auto contacts__ = contacts ? _fbb.CreateVector<flatbuffers::Offset<almondscale::wire::Contact>>(*contacts) : 0;
+  auto contacts__ = contacts ? _fbb.CreateVectorOfStructs<almondscale::wire::Contact>(*contacts) : 0;
   auto digest_hosts__ = digest_hosts ? _fbb.CreateVector<uint64_t>(*digest_hosts) : 0;
   auto digest_hashes__ = digest_hashes ? _fbb.CreateVector<uint32_t>(*digest_hashes) : 0;
   auto wanted__ = wanted ? _fbb.CreateVector<uint64_t>(*wanted) : 0;
@@ -719,6 +699,8 @@
       subject,
       reconnect,
       view,
+      everywhere_view,
+      partial,
       members__,
       items__,
       contacts__,
--- a/Source/Membership/Membership.h
+++ b/Source/Membership/Membership.h
@@ -36,7 +36,8 @@
     void setSeeds(std::vector<SeedHost>);
 
     // Shares an item with the peers. Errors: LimitExceeded beyond the bounds per item or per host, BadRequest
-    // for an empty key or value.
+    // for an empty key or value. Items for the own data centre are paced: in a large one the newest value of
+    // each key waits for its turn.
     std::error_code publish(const std::string& key, const std::string& value, ItemScope);
     // Removes an item of this host at all peers.
     void retract(const std::string& key);
--- a/Source/Membership/MembershipCounters.h
+++ b/Source/Membership/MembershipCounters.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 
 namespace almondscale {
@@ -13,6 +14,9 @@
     // Records and items beyond a bound.
     std::uint64_t entriesRefused = 0;
     std::uint64_t bytesSent = 0;
+    // By FrameKind.
+    std::array<std::uint64_t, 6> framesSentOfKind {};
+    std::array<std::uint64_t, 6> bytesSentOfKind {};
     std::uint64_t suspicions = 0;
     std::uint64_t refutations = 0;
     std::uint64_t deaths = 0;
--- a/Source/Membership/MembershipDigests.cpp
+++ b/Source/Membership/MembershipDigests.cpp
@@ -14,6 +14,11 @@
 
     std::uint64_t hashHost(const HostId& host) { return XXH64(host.text().data(), host.text().size(), 0); }
 
+    std::uint64_t viewPart(std::uint64_t host, std::uint32_t hash)
+    {
+        return hash == 0 ? 0 : XXH64(&hash, sizeof(hash), host);
+    }
+
     struct RecordHash {
         std::uint64_t incarnation;
         std::uint64_t refutation;
@@ -37,41 +42,69 @@
     return XXH32(&all, sizeof(all), 1) | 1U;
 }
 
-std::vector<HostDigest> Membership::Impl::digests(bool everywhereOnly) const
+// Brings the hashes up to date after anything about the host has changed.
+void Membership::Impl::touch(const HostId& host)
 {
-    std::vector<HostDigest> all;
-    const auto add = [&](const HostId& host) {
+    const auto id = hashHost(host);
+    for (const bool everywhereOnly : { false, true }) {
+        auto& hashes = everywhereOnly ? m_everywhereHashes : m_hashes;
+        auto& view = everywhereOnly ? m_everywhereView : m_view;
+        auto& held = hashes[id];
         const auto hash = hostHash(host, everywhereOnly);
-        if (hash != 0)
-            all.push_back({ hashHost(host), hash });
-    };
-    add(m_settings.host);
-    for (const auto& [host, entry] : m_members.entries())
-        add(host);
-    return all;
+        view ^= viewPart(id, held) ^ viewPart(id, hash);
+        held = hash;
+        if (hash == 0)
+            hashes.erase(id);
+    }
 }
 
-std::uint64_t Membership::Impl::viewHash(bool everywhereOnly) const
+std::vector<HostDigest> Membership::Impl::digests(bool everywhereOnly) const
 {
-    std::uint64_t sum = 1;
-    for (const auto& digest : digests(everywhereOnly))
-        sum ^= XXH64(&digest.hash, sizeof(digest.hash), digest.host);
-    return sum;
+    std::vector<HostDigest> all;
+    for (const auto& [id, hash] : everywhereOnly ? m_everywhereHashes : m_hashes)
+        all.push_back({ id, hash });
+    return all;
 }
 
-void Membership::Impl::sendDigest(const MemberRecord& to, MonotonicTime now)
+void Membership::Impl::compareViews(const Frame& ping, MonotonicTime now)
 {
     if (now < m_nextDigest)
         return;
+    const bool local = ping.sender.dataCentre == m_settings.dataCentre;
+    if (ping.everywhereView != m_everywhereView) {
+        m_nextDigest = now + m_settings.digestInterval;
+        sendDigest(ping.sender, false);
+        return;
+    }
+    // Only items that stay in this data centre can differ.
+    if (local && ping.view != m_view && now >= m_nextLocalDigest) {
+        m_nextLocalDigest = now + m_settings.localDigestInterval;
+        sendDigest(ping.sender, true);
+    }
+}
+
+void Membership::Impl::sendDigest(const MemberRecord& to, bool partial)
+{
     auto frame = makeFrame(FrameKind::Digest);
+    frame.partial = partial;
     frame.digests = digests(to.dataCentre != m_settings.dataCentre);
+    if (partial)
+        keepLocal(frame.digests);
     constexpr std::size_t digestBytes = sizeof(std::uint64_t) + sizeof(std::uint32_t);
     if (!spendBudget(frame.digests.size() * digestBytes))
         return;
-    m_nextDigest = now + m_settings.digestInterval;
     send(to.address, frame);
 }
 
+void Membership::Impl::keepLocal(std::vector<HostDigest>& digests) const
+{
+    std::set<std::uint64_t> local { hashHost(m_settings.host) };
+    for (const auto& host : liveHosts(m_settings.dataCentre))
+        local.insert(hashHost(host));
+    const auto other = [&](const HostDigest& digest) { return local.count(digest.host) == 0; };
+    digests.erase(std::remove_if(digests.begin(), digests.end(), other), digests.end());
+}
+
 // Answers with all that differs and asks for what the peer knows about the same hosts.
 void Membership::Impl::onDigest(const Frame& frame)
 {
@@ -94,8 +127,10 @@
             theirs.erase(found);
     };
     compare(m_settings.host);
-    for (const auto& [host, entry] : m_members.entries())
-        compare(host);
+    for (const auto& [host, entry] : m_members.entries()) {
+        if (!frame.partial || entry.record.dataCentre == m_settings.dataCentre)
+            compare(host);
+    }
     // What is left is unknown here.
     for (const auto& [id, hash] : theirs)
         wanted.push_back(id);
--- a/Source/Membership/MembershipFrames.cpp
+++ b/Source/Membership/MembershipFrames.cpp
@@ -2,6 +2,8 @@
 #include "Membership/LinkChoice.h"
 #include "Membership/MembershipImpl.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace almondscale {
@@ -10,7 +12,11 @@
 
     constexpr std::size_t maxErrands = 256;
     constexpr std::size_t frameBaseBytes = 160;
-    constexpr std::size_t maxDataCentres = 64;
+
+    std::uint32_t hashDataCentre(const DataCentre& dataCentre)
+    {
+        return XXH32(dataCentre.text().data(), dataCentre.text().size(), 0);
+    }
 
 } // namespace
 
@@ -27,6 +33,9 @@
     const auto bytes = encodeFrame(frame);
     ++m_counters.framesSent;
     m_counters.bytesSent += bytes.size();
+    const auto kind = static_cast<std::size_t>(frame.kind);
+    ++m_counters.framesSentOfKind.at(kind);
+    m_counters.bytesSentOfKind.at(kind) += bytes.size();
     m_hooks.send(address, bytes);
 }
 
@@ -83,15 +92,12 @@
 {
     if (frame.sender.dataCentre != m_settings.dataCentre)
         return;
-    for (const auto& contact : frame.contacts) {
-        if (contact.dataCentre == m_settings.dataCentre)
-            continue;
-        const auto at = now - std::chrono::milliseconds(contact.ageMs);
-        const auto found = m_contacts.find(contact.dataCentre);
-        if (found != m_contacts.end())
-            found->second = std::max(found->second, at);
-        else if (m_contacts.size() < maxDataCentres)
-            m_contacts[contact.dataCentre] = at;
+    for (auto& [dataCentre, contact] : m_contacts) {
+        const auto id = hashDataCentre(dataCentre);
+        for (const auto& age : frame.contacts) {
+            if (age.dataCentre == id)
+                contact = std::max(contact, now - std::chrono::milliseconds(age.ageMs));
+        }
     }
 }
 
@@ -100,8 +106,8 @@
     for (const auto& [dataCentre, contact] : m_contacts) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - contact);
         if (now - contact < m_settings.contactTimeout)
-            frame.contacts.push_back(
-                { dataCentre, static_cast<std::uint32_t>(std::max<long long>(0, age.count())) });
+            frame.contacts.push_back({ hashDataCentre(dataCentre),
+                static_cast<std::uint32_t>(std::max<long long>(0, age.count())) });
     }
 }
 
@@ -116,12 +122,11 @@
     // The sender has to hear that it is suspected or held for dead, so that it can refute.
     if (sender && sender->record.state != MemberState::Alive)
         ack.members.push_back(sender->record);
-    addContacts(ack, now);
+    if (frame.sender.dataCentre == m_settings.dataCentre)
+        addContacts(ack, now);
     addNews(ack, frame.sender.dataCentre);
     send(frame.sender.address, ack);
-    const bool remote = frame.sender.dataCentre != m_settings.dataCentre;
-    if (frame.view != 0 && frame.view != viewHash(remote))
-        sendDigest(frame.sender, now);
+    compareViews(frame, now);
 }
 
 void Membership::Impl::onAck(const Frame& frame, MonotonicTime now)
@@ -161,8 +166,8 @@
     // Whatever goes beyond the budget waits; the comparisons bring it later at the latest.
     if (m_budget <= 0)
         return;
-    m_news.offer(
-        carryLimit(), [&](const NewsKey& key) { return addNewsAbout(frame, key, to, bytes); },
+    m_news.offer([&](const NewsKey& key) { return carryLimit(key); },
+        [&](const NewsKey& key) { return addNewsAbout(frame, key, to, bytes); },
         [&] { return bytes >= m_settings.newsBytesPerFrame; });
     spendBudget(bytes);
 }
--- a/Source/Membership/MembershipImpl.h
+++ b/Source/Membership/MembershipImpl.h
@@ -82,10 +82,12 @@
     void pushUrgent(MonotonicTime now);
 
     // Comparisons (MembershipDigests.cpp).
-    std::uint64_t viewHash(bool everywhereOnly) const;
+    void touch(const HostId&);
     std::uint32_t hostHash(const HostId&, bool everywhereOnly) const;
     std::vector<HostDigest> digests(bool everywhereOnly) const;
-    void sendDigest(const MemberRecord& to, MonotonicTime now);
+    void compareViews(const Frame& ping, MonotonicTime now);
+    void sendDigest(const MemberRecord& to, bool partial);
+    void keepLocal(std::vector<HostDigest>&) const;
     void onDigest(const Frame&);
     void onWanted(const Frame&);
     void sendStates(const MemberRecord& to, const std::vector<HostId>&, std::vector<std::uint64_t> wanted);
@@ -97,17 +99,19 @@
     MemberRecord settleAddress(const MemberRecord&, MonotonicTime now);
     void declareDead(const MemberRecord&, MonotonicTime now);
     void applyItem(const SharedItem&);
+    std::error_code publishNow(const std::string& key, const std::string& value, ItemScope);
+    void publishPaced(MonotonicTime now);
     void compactOwnItems();
     std::size_t ownRemovedItems() const;
     MemberRecord ownRecord() const;
     void announceSelf();
     Member memberOf(const MemberRecord&) const;
     bool reachable(const DataCentre&) const;
-    void reportReachability();
+    void reportReachability(MonotonicTime now);
     void reportMember(const MemberRecord&) const;
     std::vector<HostId> liveHosts(const DataCentre&) const;
     std::vector<DataCentre> remoteDataCentres() const;
-    std::size_t carryLimit() const;
+    std::size_t carryLimit(const NewsKey&) const;
     void refillBudget(MonotonicTime now);
     bool spendBudget(std::size_t bytes);
 
@@ -123,6 +127,8 @@
 
     MemberTable m_members;
     ItemTable m_items;
+    // Items for the own data centre that wait for their turn, by key.
+    std::map<std::string, std::string> m_paced;
     NewsQueue m_news;
     ProbeOrder m_order;
     std::vector<SeedHost> m_seeds;
@@ -133,6 +139,12 @@
     std::map<DataCentre, MonotonicTime> m_contacts;
     std::map<DataCentre, bool> m_reported;
 
+    // A hash for each live host, with all items and with those only that travel everywhere.
+    std::map<std::uint64_t, std::uint32_t> m_hashes;
+    std::map<std::uint64_t, std::uint32_t> m_everywhereHashes;
+    std::uint64_t m_view = 1;
+    std::uint64_t m_everywhereView = 1;
+
     bool m_urgent = false;
     long long m_budget = 0;
     MonotonicTime m_lastTick;
@@ -142,6 +154,9 @@
     MonotonicTime m_nextRejoin;
     MonotonicTime m_nextPush;
     MonotonicTime m_nextDigest;
+    MonotonicTime m_nextLocalDigest;
+    MonotonicTime m_nextPaced;
+    MonotonicTime m_nextUpkeep;
 };
 
 } // namespace almondscale
--- a/Source/Membership/MembershipProbes.cpp
+++ b/Source/Membership/MembershipProbes.cpp
@@ -5,6 +5,12 @@
 
 namespace almondscale {
 
+namespace {
+
+    constexpr auto upkeepInterval = std::chrono::milliseconds(250);
+
+} // namespace
+
 void Membership::Impl::tick()
 {
     const auto now = m_hooks.clock();
@@ -19,9 +25,13 @@
         probeLinks(now);
         rejoin(now);
     }
+    publishPaced(now);
     pushUrgent(now);
+    if (now < m_nextUpkeep)
+        return;
+    m_nextUpkeep = now + upkeepInterval;
     forgetOld(now);
-    reportReachability();
+    reportReachability(now);
 }
 
 // After a pause of this process, answers that are missing prove nothing about the peers.
@@ -48,7 +58,12 @@
     const HostId& host, const Address& address, bool suspects, MonotonicTime now)
 {
     const auto sequence = ++m_sequence;
-    m_probes[sequence] = Probe { host, address, now, 0, false, suspects };
+    Probe probe { host, address, now, 0, false, suspects };
+    const auto* entry = m_members.find(host);
+    // An address that may well be empty is tried again in the next round only.
+    if (!entry || !entry->record.live())
+        probe.repeats = m_settings.pingRepeats.size();
+    m_probes[sequence] = probe;
     sendPing(sequence, host, address, false);
 }
 
@@ -64,8 +79,10 @@
     // A host that is held for dead has to hear it, so that it can refute.
     if (entry && entry->record.state != MemberState::Alive)
         frame.members.push_back(entry->record);
-    frame.view = viewHash(to != m_settings.dataCentre);
-    addContacts(frame, m_hooks.clock());
+    frame.view = m_view;
+    frame.everywhereView = m_everywhereView;
+    if (to == m_settings.dataCentre)
+        addContacts(frame, m_hooks.clock());
     addNews(frame, to);
     send(address, frame);
 }
@@ -209,6 +226,7 @@
     for (const auto& host : m_members.forget(now)) {
         m_items.remove(host);
         m_news.drop({ host, {} });
+        touch(host);
     }
 }
 
--- a/Source/Membership/MembershipSettings.h
+++ b/Source/Membership/MembershipSettings.h
@@ -49,6 +49,14 @@
     Nanoseconds rejoinInterval = std::chrono::seconds(1);
     // Between two comparisons of all that is known.
     Nanoseconds digestInterval = std::chrono::seconds(4);
+    // The same when only items that stay in a data centre differ.
+    Nanoseconds localDigestInterval = std::chrono::seconds(10);
+
+    // A host publishes its local items no faster than both gaps allow; the second is times the hosts there.
+    Nanoseconds localItemGap = std::chrono::seconds(2);
+    Nanoseconds localItemGapPerHost = std::chrono::milliseconds(400);
+    // How often a local item is carried; the comparisons bring it to whom it missed.
+    std::size_t localItemCarries = 2;
 
     // Urgent news goes at once to so many hosts, but no faster than the gap.
     std::size_t pushFanout = 3;
--- a/Source/Membership/MembershipState.cpp
+++ b/Source/Membership/MembershipState.cpp
@@ -55,6 +55,7 @@
 {
     // Each frame carries the record of its sender.
     m_urgent = true;
+    touch(m_settings.host);
 }
 
 void Membership::Impl::applyRecord(const MemberRecord& record, MonotonicTime now)
@@ -65,6 +66,7 @@
     }
     const auto* former = m_members.find(record.host);
     const auto formerRules = former ? former->record.rules : RulesVersion();
+    const auto formerFloor = former ? former->record.itemFloor : 0;
     const auto settled = settleAddress(record, now);
     const auto change = m_members.apply(settled, now);
     if (change == RecordChange::Refused) {
@@ -73,6 +75,8 @@
     }
     const auto& entry = *m_members.find(record.host);
     m_items.settle(record.host, entry.record.incarnation, entry.record.itemFloor);
+    if (change == RecordChange::Replaced || entry.record.itemFloor != formerFloor)
+        touch(record.host);
     if (change == RecordChange::Replaced || change == RecordChange::Confirmed)
         m_news.add({ record.host, {} });
     if (change == RecordChange::Replaced) {
@@ -88,6 +92,9 @@
 {
     if (!record.live())
         return record;
+    const auto* known = m_members.find(record.host);
+    if (known && known->record.live() && known->record.address == record.address)
+        return record;
     auto settled = record;
     if (record.address == m_settings.address) {
         if (record.incarnation < m_incarnation)
@@ -151,6 +158,7 @@
         ++m_counters.entriesRefused;
     if (change != ItemChange::Replaced)
         return;
+    touch(item.host);
     m_news.add({ item.host, item.key });
     m_urgent = m_urgent || item.scope == ItemScope::Everywhere;
     if (m_hooks.itemChanged)
@@ -163,6 +171,34 @@
         return ErrorKind::BadRequest;
     if (key.size() > maxItemKeyBytes || value.size() > maxItemValueBytes)
         return ErrorKind::LimitExceeded;
+    if (scope == ItemScope::Everywhere)
+        return publishNow(key, value, scope);
+    if (m_paced.count(key) == 0 && m_paced.size() >= m_settings.maxItemsPerHost)
+        return ErrorKind::LimitExceeded;
+    m_paced[key] = value;
+    publishPaced(m_hooks.clock());
+    return {};
+}
+
+// Hosts of a large data centre publish their local items more rarely, so that the bytes at each host do not
+// grow with the number of hosts; the newest value of each key waits.
+void Membership::Impl::publishPaced(MonotonicTime now)
+{
+    if (m_paced.empty() || now < m_nextPaced)
+        return;
+    const auto hosts = static_cast<long>(liveHosts(m_settings.dataCentre).size() + 1);
+    m_nextPaced = now + std::max(m_settings.localItemGap, m_settings.localItemGapPerHost * hosts);
+    auto paced = std::move(m_paced);
+    m_paced.clear();
+    for (const auto& [key, value] : paced) {
+        if (publishNow(key, value, ItemScope::DataCentre))
+            ++m_counters.entriesRefused;
+    }
+}
+
+std::error_code Membership::Impl::publishNow(
+    const std::string& key, const std::string& value, ItemScope scope)
+{
     const auto* former = m_items.find(m_settings.host, key);
     if (former && former->value == value && former->scope == scope)
         return {};
@@ -170,6 +206,7 @@
     if (m_items.apply(item) != ItemChange::Replaced)
         return ErrorKind::LimitExceeded;
     ++m_itemVersion;
+    touch(m_settings.host);
     m_news.add({ m_settings.host, key });
     m_urgent = m_urgent || scope == ItemScope::Everywhere;
     return {};
@@ -177,6 +214,7 @@
 
 void Membership::Impl::retract(const std::string& key)
 {
+    m_paced.erase(key);
     const auto* former = m_items.find(m_settings.host, key);
     if (!former || former->value.empty())
         return;
@@ -184,6 +222,7 @@
     item.value.clear();
     item.version = ++m_itemVersion;
     m_items.apply(item);
+    touch(m_settings.host);
     m_news.add({ m_settings.host, key });
     m_urgent = true;
     if (ownRemovedItems() > maxRemovedItems)
@@ -284,9 +323,8 @@
 }
 
 // Tells about all hosts of a data centre when contact with it is lost or comes back.
-void Membership::Impl::reportReachability()
+void Membership::Impl::reportReachability(MonotonicTime now)
 {
-    const auto now = m_hooks.clock();
     for (const auto& dataCentre : remoteDataCentres()) {
         const auto contact = m_contacts.emplace(dataCentre, now).first->second;
         const bool inContact = now - contact < m_settings.contactTimeout;
@@ -327,8 +365,11 @@
     return { found.begin(), found.end() };
 }
 
-std::size_t Membership::Impl::carryLimit() const
+std::size_t Membership::Impl::carryLimit(const NewsKey& key) const
 {
+    const auto* item = key.item.empty() ? nullptr : m_items.find(key.host, key.item);
+    if (item && item->scope == ItemScope::DataCentre)
+        return m_settings.localItemCarries;
     std::size_t doublings = 1;
     for (std::size_t hosts = m_members.entries().size() + 1; hosts > 1; hosts /= 2)
         ++doublings;
--- a/Source/Membership/NewsQueue.cpp
+++ b/Source/Membership/NewsQueue.cpp
@@ -9,8 +9,8 @@
 
 void NewsQueue::drop(const NewsKey& key) { m_carried.erase(key); }
 
-void NewsQueue::offer(std::size_t carryLimit, const std::function<bool(const NewsKey&)>& take,
-    const std::function<bool()>& full)
+void NewsQueue::offer(const std::function<std::size_t(const NewsKey&)>& limit,
+    const std::function<bool(const NewsKey&)>& take, const std::function<bool()>& full)
 {
     std::vector<std::pair<std::size_t, NewsKey>> order;
     order.reserve(m_carried.size());
@@ -22,7 +22,7 @@
             return;
         if (!take(key))
             continue;
-        if (carried + 1 >= carryLimit)
+        if (carried + 1 >= limit(key))
             m_carried.erase(key);
         else
             m_carried[key] = carried + 1;
--- a/Source/Membership/NewsQueue.h
+++ b/Source/Membership/NewsQueue.h
@@ -29,9 +29,10 @@
     bool empty() const { return m_carried.empty(); }
     std::size_t size() const { return m_carried.size(); }
 
-    // Offers news to `take`, which answers whether it went into the frame; stops when `full` says so.
-    void offer(std::size_t carryLimit, const std::function<bool(const NewsKey&)>& take,
-        const std::function<bool()>& full);
+    // Offers news to `take`, which answers whether it went into the frame; stops when `full` says so. News
+    // goes when it has been carried as often as `limit` says.
+    void offer(const std::function<std::size_t(const NewsKey&)>& limit,
+        const std::function<bool(const NewsKey&)>& take, const std::function<bool()>& full);
 
 private:
     std::map<NewsKey, std::size_t> m_carried;
