Add the HTTP server, client, streams and JSON that all programs share

Cause: the library's server answers a malformed length as an empty body, takes a chunked body for further requests and hands a pipelined body over twice; its client sends a call again when the connection of a connected client ends without an answer; its JSON reader recurses without a bound and loses text beyond ASCII.

--- /dev/null
+++ b/Source/Http/HttpClient.cpp
@@ -0,0 +1,29 @@
+#include "Http/HttpClient.h"
+
+#include "Http/ClientCall.h"
+
+namespace almondscale {
+
+CallResult callOnce(const HttpCall& call)
+{
+    CallResult result;
+    if (call.deadline.passed(monotonicClock()())) {
+        result.failure = CallFailure::NotSent;
+        return result;
+    }
+    try {
+        // A client that is connected before execute() would send the request again after a lost answer.
+        cxxtools::http::Client client(call.to.ip, call.to.port);
+        const cxxtools::http::ReplyHeader& header
+            = client.execute(libraryRequest(call), timeUntil(call.deadline));
+        HttpResponse response = responseHead(header);
+        client.readBody();
+        response.body = client.body();
+        result.response = std::move(response);
+    } catch (const std::exception& error) {
+        result.failure = classifyFailure(error);
+    }
+    return result;
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Http/HttpRequest.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+namespace almondscale {
+
+// One request as an HTTP server received it; header names are in lower case.
+struct HttpRequest {
+    std::string method;
+    std::string path;
+    std::string query;
+    std::map<std::string, std::string> headers;
+    std::string body;
+    std::string peer;
+
+    // The value of a header, or an empty text.
+    std::string header(const std::string& lowerCaseName) const;
+
+    // The decoded value of a query parameter, or an empty text.
+    std::string queryParameter(const std::string& name) const;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Http/Json.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <rapidjson/document.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace almondscale {
+
+using JsonDocument = rapidjson::Document;
+using JsonValue = rapidjson::Value;
+
+// The value that the text stands for; nothing if the text is not JSON or not UTF-8.
+std::optional<JsonDocument> parseJson(const std::string&);
+
+// The member of an object, or null if the value is no object or has no such member.
+const JsonValue* jsonMember(const JsonValue&, const char* member);
+
+// The member as text, a number or a truth value; the fallback if it is absent or of another type.
+std::string jsonString(const JsonValue&, const char* member, const std::string& fallback = {});
+std::int64_t jsonInteger(const JsonValue&, const char* member, std::int64_t fallback = 0);
+double jsonNumber(const JsonValue&, const char* member, double fallback = 0);
+bool jsonFlag(const JsonValue&, const char* member, bool fallback = false);
+
+// The value as JSON on one line.
+std::string jsonText(const JsonValue&);
+
+} // namespace almondscale
--- /dev/null
+++ b/Tests/Http/CallOnceTest.cpp
@@ -0,0 +1,55 @@
+#include "Http/HttpClient.h"
+#include "Http/HttpServer.h"
+#include "SilentServer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+
+namespace {
+
+HttpCall bookingCall(const Address& to)
+{
+    HttpCall call;
+    call.to = to;
+    call.method = "POST";
+    call.path = "/bookings";
+    call.body = "{}";
+    call.deadline = Deadline::after(monotonicClock()(), std::chrono::seconds(20));
+    return call;
+}
+
+} // namespace
+
+TEST_CASE("callOnce, answer lost after the call was sent, is not sent again")
+{
+    test::SilentServer server("");
+    const auto result = callOnce(bookingCall(server.address()));
+    CHECK_FALSE(result.ok());
+    CHECK(result.failure == CallFailure::AnswerLost);
+    CHECK(server.connections() == 1);
+}
+
+TEST_CASE("callOnce, connection refused, is known not to have been sent")
+{
+    const auto result = callOnce(bookingCall({ "127.0.0.1", freePort("127.0.0.1") }));
+    CHECK_FALSE(result.ok());
+    CHECK(result.failure == CallFailure::NotSent);
+}
+
+TEST_CASE("callOnce, deadline passed before the call, is known not to have been sent")
+{
+    test::SilentServer server("");
+    HttpCall call = bookingCall(server.address());
+    call.deadline = Deadline(monotonicClock()());
+    CHECK(callOnce(call).failure == CallFailure::NotSent);
+    CHECK(server.connections() == 0);
+}
+
+TEST_CASE("callOnce, answer cut within its body, is lost")
+{
+    test::SilentServer server("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"par");
+    const auto result = callOnce(bookingCall(server.address()));
+    CHECK_FALSE(result.ok());
+    CHECK(result.failure == CallFailure::AnswerLost);
+}
--- /dev/null
+++ b/Tests/Http/HttpStreamTest.cpp
@@ -0,0 +1,56 @@
+#include "Http/HttpStream.h"
+#include "SilentServer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+
+namespace {
+
+Deadline soon() { return Deadline::after(monotonicClock()(), std::chrono::seconds(20)); }
+
+HttpCall callTo(const Address& to)
+{
+    HttpCall call;
+    call.to = to;
+    call.path = "/attempts";
+    call.method = "POST";
+    call.deadline = soon();
+    return call;
+}
+
+} // namespace
+
+TEST_CASE("HttpStream, lines split over chunks, arrive whole and in order")
+{
+    test::SilentServer server(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n5\r\n\ntwo\n\r\n0\r\n\r\n");
+    HttpStream stream;
+    REQUIRE(stream.open(callTo(server.address())).ok());
+    std::string line;
+    REQUIRE(stream.readLine(line, soon()) == HttpStream::Read::Line);
+    CHECK(line == "one");
+    REQUIRE(stream.readLine(line, soon()) == HttpStream::Read::Line);
+    CHECK(line == "two");
+    CHECK(stream.readLine(line, soon()) == HttpStream::Read::Ended);
+}
+
+TEST_CASE("HttpStream, connection cut within a line, ends without the partial line")
+{
+    test::SilentServer server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\none\npart");
+    HttpStream stream;
+    REQUIRE(stream.open(callTo(server.address())).ok());
+    std::string line;
+    REQUIRE(stream.readLine(line, soon()) == HttpStream::Read::Line);
+    CHECK(stream.readLine(line, soon()) == HttpStream::Read::Ended);
+}
+
+TEST_CASE("HttpStream, answer that never begins, is lost and not asked for again")
+{
+    test::SilentServer server("");
+    HttpStream stream;
+    const auto result = stream.open(callTo(server.address()));
+    CHECK_FALSE(result.ok());
+    CHECK(result.failure == CallFailure::AnswerLost);
+    CHECK(server.connections() == 1);
+}
--- /dev/null
+++ b/Tests/Http/JsonTest.cpp
@@ -0,0 +1,40 @@
+#include "Http/Json.h"
+#include "Http/JsonBuilder.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+
+TEST_CASE("Json, text beyond ASCII, is read and written unchanged")
+{
+    const std::string text = "se\xc3\xb1"
+                             "al \xe0\xa6\xac\xe0\xa6\xbe\xe0\xa6\x82";
+    const auto document = parseJson(JsonBuilder().text("prompt", text).finish());
+    REQUIRE(document);
+    CHECK(jsonString(*document, "prompt") == text);
+}
+
+TEST_CASE("Json, malformed or invalid text, is refused")
+{
+    for (const char* text : { "", "{bad", "[", "{\"a\":", "nonsense", "{\"a\":\"\xff\"}", "{} trailing" }) {
+        CAPTURE(text);
+        CHECK_FALSE(parseJson(text));
+    }
+}
+
+TEST_CASE("Json, text nested far deeper than a stack holds, is read or refused without harm")
+{
+    CHECK_FALSE(parseJson(std::string(1000000, '[')));
+}
+
+TEST_CASE("Json, member of another type, gives the fallback")
+{
+    const auto document = parseJson("{\"n\":\"x\",\"s\":1,\"f\":null}");
+    REQUIRE(document);
+    CHECK(jsonInteger(*document, "n", 7) == 7);
+    CHECK(jsonString(*document, "s", "none") == "none");
+    CHECK(jsonFlag(*document, "f", true));
+    const auto array = parseJson("[1]");
+    REQUIRE(array);
+    CHECK(jsonString(*array, "s", "none") == "none");
+}
