--- /dev/null
+++ b/Source/Rules/RuleLine.cpp
@@ -0,0 +1,90 @@
+#include "Rules/RuleLine.h"
+
+#include "Rules/TextLines.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace almondscale {
+
+namespace {
+
+    constexpr std::size_t maxLineBytes = 2000;
+    constexpr const char* blank = " \t\r";
+
+    bool isBlank(const std::string& text) { return text.find_first_not_of(blank) == std::string::npos; }
+
+    bool isControl(char c)
+    {
+        const auto byte = static_cast<unsigned char>(c);
+        return (byte < 0x20 && c != '\t' && c != '\r') || byte == 0x7f;
+    }
+
+    class Cutter {
+    public:
+        void cut(int line, const std::string& text)
+        {
+            if (text.size() > maxLineBytes)
+                return fail(line,
+                    "line of " + std::to_string(text.size()) + " bytes; allowed: at most "
+                        + std::to_string(maxLineBytes));
+            if (std::any_of(text.begin(), text.end(), isControl))
+                return fail(line, "control character; allowed: printable text");
+            const auto hash = text.find('#');
+            const auto rule = text.substr(0, hash);
+            if (isBlank(rule))
+                return;
+            if (hash == std::string::npos || isBlank(text.substr(hash + 1)))
+                return fail(line, "rule without a comment; end it with '# who asked for it'");
+            cutRule(line, rule);
+        }
+
+        RuleLines take() { return std::move(m_result); }
+
+    private:
+        void cutRule(int line, const std::string& rule)
+        {
+            RuleLine result;
+            result.line = line;
+            std::istringstream words(rule);
+            words >> result.word >> result.name;
+            if (result.name.empty() || result.name.find('=') != std::string::npos)
+                return fail(line, "'" + result.word + "' without a name; allowed: a name after the word");
+            for (std::string pair; words >> pair;) {
+                if (!addPair(result, pair))
+                    return;
+            }
+            m_result.lines.push_back(std::move(result));
+        }
+
+        bool addPair(RuleLine& rule, const std::string& pair)
+        {
+            const auto equals = pair.find('=');
+            if (equals == std::string::npos || equals == 0 || equals + 1 == pair.size()) {
+                fail(rule.line, "'" + pair + "'; allowed: key=value");
+                return false;
+            }
+            const auto key = pair.substr(0, equals);
+            if (rule.pairs.emplace(key, pair.substr(equals + 1)).second)
+                return true;
+            fail(rule.line, "key '" + key + "' stands twice; allowed: once");
+            return false;
+        }
+
+        void fail(int line, std::string text) { m_result.errors.push_back({ line, std::move(text) }); }
+
+        RuleLines m_result;
+    };
+
+} // namespace
+
+RuleLines cutRuleLines(const std::string& text)
+{
+    Cutter cutter;
+    int line = 0;
+    for (const auto& content : splitLines(text))
+        cutter.cut(++line, content);
+    return cutter.take();
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Rules/RuleValues.cpp
@@ -0,0 +1,172 @@
+#include "Rules/RuleValues.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <sstream>
+
+namespace almondscale {
+
+namespace {
+
+    constexpr std::size_t maxNameBytes = 100;
+    constexpr const char* any = "*";
+
+    bool isNameCharacter(char c)
+    {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.'
+            || c == '_' || c == '-';
+    }
+
+    bool isName(const std::string& text)
+    {
+        return !text.empty() && text.size() <= maxNameBytes
+            && std::all_of(text.begin(), text.end(), isNameCharacter);
+    }
+
+    std::string listed(const std::vector<std::string>& words)
+    {
+        std::string text;
+        for (const auto& word : words)
+            text += (text.empty() ? "" : ", ") + word;
+        return text;
+    }
+
+    std::string number(double value)
+    {
+        std::ostringstream text;
+        text << value;
+        return text.str();
+    }
+
+} // namespace
+
+RuleValues::RuleValues(const RuleLine& rule, std::vector<RuleError>& errors)
+    : m_rule(rule)
+    , m_errors(errors)
+{
+}
+
+void RuleValues::allowKeys(const std::vector<std::string>& keys)
+{
+    for (const auto& pair : m_rule.pairs) {
+        if (std::find(keys.begin(), keys.end(), pair.first) != keys.end())
+            continue;
+        const auto allowed = keys.empty() ? std::string("no key") : listed(keys);
+        fail("unknown key '" + pair.first + "' of '" + m_rule.word + "'; allowed: " + allowed);
+    }
+}
+
+std::string RuleValues::ruleName() { return checkedName("name", m_rule.name); }
+
+std::string RuleValues::ruleNameOrAny() { return m_rule.name == any ? m_rule.name : ruleName(); }
+
+std::string RuleValues::name(const std::string& key)
+{
+    const auto* text = find(key);
+    return text ? checkedName(key, *text) : std::string();
+}
+
+std::string RuleValues::nameOrAny(const std::string& key)
+{
+    const auto* text = find(key);
+    if (!text)
+        return {};
+    return *text == any ? *text : checkedName(key, *text);
+}
+
+std::string RuleValues::path(const std::string& key)
+{
+    const auto* text = find(key);
+    if (!text)
+        return {};
+    if (text->front() != '/' || text->find('?') != std::string::npos)
+        failValue(key, *text, "a path that begins with '/' and has no '?'");
+    return *text;
+}
+
+std::string RuleValues::choice(const std::string& key, const std::vector<std::string>& allowed)
+{
+    const auto* text = find(key);
+    if (!text)
+        return {};
+    if (std::find(allowed.begin(), allowed.end(), *text) == allowed.end())
+        failValue(key, *text, listed(allowed));
+    return *text;
+}
+
+std::string RuleValues::choiceOr(
+    const std::string& key, const std::vector<std::string>& allowed, const std::string& fallback)
+{
+    return m_rule.pairs.count(key) ? choice(key, allowed) : fallback;
+}
+
+Address RuleValues::address(const std::string& key)
+{
+    const auto* text = find(key);
+    if (!text)
+        return {};
+    const auto address = parseAddress(*text);
+    if (address)
+        return *address;
+    failValue(key, *text, "IP:PORT");
+    return {};
+}
+
+std::int64_t RuleValues::integer(const std::string& key, std::int64_t lowest, std::int64_t highest)
+{
+    const auto* text = find(key);
+    if (!text)
+        return lowest;
+    std::int64_t value = 0;
+    const auto* end = text->data() + text->size();
+    const auto read = std::from_chars(text->data(), end, value);
+    if (read.ec == std::errc() && read.ptr == end && value >= lowest && value <= highest)
+        return value;
+    failValue(key, *text, "a whole number from " + std::to_string(lowest) + " to " + std::to_string(highest));
+    return lowest;
+}
+
+double RuleValues::decimal(const std::string& key, double above, double highest)
+{
+    const auto* text = find(key);
+    if (!text)
+        return highest;
+    double value = 0;
+    const auto* end = text->data() + text->size();
+    const auto read = std::from_chars(text->data(), end, value);
+    const bool whole = read.ec == std::errc() && read.ptr == end && std::isfinite(value);
+    if (whole && value > above && value <= highest)
+        return value;
+    failValue(key, *text, "a number above " + number(above) + " and up to " + number(highest));
+    return highest;
+}
+
+void RuleValues::fail(std::string text)
+{
+    m_ok = false;
+    m_errors.push_back({ m_rule.line, std::move(text) });
+}
+
+const std::string* RuleValues::find(const std::string& key)
+{
+    const auto pair = m_rule.pairs.find(key);
+    if (pair != m_rule.pairs.end())
+        return &pair->second;
+    fail("'" + m_rule.word + "' without the key '" + key + "'; add " + key + "=");
+    return nullptr;
+}
+
+std::string RuleValues::checkedName(const std::string& what, const std::string& text)
+{
+    if (!isName(text))
+        failValue(what, text, "up to 100 letters, digits, '.', '_' and '-'");
+    return text;
+}
+
+void RuleValues::failValue(const std::string& key, const std::string& text, const std::string& allowed)
+{
+    fail(key + " is '" + text + "'; allowed: " + allowed);
+}
+
+} // namespace almondscale
