--- /dev/null
+++ b/Source/Rules/RulesKeeper.cpp
@@ -0,0 +1,241 @@
+#include "Rules/RulesKeeper.h"
+
+#include "Core/Deadline.h"
+#include "Core/LogEvent.h"
+#include "Rules/RulesParser.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace almondscale {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    // So many hosts of a data centre read the platform often; the others learn from them.
+    constexpr std::size_t readersPerDataCentre = 2;
+    constexpr Nanoseconds readerInterval = seconds(1);
+    // All other hosts of a data centre together read about once in this time.
+    constexpr Nanoseconds othersInterval = seconds(10);
+    // All hosts of a data centre that hold no rules together read about once in this time.
+    constexpr Nanoseconds emptyInterval = milliseconds(100);
+    constexpr Nanoseconds shortestInterval = seconds(1);
+    constexpr Nanoseconds readTimeout = seconds(2);
+    constexpr Nanoseconds pullTimeout = milliseconds(500);
+    // A host without rules listens so long for its peers' versions before it takes rules from one.
+    constexpr Nanoseconds listenTime = seconds(1);
+
+} // namespace
+
+class RulesKeeper::Impl {
+public:
+    explicit Impl(RulesKeeperHooks hooks)
+        : m_hooks(std::move(hooks))
+    {
+    }
+
+    void tick(MonotonicTime now)
+    {
+        if (!m_startedAt)
+            m_startedAt = now;
+        if (m_pull && m_pull->deadline.passed(now))
+            pullFailed(now, m_pull->peer);
+        if (m_readDeadline && m_readDeadline->passed(now))
+            platformUnavailable(now);
+        readIfDue(now);
+        pullIfUseful(now);
+    }
+
+    void peerVersion(MonotonicTime now, const HostId& peer, RulesVersion version)
+    {
+        m_peers[peer] = version;
+        pullIfUseful(now);
+    }
+
+    void peerGone(const HostId& peer) { m_peers.erase(peer); }
+
+    void pulled(MonotonicTime now, const HostId& peer, const RulesChange& change)
+    {
+        if (m_pull && m_pull->peer == peer)
+            m_pull.reset();
+        adopt(change);
+        // A peer that hands out less than it told is asked again after its next heartbeat only.
+        const auto told = m_peers.find(peer);
+        if (told != m_peers.end() && told->second > version())
+            m_peers.erase(told);
+        pullIfUseful(now);
+    }
+
+    void pullFailed(MonotonicTime now, const HostId& peer)
+    {
+        if (!m_pull || m_pull->peer != peer)
+            return;
+        m_pull.reset();
+        // Its next heartbeat brings the peer back.
+        m_peers.erase(peer);
+        pullIfUseful(now);
+    }
+
+    void platformRules(MonotonicTime now, const std::optional<RulesChange>& change)
+    {
+        noteRead(now);
+        if (change)
+            adopt(*change);
+    }
+
+    void platformUnavailable(MonotonicTime now)
+    {
+        noteRead(now);
+        pullIfUseful(now);
+    }
+
+    std::shared_ptr<const RuleSet> rules() const { return m_rules; }
+    RulesVersion version() const { return m_rules ? m_rules->version : RulesVersion(0); }
+    std::optional<RulesChange> change() const { return m_change; }
+
+private:
+    struct Pull {
+        HostId peer;
+        Deadline deadline;
+    };
+
+    void adopt(const RulesChange& change)
+    {
+        if (change.version <= version())
+            return;
+        auto parsed = parseRules(change.text, change.version);
+        if (!parsed.ok()) {
+            LogEvent("rules_rejected", LogLevel::Error)
+                .with("version", change.version)
+                .with("line", parsed.errors.front().line)
+                .with("error", parsed.errors.front().text);
+            return;
+        }
+        m_rules = std::make_shared<const RuleSet>(std::move(parsed.rules));
+        m_change = change;
+        if (m_hooks.adopted)
+            m_hooks.adopted(m_rules);
+    }
+
+    void readIfDue(MonotonicTime now)
+    {
+        if (m_readDeadline || (m_lastRead && now < *m_lastRead + readInterval()))
+            return;
+        m_readDeadline = Deadline::after(now, readTimeout);
+        m_hooks.readPlatform(version());
+    }
+
+    // The interval of each host grows with the hosts, so that the rate of all does not.
+    // It follows the rank at once, so that a reader that is gone is replaced.
+    Nanoseconds readInterval() const
+    {
+        const auto peers = m_hooks.peers();
+        if (peers.rank < readersPerDataCentre)
+            return withJitter(readerInterval);
+        const auto hosts = static_cast<Nanoseconds::rep>(peers.hosts);
+        return withJitter(std::max(shortestInterval, hosts * (m_rules ? othersInterval : emptyInterval)));
+    }
+
+    Nanoseconds withJitter(Nanoseconds interval) const
+    {
+        const auto jittered = static_cast<double>(interval.count()) * m_jitter;
+        return Nanoseconds(static_cast<Nanoseconds::rep>(jittered));
+    }
+
+    void noteRead(MonotonicTime now)
+    {
+        m_platformTried = true;
+        m_readDeadline.reset();
+        m_lastRead = now;
+        m_jitter = 0.75 + uniform(m_hooks.random) / 2;
+    }
+
+    void pullIfUseful(MonotonicTime now)
+    {
+        if (m_pull || !mayPull(now))
+            return;
+        const auto peer = bestPeer();
+        if (!peer)
+            return;
+        m_pull = Pull { *peer, Deadline::after(now, pullTimeout) };
+        m_hooks.pullFromPeer(*peer);
+    }
+
+    // A host without rules asks the platform first, and if that is away hears its peers out, so
+    // that the version it begins with is the highest within its reach.
+    bool mayPull(MonotonicTime now) const
+    {
+        if (m_rules)
+            return true;
+        return m_platformTried && m_startedAt && now - *m_startedAt >= listenTime;
+    }
+
+    std::optional<HostId> bestPeer() const
+    {
+        auto best = version();
+        for (const auto& peer : m_peers)
+            best = std::max(best, peer.second);
+        if (best == version())
+            return std::nullopt;
+        std::vector<HostId> holders;
+        for (const auto& peer : m_peers) {
+            if (peer.second == best)
+                holders.push_back(peer.first);
+        }
+        return holders[uniformBelow(m_hooks.random, holders.size())];
+    }
+
+    RulesKeeperHooks m_hooks;
+    std::shared_ptr<const RuleSet> m_rules;
+    std::optional<RulesChange> m_change;
+    // The version that each peer last told.
+    std::map<HostId, RulesVersion> m_peers;
+    std::optional<Pull> m_pull;
+    std::optional<Deadline> m_readDeadline;
+    std::optional<MonotonicTime> m_lastRead;
+    double m_jitter = 1;
+    std::optional<MonotonicTime> m_startedAt;
+    bool m_platformTried = false;
+};
+
+RulesKeeper::RulesKeeper(RulesKeeperHooks hooks)
+    : m_impl(std::make_unique<Impl>(std::move(hooks)))
+{
+}
+
+RulesKeeper::~RulesKeeper() = default;
+
+void RulesKeeper::tick(MonotonicTime now) { m_impl->tick(now); }
+
+void RulesKeeper::onPeerVersion(MonotonicTime now, const HostId& peer, RulesVersion version)
+{
+    m_impl->peerVersion(now, peer, version);
+}
+
+void RulesKeeper::onPeerGone(const HostId& peer) { m_impl->peerGone(peer); }
+
+void RulesKeeper::onPulled(MonotonicTime now, const HostId& peer, const RulesChange& change)
+{
+    m_impl->pulled(now, peer, change);
+}
+
+void RulesKeeper::onPullFailed(MonotonicTime now, const HostId& peer) { m_impl->pullFailed(now, peer); }
+
+void RulesKeeper::onPlatformRules(MonotonicTime now, const std::optional<RulesChange>& change)
+{
+    m_impl->platformRules(now, change);
+}
+
+void RulesKeeper::onPlatformUnavailable(MonotonicTime now) { m_impl->platformUnavailable(now); }
+
+std::shared_ptr<const RuleSet> RulesKeeper::rules() const { return m_impl->rules(); }
+
+RulesVersion RulesKeeper::version() const { return m_impl->version(); }
+
+std::optional<RulesChange> RulesKeeper::change() const { return m_impl->change(); }
+
+} // namespace almondscale
--- a/Tests/Support/FakeTable.h
+++ b/Tests/Support/FakeTable.h
@@ -90,7 +90,7 @@
             return { WriteOutcome::NotApplied, RowVersion(0), std::nullopt };
         if (take(loseWrites))
             return { WriteOutcome::Unknown, RowVersion(0), std::nullopt };
-        const auto answer = apply(key, value, expected, writer);
+        auto answer = apply(key, value, expected, writer);
         if (take(loseWriteAnswers))
             return { WriteOutcome::Unknown, RowVersion(0), std::nullopt };
         return answer;
