Choose engines by expected completion and queue requests by priority and deadline

Source/Routing estimates the load of each engine from its late report, what this host sent since and what its peers are taken to have sent; the choice among the candidates is a policy hook. Source/Admission queues requests per model pool, bounded in number and bytes, and refuses what cannot be answered in time.

--- /dev/null
+++ b/Source/Admission/AdmissionQueue.cpp
@@ -0,0 +1,269 @@
+#include "Admission/AdmissionQueue.h"
+
+#include "Admission/WorkRate.h"
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+
+namespace almondscale {
+
+namespace {
+
+    // A pool that takes less than this is treated as if it took this much.
+    constexpr double leastWorkPerSecond = 1e-3;
+
+    double seconds(Nanoseconds time) { return std::chrono::duration<double>(time).count(); }
+
+    Nanoseconds nanoseconds(double time)
+    {
+        constexpr double longest = 1e6;
+        return std::chrono::duration_cast<Nanoseconds>(
+            std::chrono::duration<double>(std::min(time, longest)));
+    }
+
+} // namespace
+
+class AdmissionQueue::Impl {
+public:
+    explicit Impl(AdmissionOptions options)
+        : m_options(options)
+        , m_taken(options.initialWorkPerSecond)
+    {
+    }
+
+    // Requests of one priority, those with the earliest deadline first.
+    struct Level {
+        std::multimap<Deadline, WaitingRequest> waiting;
+        // Work taken from this level out of the evenly shared part.
+        double evenWork = 0;
+        Nanoseconds work {};
+        WorkRate arriving { 0 };
+    };
+
+    using Levels = std::map<Priority, Level>;
+
+    std::optional<AdmissionRefusal> submit(const WaitingRequest& request, MonotonicTime now)
+    {
+        if (m_index.empty()) {
+            m_taken.skipTo(now);
+            m_waitingSince = now;
+        }
+        // Work that is refused does not stand in anyone's way and is not counted.
+        if (!reachable(request, expectedWait(request.priority, request.deadline, now), now))
+            return refusal(request, ErrorKind::DeadlineUnreachable, now);
+        if (m_index.size() >= m_options.maxRequests || m_bytes + request.bytes > m_options.maxBytes)
+            return refusal(request, ErrorKind::QueueFull, now);
+        auto& level = m_levels[request.priority];
+        if (level.waiting.empty())
+            level.evenWork = std::max(level.evenWork, leastEvenWork());
+        level.arriving.add(request.work, now);
+        level.waiting.emplace(request.deadline, request);
+        level.work += request.work;
+        m_bytes += request.bytes;
+        m_index[request.id] = { request.priority, request.deadline };
+        return std::nullopt;
+    }
+
+    std::optional<WaitingRequest> next() const
+    {
+        const auto level = nextLevel();
+        if (level == m_levels.end())
+            return std::nullopt;
+        return level->second.waiting.begin()->second;
+    }
+
+    void take(const RequestId& id, MonotonicTime now)
+    {
+        const auto request = erase(id);
+        if (!request)
+            return;
+        // Only while requests wait does the rate show what the pool can take.
+        if (now > m_waitingSince)
+            m_taken.add(request->work, now);
+        const double work = seconds(request->work);
+        // The debt to the even share grows with all work and is paid by its turns.
+        if (m_evenDebt >= 0) {
+            m_levels[request->priority].evenWork += work;
+            m_evenDebt -= work;
+        }
+        m_evenDebt += work * m_options.evenShare;
+    }
+
+    std::vector<AdmissionRefusal> sweep(MonotonicTime now)
+    {
+        std::vector<WaitingRequest> lost;
+        Nanoseconds higher {};
+        double higherArriving = 0;
+        for (auto level = m_levels.rbegin(); level != m_levels.rend(); ++level) {
+            Nanoseconds ahead {};
+            for (const auto& [deadline, request] : level->second.waiting) {
+                const auto wait = waitBehind(higher, higherArriving, ahead, now);
+                if (reachable(request, wait, now))
+                    ahead += request.work;
+                else
+                    lost.push_back(request);
+            }
+            higher += ahead;
+            higherArriving += level->second.arriving.perSecond(now);
+        }
+        std::vector<AdmissionRefusal> refusals;
+        for (const auto& request : lost) {
+            erase(request.id);
+            refusals.push_back(refusal(request, ErrorKind::DeadlineUnreachable, now));
+        }
+        return refusals;
+    }
+
+    Nanoseconds expectedWait(Priority priority, Deadline deadline, MonotonicTime now) const
+    {
+        Nanoseconds higher {};
+        double higherArriving = 0;
+        for (auto level = m_levels.upper_bound(priority); level != m_levels.end(); ++level) {
+            higher += level->second.work;
+            higherArriving += level->second.arriving.perSecond(now);
+        }
+        Nanoseconds ahead {};
+        const auto own = m_levels.find(priority);
+        if (own != m_levels.end()) {
+            const auto& waiting = own->second.waiting;
+            for (auto request = waiting.begin(); request != waiting.upper_bound(deadline); ++request)
+                ahead += request->second.work;
+        }
+        return waitBehind(higher, higherArriving, ahead, now);
+    }
+
+    // The priority's own work waits behind all higher work, or for its turns of
+    // the even share, whichever is sooner.
+    Nanoseconds waitBehind(
+        Nanoseconds higher, double higherArriving, Nanoseconds ahead, MonotonicTime now) const
+    {
+        const double rate = std::max(leastWorkPerSecond, m_taken.perSecond(now));
+        const double left = std::max(leastWorkPerSecond, rate - higherArriving);
+        const double inOrder = seconds(higher + ahead) / left;
+        const double levels = static_cast<double>(std::max<std::size_t>(1, waitingLevels()));
+        const double byShare = seconds(ahead) * levels / (rate * m_options.evenShare);
+        if (higher.count() == 0)
+            return nanoseconds(seconds(ahead) / rate);
+        return nanoseconds(std::min(inOrder, byShare));
+    }
+
+    bool reachable(const WaitingRequest& request, Nanoseconds wait, MonotonicTime now) const
+    {
+        const double needed = seconds(wait + request.serviceTime) * m_options.safetyFactor;
+        // An unlimited deadline would overflow as an instant plus a time.
+        return needed <= seconds(request.deadline.remaining(now));
+    }
+
+    AdmissionRefusal refusal(const WaitingRequest& request, ErrorKind kind, MonotonicTime now) const
+    {
+        return { request.id, kind, retryAt(request.priority, now) };
+    }
+
+    MonotonicTime retryAt(Priority priority, MonotonicTime now) const
+    {
+        const auto wait = expectedWait(priority, Deadline::never(), now);
+        return now + std::clamp(wait, m_options.shortestRetryAfter, m_options.longestRetryAfter);
+    }
+
+    std::optional<WaitingRequest> erase(const RequestId& id)
+    {
+        const auto place = m_index.find(id);
+        if (place == m_index.end())
+            return std::nullopt;
+        auto& level = m_levels[place->second.priority];
+        auto [first, last] = level.waiting.equal_range(place->second.deadline);
+        while (first != last && first->second.id != id)
+            ++first;
+        WaitingRequest request = first->second;
+        level.waiting.erase(first);
+        level.work -= request.work;
+        m_bytes -= request.bytes;
+        m_index.erase(place);
+        return request;
+    }
+
+    // The highest priority that waits, or at a turn of the even share the one
+    // that has had least of it.
+    Levels::const_iterator nextLevel() const
+    {
+        auto chosen = m_levels.end();
+        for (auto level = m_levels.begin(); level != m_levels.end(); ++level) {
+            if (level->second.waiting.empty())
+                continue;
+            const bool leastServed
+                = chosen == m_levels.end() || level->second.evenWork < chosen->second.evenWork;
+            if (m_evenDebt < 0 || leastServed)
+                chosen = level;
+        }
+        return chosen;
+    }
+
+    double leastEvenWork() const
+    {
+        double least = -1;
+        for (const auto& [priority, level] : m_levels) {
+            if (!level.waiting.empty() && (least < 0 || level.evenWork < least))
+                least = level.evenWork;
+        }
+        return std::max(0.0, least);
+    }
+
+    std::size_t waitingLevels() const
+    {
+        return static_cast<std::size_t>(std::count_if(m_levels.begin(), m_levels.end(),
+            [](const auto& level) { return !level.second.waiting.empty(); }));
+    }
+
+    struct Place {
+        Priority priority;
+        Deadline deadline;
+    };
+
+    AdmissionOptions m_options;
+    WorkRate m_taken;
+    MonotonicTime m_waitingSince {};
+    Levels m_levels;
+    std::unordered_map<RequestId, Place> m_index;
+    ByteCount m_bytes;
+    // A turn of the even share is due while this is not negative.
+    double m_evenDebt = -1e-9;
+};
+
+AdmissionQueue::AdmissionQueue(AdmissionOptions options)
+    : m_impl(std::make_unique<Impl>(options))
+{
+}
+
+AdmissionQueue::~AdmissionQueue() = default;
+AdmissionQueue::AdmissionQueue(AdmissionQueue&&) noexcept = default;
+AdmissionQueue& AdmissionQueue::operator=(AdmissionQueue&&) noexcept = default;
+
+std::optional<AdmissionRefusal> AdmissionQueue::submit(const WaitingRequest& request, MonotonicTime now)
+{
+    return m_impl->submit(request, now);
+}
+
+std::optional<WaitingRequest> AdmissionQueue::next(MonotonicTime) const { return m_impl->next(); }
+
+void AdmissionQueue::take(const RequestId& id, MonotonicTime now) { m_impl->take(id, now); }
+
+void AdmissionQueue::remove(const RequestId& id) { m_impl->erase(id); }
+
+std::vector<AdmissionRefusal> AdmissionQueue::sweep(MonotonicTime now) { return m_impl->sweep(now); }
+
+std::size_t AdmissionQueue::size() const { return m_impl->m_index.size(); }
+
+ByteCount AdmissionQueue::bytes() const { return m_impl->m_bytes; }
+
+Nanoseconds AdmissionQueue::expectedWait(Priority priority, Deadline deadline, MonotonicTime now) const
+{
+    return m_impl->expectedWait(priority, deadline, now);
+}
+
+MonotonicTime AdmissionQueue::retryAt(Priority priority, MonotonicTime now) const
+{
+    return m_impl->retryAt(priority, now);
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Admission/RequestId.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "Core/Identifier.h"
+
+namespace almondscale {
+
+// Names one caller's request at the host that received it.
+using RequestId = Identifier<struct RequestIdTag>;
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Admission/WorkRate.cpp
@@ -0,0 +1,41 @@
+#include "Admission/WorkRate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondscale {
+
+namespace {
+
+    // The time over which the rate is averaged, in seconds.
+    constexpr double windowSeconds = 3;
+
+    double seconds(Nanoseconds time) { return std::chrono::duration<double>(time).count(); }
+
+} // namespace
+
+WorkRate::WorkRate(double initial)
+    : m_rate(initial)
+{
+}
+
+void WorkRate::add(Nanoseconds work, MonotonicTime now)
+{
+    m_rate = perSecond(now) + seconds(work) / windowSeconds;
+    skipTo(now);
+}
+
+void WorkRate::skipTo(MonotonicTime now)
+{
+    m_at = now;
+    m_started = true;
+}
+
+double WorkRate::perSecond(MonotonicTime now) const
+{
+    if (!m_started)
+        return m_rate;
+    return m_rate * std::exp(-std::max(0.0, seconds(now - m_at)) / windowSeconds);
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Admission/WorkRate.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Core/MonotonicTime.h"
+
+namespace almondscale {
+
+// The rate at which work passes, averaged exponentially, in seconds of work a second.
+class WorkRate {
+public:
+    explicit WorkRate(double initial);
+
+    void add(Nanoseconds work, MonotonicTime now);
+    // Time that does not count, such as while nothing waits.
+    void skipTo(MonotonicTime now);
+    double perSecond(MonotonicTime now) const;
+
+private:
+    double m_rate;
+    MonotonicTime m_at {};
+    bool m_started = false;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Routing/EngineLoad.cpp
@@ -0,0 +1,151 @@
+#include "Routing/EngineLoad.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace almondscale {
+
+namespace {
+
+    // The weight of a new observation in a learned speed.
+    constexpr double learningWeight = 0.1;
+
+    double seconds(Nanoseconds time) { return std::chrono::duration<double>(time).count(); }
+
+} // namespace
+
+EngineLoad::EngineLoad(EngineSpeed configured)
+    : m_speed(configured)
+{
+}
+
+bool EngineLoad::onReport(const LoadReport& report)
+{
+    const bool restarted = m_report && m_report->boot != report.boot;
+    if (m_report && !restarted && report.sequence < m_report->sequence)
+        return false;
+    m_report = report;
+    while (!m_finished.empty() && m_finished.front().at <= report.sampledAt)
+        m_finished.pop_front();
+    if (restarted)
+        m_finished.clear();
+    return restarted;
+}
+
+void EngineLoad::onSent(const AttemptId& attempt, TokenCount prefill, TokenCount decode, MonotonicTime now)
+{
+    Sent sent;
+    sent.at = now;
+    sent.prefill = static_cast<double>(prefill.count());
+    sent.decode = static_cast<double>(decode.count());
+    sent.blocks = blocksFor(prefill + decode);
+    sent.engineWasIdle = estimate(now, {}, true).prefillTokens <= 0;
+    m_sent[attempt] = sent;
+}
+
+void EngineLoad::onFirstToken(const AttemptId& attempt, MonotonicTime now)
+{
+    const auto found = m_sent.find(attempt);
+    if (found == m_sent.end() || found->second.firstTokenAt)
+        return;
+    auto& sent = found->second;
+    sent.firstTokenAt = now;
+    // Only an idle engine shows its speed; on a busy one the wait would be counted in.
+    if (sent.engineWasIdle)
+        learn(m_speed.prefillTokensPerSecond, sent.prefill, now - sent.at);
+}
+
+void EngineLoad::onFinished(const AttemptId& attempt, MonotonicTime now)
+{
+    const auto found = m_sent.find(attempt);
+    if (found == m_sent.end())
+        return;
+    const auto& sent = found->second;
+    m_finished.push_back({ sent.at, now, sent.blocks });
+    m_sent.erase(found);
+}
+
+void EngineLoad::forgetBefore(MonotonicTime oldest)
+{
+    for (auto sent = m_sent.begin(); sent != m_sent.end();)
+        sent = sent->second.at < oldest ? m_sent.erase(sent) : std::next(sent);
+    while (!m_finished.empty() && m_finished.front().at < oldest)
+        m_finished.pop_front();
+}
+
+EngineEstimate EngineLoad::estimate(MonotonicTime now, const PeerInflow& peers, bool correctReports) const
+{
+    const LoadReport report = m_report.value_or(LoadReport {});
+    const double age = m_report ? std::max(0.0, seconds(now - report.sampledAt)) : 0;
+    EngineEstimate estimate;
+    estimate.reportedRequests = report.running + report.queued;
+    estimate.requests = estimate.reportedRequests;
+    estimate.blocksKnown = m_report && report.totalBlocks.count() > 0;
+    estimate.freeBlocks = static_cast<double>(report.freeBlocks.count());
+    estimate.totalBlocks = static_cast<double>(report.totalBlocks.count());
+    estimate.prefillTokens = static_cast<double>(report.prefillTokens.count());
+    estimate.decodeTokens = static_cast<double>(report.decodeTokens.count());
+    if (!correctReports)
+        return estimate;
+
+    for (const auto& [attempt, sent] : m_sent) {
+        if (m_report && sent.at <= report.sampledAt)
+            continue;
+        estimate.requests += 1;
+        estimate.freeBlocks -= sent.blocks;
+    }
+    for (const auto& finished : m_finished) {
+        // What was sent and finished since the report was never in it.
+        if (!m_report || finished.sentAt > report.sampledAt)
+            continue;
+        estimate.requests -= 1;
+        estimate.freeBlocks += finished.blocks;
+    }
+    estimate.requests = std::max(0.0, estimate.requests + peers.requestsPerSecond * age);
+    const double busy = std::clamp(estimate.requests, 1.0, static_cast<double>(m_speed.slots));
+    const double decodePerSecond = m_speed.decodeTokensPerSecond * busy;
+    estimate.prefillTokens = backlog(estimate.prefillTokens, &Sent::prefill,
+        m_speed.prefillTokensPerSecond - peers.prefillTokensPerSecond, now);
+    estimate.decodeTokens
+        = backlog(estimate.decodeTokens, &Sent::decode, decodePerSecond - peers.decodeTokensPerSecond, now);
+    return estimate;
+}
+
+double EngineLoad::blocksFor(TokenCount tokens) const
+{
+    const double perBlock = std::max<double>(1, static_cast<double>(m_speed.tokensPerBlock.count()));
+    return std::ceil(static_cast<double>(tokens.count()) / perBlock);
+}
+
+// Lets the reported work drain, adding each send at its own time, so that what
+// was sent a moment ago is not taken to be done because the report is old.
+double EngineLoad::backlog(double reported, double Sent::*part, double perSecond, MonotonicTime now) const
+{
+    std::vector<const Sent*> sends;
+    for (const auto& [attempt, sent] : m_sent) {
+        if (!m_report || sent.at > m_report->sampledAt)
+            sends.push_back(&sent);
+    }
+    std::sort(sends.begin(), sends.end(), [](const Sent* a, const Sent* b) { return a->at < b->at; });
+    double work = reported;
+    MonotonicTime at = m_report ? m_report->sampledAt : now;
+    if (!m_report && !sends.empty())
+        at = sends.front()->at;
+    for (const Sent* sent : sends) {
+        work = std::max(0.0, work - perSecond * seconds(sent->at - at)) + sent->*part;
+        at = sent->at;
+    }
+    if (now > at)
+        work = std::max(0.0, work - perSecond * seconds(now - at));
+    return work;
+}
+
+void EngineLoad::learn(double& figure, double tokens, Nanoseconds time)
+{
+    if (tokens <= 0 || time.count() <= 0)
+        return;
+    figure += learningWeight * (tokens / seconds(time) - figure);
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Routing/EngineLoad.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Core/AttemptId.h"
+#include "Routing/EngineEstimate.h"
+#include "Routing/EngineSpeed.h"
+#include "Routing/LoadReport.h"
+#include "Routing/RouterOptions.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace almondscale {
+
+// What peers are taken to send to one engine.
+struct PeerInflow {
+    double prefillTokensPerSecond = 0;
+    double decodeTokensPerSecond = 0;
+    double requestsPerSecond = 0;
+    double blocksPerSecond = 0;
+};
+
+// Keeps the last report of one engine and what this host sent to it.
+class EngineLoad {
+public:
+    explicit EngineLoad(EngineSpeed configured);
+
+    // Returns whether the engine has started again since the report before.
+    bool onReport(const LoadReport&);
+    void onSent(const AttemptId&, TokenCount prefill, TokenCount decode, MonotonicTime now);
+    void onFirstToken(const AttemptId&, MonotonicTime now);
+    void onFinished(const AttemptId&, MonotonicTime now);
+    void forgetBefore(MonotonicTime);
+
+    EngineEstimate estimate(MonotonicTime now, const PeerInflow&, bool correctReports) const;
+    const EngineSpeed& speed() const { return m_speed; }
+    double blocksFor(TokenCount) const;
+
+private:
+    struct Sent {
+        MonotonicTime at;
+        double prefill = 0;
+        double decode = 0;
+        double blocks = 0;
+        bool engineWasIdle = false;
+        std::optional<MonotonicTime> firstTokenAt;
+    };
+    struct Finished {
+        MonotonicTime sentAt;
+        MonotonicTime at;
+        double blocks = 0;
+    };
+
+    double backlog(double reported, double Sent::*part, double perSecond, MonotonicTime now) const;
+    void learn(double& figure, double tokens, Nanoseconds time);
+
+    EngineSpeed m_speed;
+    std::optional<LoadReport> m_report;
+    std::map<AttemptId, Sent> m_sent;
+    std::deque<Finished> m_finished;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Routing/EngineView.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Core/Address.h"
+#include "Core/DataCentre.h"
+#include "Core/EngineId.h"
+#include "Core/EngineRole.h"
+#include "Core/ModelName.h"
+#include "Routing/EngineSpeed.h"
+#include "Routing/EngineState.h"
+
+namespace almondscale {
+
+// What this host believes about one engine, apart from its load.
+struct EngineView {
+    EngineId id;
+    ModelName model;
+    DataCentre dataCentre;
+    EngineRole role = EngineRole::Mixed;
+    Address address;
+    EngineState state = EngineState::Unknown;
+    // Whether this host can open connections to it.
+    bool reachable = true;
+    EngineSpeed speed;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Routing/PrefixHash.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "Core/Quantity.h"
+
+namespace almondscale {
+
+// The hash of the first words of a prompt, as engines name it in cache events.
+using PrefixHash = Quantity<struct PrefixHashTag, std::uint64_t>;
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Routing/Router.cpp
@@ -0,0 +1,355 @@
+#include "Routing/Router.h"
+
+#include "Routing/EngineLoad.h"
+#include "Routing/PrefixHints.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace almondscale {
+
+namespace {
+
+    // The time over which this host's own sending rate is averaged, in seconds.
+    constexpr double rateWindowSeconds = 2;
+
+    double seconds(Nanoseconds time) { return std::chrono::duration<double>(time).count(); }
+
+    Nanoseconds nanoseconds(double time)
+    {
+        return std::chrono::duration_cast<Nanoseconds>(std::chrono::duration<double>(time));
+    }
+
+    bool doesPrefill(EngineRole role) { return role != EngineRole::Decode; }
+
+    // What this host sent to the engines of one model, averaged exponentially.
+    struct SendRate {
+        MonotonicTime at;
+        PeerInflow perSecond;
+
+        void decay(MonotonicTime now)
+        {
+            const double keep = std::exp(-std::max(0.0, seconds(now - at)) / rateWindowSeconds);
+            perSecond.prefillTokensPerSecond *= keep;
+            perSecond.decodeTokensPerSecond *= keep;
+            perSecond.requestsPerSecond *= keep;
+            perSecond.blocksPerSecond *= keep;
+            at = std::max(at, now);
+        }
+    };
+
+} // namespace
+
+class Router::Impl {
+public:
+    Impl(RouterOptions options, RoutePolicy policy, RandomSource random)
+        : m_options(std::move(options))
+        , m_policy(std::move(policy))
+        , m_random(std::move(random))
+    {
+    }
+
+    struct Engine {
+        EngineView view;
+        EngineLoad load;
+        PrefixHints hints;
+    };
+
+    enum class Part {
+        Whole,
+        Prefill,
+        Decode,
+    };
+
+    struct Picked {
+        RouteCandidate candidate;
+        MonotonicTime cost;
+    };
+
+    void setEngines(const std::vector<EngineView>& views)
+    {
+        std::map<EngineId, Engine> next;
+        for (const auto& view : views) {
+            auto known = m_engines.find(view.id);
+            if (known == m_engines.end()) {
+                next.emplace(view.id, Engine { view, EngineLoad(view.speed), {} });
+                continue;
+            }
+            known->second.view = view;
+            next.emplace(view.id, std::move(known->second));
+        }
+        m_engines = std::move(next);
+    }
+
+    Engine* find(const EngineId& id)
+    {
+        const auto found = m_engines.find(id);
+        return found == m_engines.end() ? nullptr : &found->second;
+    }
+
+    void countSent(const Engine& engine, TokenCount prefill, TokenCount decode, MonotonicTime now)
+    {
+        auto& rate = m_rates[engine.view.model];
+        rate.decay(now);
+        rate.perSecond.prefillTokensPerSecond += static_cast<double>(prefill.count()) / rateWindowSeconds;
+        rate.perSecond.decodeTokensPerSecond += static_cast<double>(decode.count()) / rateWindowSeconds;
+        rate.perSecond.requestsPerSecond += 1 / rateWindowSeconds;
+        rate.perSecond.blocksPerSecond += engine.load.blocksFor(prefill + decode) / rateWindowSeconds;
+    }
+
+    // Peers are taken to send as much as this host does, spread evenly over the engines.
+    PeerInflow peerInflow(const ModelName& model, MonotonicTime now)
+    {
+        auto& rate = m_rates[model];
+        rate.decay(now);
+        int engines = 0;
+        for (const auto& [id, other] : m_engines)
+            engines += other.view.model == model && usable(other) ? 1 : 0;
+        const double share = static_cast<double>(livePeers) / std::max(1, engines);
+        PeerInflow inflow = rate.perSecond;
+        inflow.prefillTokensPerSecond *= share;
+        inflow.decodeTokensPerSecond *= share;
+        inflow.requestsPerSecond *= share;
+        inflow.blocksPerSecond *= share;
+        return inflow;
+    }
+
+    static bool usable(const Engine& engine)
+    {
+        return engine.view.state == EngineState::Open && engine.view.reachable;
+    }
+
+    static bool fits(const Engine& engine, Part part)
+    {
+        if (part == Part::Whole)
+            return engine.view.role == EngineRole::Mixed;
+        if (part == Part::Prefill)
+            return engine.view.role == EngineRole::Prefill;
+        return engine.view.role == EngineRole::Decode;
+    }
+
+    RouteCandidate candidate(Engine& engine, Part part, const RouteRequest& request, MonotonicTime start,
+        MonotonicTime now, const EngineEstimate& load)
+    {
+        const auto& speed = engine.load.speed();
+        RouteCandidate result;
+        result.engine = engine.view.id;
+        result.reportedLoad = load.reportedRequests;
+        result.holdsPrefix = part != Part::Decode && engine.hints.holds(request.prefix, now);
+        Nanoseconds prefillWait {};
+        Nanoseconds prefillWork {};
+        if (part != Part::Decode) {
+            const auto cached = result.holdsPrefix ? request.prefixTokens.count() : 0;
+            const auto tokens = std::max<std::int64_t>(0, request.promptTokens.count() - cached);
+            prefillWait = nanoseconds(load.prefillTokens / speed.prefillTokensPerSecond);
+            prefillWork = nanoseconds(static_cast<double>(tokens) / speed.prefillTokensPerSecond);
+        }
+        Nanoseconds slotWait {};
+        Nanoseconds decodeWork {};
+        if (part != Part::Prefill) {
+            const auto tokens = static_cast<double>(request.outputTokens.count());
+            slotWait = nanoseconds(waitForSlot(load, speed));
+            decodeWork = nanoseconds(tokens / speed.decodeTokensPerSecond);
+        }
+        result.wait = prefillWait + slotWait;
+        result.firstTokenAt = start + prefillWait + prefillWork + slotWait;
+        result.completionAt = result.firstTokenAt + decodeWork;
+        return result;
+    }
+
+    static double waitForSlot(const EngineEstimate& load, const EngineSpeed& speed)
+    {
+        const double ahead = load.requests - speed.slots + 1;
+        if (ahead <= 0 || load.requests <= 0)
+            return 0;
+        const double tokensEach = load.decodeTokens / load.requests;
+        return ahead * tokensEach / (speed.slots * speed.decodeTokensPerSecond);
+    }
+
+    // Picks an engine for the part among those of this data centre and the others.
+    Result<Picked> pick(Part part, const RouteRequest& request, MonotonicTime start, MonotonicTime now)
+    {
+        std::vector<RouteCandidate> near;
+        std::vector<RouteCandidate> far;
+        bool anyUsable = false;
+        const auto inflow = peerInflow(request.model, now);
+        for (auto& [id, engine] : m_engines) {
+            if (engine.view.model != request.model || !usable(engine) || !fits(engine, part))
+                continue;
+            if (request.excluded.count(id) != 0)
+                continue;
+            anyUsable = true;
+            const auto load = engine.load.estimate(now, inflow, m_options.correctReports);
+            if (!hasRoom(engine, part, request, load))
+                continue;
+            auto option = candidate(engine, part, request, start, now, load);
+            if (option.wait > m_options.longestEngineWait)
+                continue;
+            const bool isNear = engine.view.dataCentre == m_options.dataCentre;
+            (isNear ? near : far).push_back(std::move(option));
+        }
+        if (!anyUsable)
+            return ErrorKind::NoEngine;
+        if (near.empty() && far.empty())
+            return ErrorKind::QueueFull;
+        return nearOrFar(near, far, request);
+    }
+
+    Picked nearOrFar(const std::vector<RouteCandidate>& near, const std::vector<RouteCandidate>& far,
+        const RouteRequest& request)
+    {
+        std::optional<Picked> best;
+        if (!near.empty()) {
+            const auto& chosen = near[m_policy(near, request, m_random)];
+            best = Picked { chosen, chosen.completionAt };
+        }
+        if (!far.empty()) {
+            const auto& chosen = far[m_policy(far, request, m_random)];
+            const auto cost = chosen.completionAt + m_options.otherDataCentreCost;
+            if (!best || cost < best->cost)
+                best = Picked { chosen, cost };
+        }
+        return *best;
+    }
+
+    static bool hasRoom(
+        const Engine& engine, Part part, const RouteRequest& request, const EngineEstimate& load)
+    {
+        if (!load.blocksKnown)
+            return true;
+        const auto tokens
+            = part == Part::Prefill ? request.promptTokens : request.promptTokens + request.outputTokens;
+        return load.freeBlocks >= engine.load.blocksFor(tokens);
+    }
+
+    Result<RouteChoice> chooseWhole(const RouteRequest& request, MonotonicTime now)
+    {
+        const auto picked = pick(Part::Whole, request, now, now);
+        if (!picked)
+            return picked.error();
+        const auto& option = picked.value().candidate;
+        return RouteChoice { option.engine, option.engine, option.firstTokenAt, picked.value().cost };
+    }
+
+    Result<RouteChoice> choosePair(const RouteRequest& request, MonotonicTime now)
+    {
+        const auto prefill = pick(Part::Prefill, request, now, now);
+        if (!prefill)
+            return prefill.error();
+        const auto& from = prefill.value().candidate;
+        const auto& speed = find(from.engine)->load.speed();
+        const double bytes = static_cast<double>(request.promptTokens.count()) * speed.kvBytesPerToken;
+        const auto moved = prefill.value().cost + nanoseconds(bytes / speed.kvBytesPerSecond);
+        const auto decode = pick(Part::Decode, request, moved, now);
+        if (!decode)
+            return decode.error();
+        const auto& to = decode.value().candidate;
+        return RouteChoice { from.engine, to.engine, to.firstTokenAt, decode.value().cost };
+    }
+
+    Result<RouteChoice> choose(const RouteRequest& request, MonotonicTime now)
+    {
+        const auto whole = chooseWhole(request, now);
+        const auto pair = choosePair(request, now);
+        if (!whole && !pair) {
+            const bool full = whole.kind() == ErrorKind::QueueFull || pair.kind() == ErrorKind::QueueFull;
+            return full ? ErrorKind::QueueFull : ErrorKind::NoEngine;
+        }
+        const bool usePair = !whole || (pair && pair.value().completionAt < whole.value().completionAt);
+        const RouteChoice best = usePair ? pair.value() : whole.value();
+        if (request.deadline < Deadline(best.completionAt))
+            return ErrorKind::DeadlineUnreachable;
+        return best;
+    }
+
+    int livePeers = 0;
+    RouterOptions m_options;
+    RoutePolicy m_policy;
+    RandomSource m_random;
+    std::map<EngineId, Engine> m_engines;
+    std::map<ModelName, SendRate> m_rates;
+};
+
+Router::Router(RouterOptions options, RoutePolicy policy, RandomSource random)
+    : m_impl(std::make_unique<Impl>(std::move(options), std::move(policy), std::move(random)))
+{
+}
+
+Router::~Router() = default;
+Router::Router(Router&&) noexcept = default;
+Router& Router::operator=(Router&&) noexcept = default;
+
+void Router::setEngines(const std::vector<EngineView>& views) { m_impl->setEngines(views); }
+
+void Router::setLivePeers(int peers) { m_impl->livePeers = std::max(0, peers); }
+
+void Router::onLoadReport(const EngineId& id, const LoadReport& report)
+{
+    auto* engine = m_impl->find(id);
+    if (engine && engine->load.onReport(report))
+        engine->hints.clear();
+}
+
+void Router::onSent(const AttemptId& attempt, const EngineId& id, TokenCount prefill, TokenCount decode,
+    PrefixHash prefix, MonotonicTime now)
+{
+    auto* engine = m_impl->find(id);
+    if (!engine)
+        return;
+    engine->load.forgetBefore(now - m_impl->m_options.longestAttempt);
+    engine->load.onSent(attempt, prefill, decode, now);
+    if (doesPrefill(engine->view.role))
+        engine->hints.add(prefix, now + m_impl->m_options.prefixLifetime, now);
+    m_impl->countSent(*engine, prefill, decode, now);
+}
+
+void Router::onFirstToken(const AttemptId& attempt, const EngineId& id, MonotonicTime now)
+{
+    if (auto* engine = m_impl->find(id))
+        engine->load.onFirstToken(attempt, now);
+}
+
+void Router::onFinished(const AttemptId& attempt, const EngineId& id, MonotonicTime now)
+{
+    if (auto* engine = m_impl->find(id))
+        engine->load.onFinished(attempt, now);
+}
+
+std::uint64_t Router::onCacheEvents(
+    const EngineId& id, const std::vector<CacheEvent>& events, std::uint64_t next, MonotonicTime now)
+{
+    auto* engine = m_impl->find(id);
+    if (!engine)
+        return next;
+    return engine->hints.apply(
+        events, next, now + m_impl->m_options.prefixLifetime, now + m_impl->m_options.gapGrace, now);
+}
+
+Result<RouteChoice> Router::choose(const RouteRequest& request, MonotonicTime now)
+{
+    return m_impl->choose(request, now);
+}
+
+EngineSpeed Router::speed(const EngineId& id) const
+{
+    const auto* engine = m_impl->find(id);
+    return engine ? engine->load.speed() : EngineSpeed {};
+}
+
+std::optional<Nanoseconds> Router::unloadedTime(const RouteRequest& request) const
+{
+    std::optional<Nanoseconds> best;
+    for (const auto& [id, engine] : m_impl->m_engines) {
+        if (engine.view.model != request.model || !Impl::usable(engine))
+            continue;
+        const auto& speed = engine.load.speed();
+        const double time = static_cast<double>(request.promptTokens.count()) / speed.prefillTokensPerSecond
+            + static_cast<double>(request.outputTokens.count()) / speed.decodeTokensPerSecond;
+        if (!best || nanoseconds(time) < *best)
+            best = nanoseconds(time);
+    }
+    return best;
+}
+
+} // namespace almondscale
