Decide role changes from late demand reports

The role policy estimates demand over two horizons from counters that hosts publish late, weighs the gain of a change against the answers lost while the engine is away, and stays still while reports or engine states are missing.

--- /dev/null
+++ b/Source/Roles/DemandEstimate.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "Core/HostId.h"
+#include "Core/MonotonicTime.h"
+#include "Roles/Demand.h"
+#include "Roles/DemandReport.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace almondscale {
+
+// Builds the demand on a pool from the late reports of its hosts.
+class DemandEstimate {
+public:
+    struct Settings {
+        // The span over which the present demand is averaged.
+        Nanoseconds shortHorizon = std::chrono::seconds(8);
+        // The span that is remembered, as one sample for each short horizon.
+        Nanoseconds longHorizon = std::chrono::seconds(240);
+        // A host that has not reported for this long is left out.
+        Nanoseconds staleAfter = std::chrono::seconds(5);
+        // A host silent for this long counts as gone for good.
+        Nanoseconds forgetAfter = std::chrono::seconds(30);
+    };
+
+    explicit DemandEstimate(const Settings&);
+
+    void onReport(const HostId&, const DemandReport&, MonotonicTime now);
+
+    // Drops what is too old and takes a sample for the long horizon when one is due.
+    void advance(MonotonicTime now);
+
+    // Nothing until the reports of every live host cover the short horizon.
+    std::optional<Demand> present(MonotonicTime now) const;
+
+    // One demand for each short horizon within the long one, the oldest first.
+    const std::deque<Demand>& samples() const { return m_samples; }
+
+private:
+    struct Received {
+        MonotonicTime at;
+        DemandReport report;
+    };
+
+    void dropOld(MonotonicTime now);
+
+    Settings m_settings;
+    std::map<HostId, std::deque<Received>> m_reports;
+    std::deque<Demand> m_samples;
+    MonotonicTime m_nextSample {};
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Roles/RolePolicy.cpp
@@ -0,0 +1,251 @@
+#include "Roles/RolePolicy.h"
+
+#include "Core/Deadline.h"
+#include "Roles/RoleBounds.h"
+#include "Roles/RoleCapacity.h"
+#include "Roles/RolePersistence.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <utility>
+
+namespace almondscale {
+
+namespace {
+
+    constexpr EngineRole roles[] = { EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode };
+
+    double seconds(Nanoseconds time) { return std::chrono::duration<double>(time).count(); }
+
+} // namespace
+
+class RolePolicy::Impl {
+public:
+    Impl(const RoleSettings& settings, RoleHooks hooks)
+        : m_settings(settings)
+        , m_hooks(std::move(hooks))
+        , m_capacity(settings.speeds)
+        , m_estimate(settings.estimate)
+    {
+    }
+
+    void onDemand(const HostId& host, const DemandReport& report, MonotonicTime now)
+    {
+        m_estimate.onReport(host, report, now);
+    }
+
+    void onEngines(std::vector<EngineStatus> engines) { m_engines = std::move(engines); }
+
+    std::vector<RoleChange> decide(MonotonicTime now);
+
+private:
+    struct Pool {
+        RoleCounts counts;
+        // Engines that are ready and so may be ordered to change.
+        std::vector<EngineStatus> ready;
+        int changing = 0;
+    };
+
+    struct Target {
+        RoleCounts counts;
+        double gain = 0;
+    };
+
+    std::optional<Pool> survey(MonotonicTime now) const;
+    int mayChange(const Pool&) const;
+    bool reachable(const Pool&, const RoleCounts&) const;
+    double inTime(const RoleCounts&, const Demand&) const;
+    double changeCost(const RoleCounts& from, const RoleCounts& to, const Demand&) const;
+    double expectedGain(const RoleCounts& from, const RoleCounts& to, const Demand&) const;
+    std::optional<Target> target(const Pool&, const Demand&, const std::vector<RoleRule>&) const;
+    std::vector<RoleChange> steps(const Pool&, const Target&, const Demand&) const;
+
+    RoleSettings m_settings;
+    RoleHooks m_hooks;
+    RoleCapacity m_capacity;
+    DemandEstimate m_estimate;
+    std::vector<EngineStatus> m_engines;
+    // No change is decided before this.
+    Deadline m_dwellUntil;
+};
+
+std::optional<RolePolicy::Impl::Pool> RolePolicy::Impl::survey(MonotonicTime now) const
+{
+    Pool pool;
+    for (const auto& engine : m_engines) {
+        if (engine.state == EngineState::Down || engine.state == EngineState::Withdrawing)
+            continue;
+        // What an engine that has gone silent does is unknown, so nothing is built on it.
+        if (now - engine.reportedAt > m_settings.statusStaleAfter)
+            return std::nullopt;
+        ++pool.counts.of(engine.role);
+        if (engine.state == EngineState::Changing)
+            ++pool.changing;
+        else
+            pool.ready.push_back(engine);
+    }
+    return pool;
+}
+
+int RolePolicy::Impl::mayChange(const Pool& pool) const
+{
+    const int most = std::max(1, static_cast<int>(pool.counts.total() * m_settings.changingShare));
+    return most - pool.changing;
+}
+
+// Whether ready engines alone can bring the pool to the counts.
+bool RolePolicy::Impl::reachable(const Pool& pool, const RoleCounts& counts) const
+{
+    RoleCounts ready;
+    for (const auto& engine : pool.ready)
+        ++ready.of(engine.role);
+    for (const auto role : roles) {
+        if (counts.of(role) < pool.counts.of(role) - ready.of(role))
+            return false;
+    }
+    return true;
+}
+
+double RolePolicy::Impl::inTime(const RoleCounts& counts, const Demand& demand) const
+{
+    const double usable = m_settings.usableShare * m_capacity.answersPerSecond(counts, demand);
+    return std::min(demand.requestsPerSecond, usable);
+}
+
+// The answers lost while the engines that change are away.
+double RolePolicy::Impl::changeCost(const RoleCounts& from, const RoleCounts& to, const Demand& demand) const
+{
+    RoleCounts rest = from;
+    for (const auto role : roles)
+        rest.of(role) = std::min(from.of(role), to.of(role));
+    const double lost = inTime(from, demand) - inTime(rest, demand);
+    const double least = m_settings.leastCostShare * demand.requestsPerSecond * changesBetween(from, to);
+    return std::max(lost, least) * seconds(m_settings.changeTime);
+}
+
+double RolePolicy::Impl::expectedGain(
+    const RoleCounts& from, const RoleCounts& to, const Demand& demand) const
+{
+    std::vector<double> gains;
+    double sum = 0;
+    for (const auto& sample : m_estimate.samples()) {
+        gains.push_back(inTime(to, sample) - inTime(from, sample));
+        sum += gains.back();
+    }
+    const double mean = gains.empty() ? 0 : sum / static_cast<double>(gains.size());
+    const double now = inTime(to, demand) - inTime(from, demand);
+    gains.push_back(now);
+    const double noticeable = m_settings.noticeableShare * demand.requestsPerSecond;
+    const auto persists = expectedPersistence(gains, m_settings.estimate.shortHorizon, noticeable);
+    const double stays = seconds(std::min(persists, m_settings.horizon));
+    // Once the present spell is over, the long horizon says what is to be expected.
+    const double after = std::min(0.0, mean) * (seconds(m_settings.horizon) - stays);
+    return now * stays + after - m_settings.worthFactor * changeCost(from, to, demand);
+}
+
+std::optional<RolePolicy::Impl::Target> RolePolicy::Impl::target(
+    const Pool& pool, const Demand& demand, const std::vector<RoleRule>& rules) const
+{
+    std::vector<RoleCounts> candidates;
+    int leastViolation = std::numeric_limits<int>::max();
+    for (const auto& counts : allRoleCounts(pool.counts.total())) {
+        if (!reachable(pool, counts))
+            continue;
+        const int violation = boundsViolation(counts, rules);
+        if (violation < leastViolation)
+            candidates.clear();
+        leastViolation = std::min(leastViolation, violation);
+        if (violation == leastViolation)
+            candidates.push_back(counts);
+    }
+    const bool forced = boundsViolation(pool.counts, rules) > leastViolation;
+    std::optional<Target> best;
+    for (const auto& counts : candidates) {
+        if (counts == pool.counts)
+            continue;
+        const double gain = expectedGain(pool.counts, counts, demand);
+        if (!forced && gain <= 0)
+            continue;
+        if (!best || gain > best->gain)
+            best = Target { counts, gain };
+    }
+    return best;
+}
+
+// The first changes on the way to the target, as many as may be under way at once.
+std::vector<RoleChange> RolePolicy::Impl::steps(
+    const Pool& pool, const Target& target, const Demand& demand) const
+{
+    std::vector<RoleChange> changes;
+    auto ready = pool.ready;
+    RoleCounts counts = pool.counts;
+    for (int left = mayChange(pool); left > 0 && counts != target.counts; --left) {
+        std::optional<RoleChange> best;
+        double bestRate = -1;
+        for (const auto& engine : ready) {
+            if (counts.of(engine.role) <= target.counts.of(engine.role))
+                continue;
+            for (const auto role : roles) {
+                if (counts.of(role) >= target.counts.of(role))
+                    continue;
+                RoleCounts next = counts;
+                --next.of(engine.role);
+                ++next.of(role);
+                const double rate = m_capacity.answersPerSecond(next, demand);
+                if (rate <= bestRate)
+                    continue;
+                bestRate = rate;
+                best = RoleChange { engine.engine, engine.role, role, target.gain };
+            }
+        }
+        if (!best)
+            break;
+        --counts.of(best->from);
+        ++counts.of(best->to);
+        ready.erase(std::remove_if(ready.begin(), ready.end(),
+                        [&](const EngineStatus& engine) { return engine.engine == best->engine; }),
+            ready.end());
+        changes.push_back(*best);
+    }
+    return changes;
+}
+
+std::vector<RoleChange> RolePolicy::Impl::decide(MonotonicTime now)
+{
+    m_estimate.advance(now);
+    const auto demand = m_estimate.present(now);
+    if (!demand || demand->requestsPerSecond <= 0 || !m_dwellUntil.passed(now))
+        return {};
+    const auto pool = survey(now);
+    if (!pool || mayChange(*pool) <= 0)
+        return {};
+    const auto found = target(*pool, *demand, m_hooks.rules ? m_hooks.rules() : std::vector<RoleRule>());
+    if (!found)
+        return {};
+    m_dwellUntil = Deadline::after(now, m_settings.dwell);
+    return steps(*pool, *found, *demand);
+}
+
+RolePolicy::RolePolicy(const RoleSettings& settings, RoleHooks hooks)
+    : m_impl(std::make_unique<Impl>(settings, std::move(hooks)))
+{
+}
+
+RolePolicy::~RolePolicy() = default;
+RolePolicy::RolePolicy(RolePolicy&&) noexcept = default;
+RolePolicy& RolePolicy::operator=(RolePolicy&&) noexcept = default;
+
+void RolePolicy::onDemand(const HostId& host, const DemandReport& report, MonotonicTime now)
+{
+    m_impl->onDemand(host, report, now);
+}
+
+void RolePolicy::onEngines(std::vector<EngineStatus> engines, MonotonicTime)
+{
+    m_impl->onEngines(std::move(engines));
+}
+
+std::vector<RoleChange> RolePolicy::decide(MonotonicTime now) { return m_impl->decide(now); }
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Roles/RoleSettings.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Core/MonotonicTime.h"
+#include "Roles/DemandEstimate.h"
+#include "Roles/EngineSpeeds.h"
+
+namespace almondscale {
+
+// What the role policy is built with.
+struct RoleSettings {
+    EngineSpeeds speeds;
+    DemandEstimate::Settings estimate;
+    // How long a change takes an engine away, draining included.
+    Nanoseconds changeTime = std::chrono::seconds(12);
+    // The longest time over which the gain of a change is counted.
+    Nanoseconds horizon = std::chrono::seconds(120);
+    // The shortest time between two decisions to change roles.
+    Nanoseconds dwell = std::chrono::seconds(20);
+    // An engine's status older than this is not acted on.
+    Nanoseconds statusStaleAfter = std::chrono::seconds(5);
+    // The share of the pool's engines that may change at once; at least one may.
+    double changingShare = 0.34;
+    // The share of the greatest rate that can be answered in time under uneven arrivals.
+    double usableShare = 0.92;
+    // How many times its cost a change must bring.
+    double worthFactor = 1.5;
+    // The least cost of a change while it lasts, as a share of the rate of requests.
+    double leastCostShare = 0.05;
+    // A gain smaller than this share of the rate of requests counts as none.
+    double noticeableShare = 0.02;
+};
+
+} // namespace almondscale
