--- /dev/null
+++ b/Programs/almondscale/ViewCommands.cpp
@@ -0,0 +1,71 @@
+#include "ViewCommands.h"
+
+#include "Http/Json.h"
+#include "TextTable.h"
+
+#include <iostream>
+
+namespace almondscale {
+
+namespace {
+
+    ExitStatus showTable(const ToolOptions& options, const HostConnection& host, const std::string& path,
+        const char* member, const std::vector<Column>& columns)
+    {
+        const CallResult result = host.get(path);
+        if (!result.ok() || result.response->status != 200)
+            return reportFailure(result);
+        const auto json = parseJson(result.response->body);
+        const JsonValue* rows = json ? jsonMember(*json, member) : nullptr;
+        if (options.json || !rows || !rows->IsArray())
+            std::cout << result.response->body << "\n";
+        else
+            std::cout << formatTable(*rows, columns);
+        return ExitStatus::Success;
+    }
+
+} // namespace
+
+ExitStatus showStatus(const ToolOptions& options, const HostConnection& host)
+{
+    const CallResult result = host.get("/status");
+    if (!result.ok() || result.response->status != 200)
+        return reportFailure(result);
+    const auto json = parseJson(result.response->body);
+    if (options.json || !json) {
+        std::cout << result.response->body << "\n";
+        return ExitStatus::Success;
+    }
+    for (const auto& member : json->GetObject()) {
+        const bool text = member.value.IsString();
+        std::cout << member.name.GetString() << "="
+                  << (text ? member.value.GetString() : jsonText(member.value)) << "\n";
+    }
+    return ExitStatus::Success;
+}
+
+ExitStatus showHosts(const ToolOptions& options, const HostConnection& host)
+{
+    return showTable(options, host, "/hosts", "hosts",
+        { { "HOST", "id" }, { "DATA CENTRE", "data_centre" }, { "ADDRESS", "address" }, { "STATE", "state" },
+            { "RULES", "rules_version" }, { "INCARNATION", "incarnation" } });
+}
+
+ExitStatus showEngines(const ToolOptions& options, const HostConnection& host)
+{
+    return showTable(options, host, "/engines", "engines",
+        { { "ENGINE", "id" }, { "MODEL", "model" }, { "DATA CENTRE", "data_centre" }, { "ROLE", "role" },
+            { "STATE", "state" }, { "RUNNING", "running" }, { "QUEUED", "queued" },
+            { "FREE BLOCKS", "free_blocks" }, { "FENCING", "checks_fencing" } });
+}
+
+ExitStatus shutDown(const ToolOptions&, const HostConnection& host)
+{
+    const CallResult result = host.post("/shutdown", "");
+    if (!result.ok() || result.response->status != 202)
+        return reportFailure(result);
+    std::cout << "shutting down; running requests are finished first\n";
+    return ExitStatus::Success;
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Http/HandlerResponder.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Core/ErrorKind.h"
+#include "Http/HttpRequest.h"
+#include "Http/HttpResponse.h"
+
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/http/responder.h>
+#include <cxxtools/net/tcpsocket.h>
+
+#include <string>
+
+namespace almondscale {
+
+class HandlerService;
+
+// Carries one request of the library to the handler and back.
+class HandlerResponder : public cxxtools::http::Responder {
+public:
+    explicit HandlerResponder(HandlerService&);
+    ~HandlerResponder() override;
+    HandlerResponder(const HandlerResponder&) = delete;
+    HandlerResponder& operator=(const HandlerResponder&) = delete;
+
+    void beginRequest(cxxtools::net::TcpSocket&, std::istream&, cxxtools::http::Request&) override;
+    std::size_t readBody(std::istream&) override;
+    void reply(std::ostream&, cxxtools::http::Request&, cxxtools::http::Reply&) override;
+    void replyError(
+        std::ostream&, cxxtools::http::Request&, cxxtools::http::Reply&, const std::exception&) override;
+
+private:
+    // False if the request was refused because its body came too slowly.
+    bool stopWatching();
+    HttpRequest takeRequest(cxxtools::http::Request&) const;
+    void sendWhole(const HttpResponse&, std::ostream&, cxxtools::http::Reply&) const;
+
+    HandlerService& m_service;
+    cxxtools::net::TcpSocket* m_socket = nullptr;
+    std::string m_body;
+    std::size_t m_length = 0;
+    bool m_watched = false;
+    ErrorKind m_refusal = ErrorKind::None;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Http/HandlerService.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Http/BodyWatch.h"
+#include "Http/HttpHandler.h"
+#include "Http/HttpLimits.h"
+
+#include <cxxtools/http/service.h>
+
+namespace almondscale {
+
+// Hands the library's requests to one handler.
+class HandlerService : public cxxtools::http::Service {
+public:
+    HandlerService(HttpHandler handler, const HttpLimits& limits)
+        : m_handler(std::move(handler))
+        , m_limits(limits)
+    {
+    }
+
+    const HttpHandler& handler() const { return m_handler; }
+    const HttpLimits& limits() const { return m_limits; }
+    BodyWatch& bodyWatch() { return m_bodyWatch; }
+
+protected:
+    cxxtools::http::Responder* createResponder(const cxxtools::http::Request&) override;
+    void releaseResponder(cxxtools::http::Responder* responder) override;
+
+private:
+    HttpHandler m_handler;
+    HttpLimits m_limits;
+    BodyWatch m_bodyWatch;
+};
+
+} // namespace almondscale
--- a/Tests/Http/HttpServerTest.cpp
+++ b/Tests/Http/HttpServerTest.cpp
@@ -30,6 +30,7 @@
     {
         HttpLimits limits;
         limits.maxBody = ByteCount(1000);
+        limits.bodyTimeout = std::chrono::milliseconds(200);
         return limits;
     }
 
@@ -120,3 +121,14 @@
     exchange("GET /a HTTP/1.1\r\nX: " + std::string(100000, 'y') + "\r\n\r\n");
     CHECK(has(exchange("GET /a HTTP/1.1\r\n" + closing + "\r\n"), "GET /a"));
 }
+
+TEST_CASE_METHOD(
+    ServerFixture, "HttpServer, body that stops or trickles, is refused as too slow and holds no thread")
+{
+    RawConnection stopped(m_server.address());
+    stopped.send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\npart");
+    CHECK(has(exchange("GET /a HTTP/1.1\r\n" + closing + "\r\n"), "GET /a"));
+    const auto reply = stopped.readToEnd();
+    CHECK(has(reply, "408"));
+    CHECK(has(reply, "\"run\":\"no\""));
+}
--- a/Tests/Http/JsonTest.cpp
+++ b/Tests/Http/JsonTest.cpp
@@ -5,6 +5,15 @@
 
 using namespace almondscale;
 
+namespace {
+
+bool isJson(const std::string& text)
+{
+    return parseJson(text).has_value();
+}
+
+} // namespace
+
 TEST_CASE("Json, text beyond ASCII, is read and written unchanged")
 {
     const std::string text = "se\xc3\xb1"
@@ -18,13 +27,13 @@
 {
     for (const char* text : { "", "{bad", "[", "{\"a\":", "nonsense", "{\"a\":\"\xff\"}", "{} trailing" }) {
         CAPTURE(text);
-        CHECK_FALSE(parseJson(text));
+        CHECK_FALSE(isJson(text));
     }
 }
 
 TEST_CASE("Json, text nested far deeper than a stack holds, is read or refused without harm")
 {
-    CHECK_FALSE(parseJson(std::string(1000000, '[')));
+    CHECK_FALSE(isJson(std::string(1000000, '[')));
 }
 
 TEST_CASE("Json, member of another type, gives the fallback")
@@ -34,6 +43,10 @@
     CHECK(jsonInteger(*document, "n", 7) == 7);
     CHECK(jsonString(*document, "s", "none") == "none");
     CHECK(jsonFlag(*document, "f", true));
+}
+
+TEST_CASE("Json, value that is no object, has no members")
+{
     const auto array = parseJson("[1]");
     REQUIRE(array);
     CHECK(jsonString(*array, "s", "none") == "none");
