--- /dev/null
+++ b/Source/Dispatch/AttemptLedger.cpp
@@ -0,0 +1,27 @@
+#include "Dispatch/AttemptLedger.h"
+
+namespace almondscale {
+
+AttemptLedger::AttemptLedger(const HostId& host, Incarnation incarnation)
+    : m_prefix(host.text() + "-" + std::to_string(incarnation.count()) + "-")
+{
+}
+
+AttemptId AttemptLedger::start(const RequestId& request)
+{
+    AttemptId attempt(m_prefix + std::to_string(++m_count));
+    m_requests.emplace(attempt, request);
+    return attempt;
+}
+
+void AttemptLedger::finish(const AttemptId& attempt) { m_requests.erase(attempt); }
+
+std::optional<RequestId> AttemptLedger::request(const AttemptId& attempt) const
+{
+    const auto found = m_requests.find(attempt);
+    if (found == m_requests.end())
+        return std::nullopt;
+    return found->second;
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Tests/Dispatch/RetryBudgetTest.cpp
@@ -0,0 +1,80 @@
+#include "Dispatch/RetryBudget.h"
+
+#include "Core/RandomSource.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <vector>
+
+using namespace almondscale;
+using namespace std::chrono_literals;
+
+namespace {
+
+// The requests and further attempts of one host at a pool that dies and recovers.
+struct BudgetFixture {
+    std::vector<MonotonicTime> requests;
+    std::vector<MonotonicTime> retries;
+
+    void run(std::uint64_t seed, double perSecond)
+    {
+        const auto random = seededRandom(seed);
+        RetryBudget budget;
+        MonotonicTime now {};
+        while (now.time_since_epoch() < 120s) {
+            const double gap = -std::log(1 - uniform(random)) / perSecond;
+            now += std::chrono::duration_cast<Nanoseconds>(std::chrono::duration<double>(gap));
+            requests.push_back(now);
+            budget.onRequest(now);
+            // The pool is dead in every other quarter of a minute: each attempt
+            // fails at once and is tried again for as long as the budget lets it.
+            const bool dead = now.time_since_epoch() % 30s >= 15s;
+            while (dead && budget.tryRetry(now))
+                retries.push_back(now);
+        }
+    }
+
+    static double within(const std::vector<MonotonicTime>& times, MonotonicTime from)
+    {
+        const auto first = std::lower_bound(times.begin(), times.end(), from);
+        return static_cast<double>(std::lower_bound(first, times.end(), from + 10s) - first);
+    }
+
+    // The largest number of attempts per request over any window of 10 s.
+    double worstRatio() const
+    {
+        double worst = 1;
+        for (MonotonicTime from {}; from.time_since_epoch() <= 110s; from += 5ms) {
+            const double count = within(requests, from);
+            worst = std::max(worst, (count + within(retries, from)) / count);
+        }
+        return worst;
+    }
+};
+
+} // namespace
+
+TEST_CASE("RetryBudget, a dying pool, gets at most 1.1 attempts per request over any 10 s")
+{
+    const auto seed = GENERATE(1, 2, 3);
+    const auto perSecond = GENERATE(10.0, 50.0, 200.0);
+    BudgetFixture fixture;
+    fixture.run(static_cast<std::uint64_t>(seed), perSecond);
+    CAPTURE(seed, perSecond, fixture.requests.size(), fixture.retries.size());
+    CHECK(fixture.worstRatio() <= 1.1);
+    // The budget is there to be used.
+    CHECK(static_cast<double>(fixture.retries.size()) >= 0.01 * static_cast<double>(fixture.requests.size()));
+}
+
+TEST_CASE("RetryBudget, a quiet host, still has a few further attempts")
+{
+    RetryBudget budget;
+    const MonotonicTime now { 100s };
+    budget.onRequest(now);
+    for (int i = 0; i < RetryBudgetOptions {}.leastRetries; ++i)
+        CHECK(budget.tryRetry(now));
+    CHECK_FALSE(budget.tryRetry(now));
+    CHECK_FALSE(budget.tryRetry(now + 9s));
+    CHECK(budget.tryRetry(now + 10s));
+}
