--- /dev/null
+++ b/Source/Dispatch/EngineRun.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Core/EngineId.h"
+
+#include <cstdint>
+
+namespace almondscale {
+
+// One life of an engine, from its start to its crash.
+struct EngineRun {
+    EngineId engine;
+    // A new number at each start of the engine.
+    std::uint64_t boot = 0;
+
+    friend bool operator==(const EngineRun& a, const EngineRun& b)
+    {
+        return a.engine == b.engine && a.boot == b.boot;
+    }
+    friend bool operator!=(const EngineRun& a, const EngineRun& b) { return !(a == b); }
+    friend bool operator<(const EngineRun& a, const EngineRun& b)
+    {
+        return a.engine < b.engine || (a.engine == b.engine && a.boot < b.boot);
+    }
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Dispatch/FingerprintClaims.cpp
@@ -0,0 +1,54 @@
+#include "Dispatch/FingerprintClaims.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace almondscale {
+
+namespace {
+
+    // Longer than any request runs.
+    constexpr Nanoseconds claimLifetime = std::chrono::minutes(10);
+    constexpr Nanoseconds cleaningInterval = std::chrono::minutes(1);
+
+} // namespace
+
+HostId claimKeeper(Fingerprint fingerprint, const std::vector<HostId>& liveHosts)
+{
+    const auto weight = [&](const HostId& host) {
+        return XXH64(host.text().data(), host.text().size(), fingerprint.count());
+    };
+    return *std::max_element(liveHosts.begin(), liveHosts.end(),
+        [&](const HostId& a, const HostId& b) { return weight(a) < weight(b); });
+}
+
+EngineRun FingerprintClaims::claim(Fingerprint fingerprint, const EngineRun& proposed, MonotonicTime now)
+{
+    forgetExpired(now);
+    auto& claim = m_claims[fingerprint];
+    if (claim.holders == 0)
+        claim.run = proposed;
+    ++claim.holders;
+    claim.expiresAt = now + claimLifetime;
+    return claim.run;
+}
+
+void FingerprintClaims::release(Fingerprint fingerprint, const EngineRun& run)
+{
+    const auto found = m_claims.find(fingerprint);
+    if (found == m_claims.end() || found->second.run != run)
+        return;
+    if (--found->second.holders <= 0)
+        m_claims.erase(found);
+}
+
+void FingerprintClaims::forgetExpired(MonotonicTime now)
+{
+    if (now < m_nextCleaning)
+        return;
+    m_nextCleaning = now + cleaningInterval;
+    for (auto claim = m_claims.begin(); claim != m_claims.end();)
+        claim = now >= claim->second.expiresAt ? m_claims.erase(claim) : std::next(claim);
+}
+
+} // namespace almondscale
