--- a/CMake/AlmondscaleOptions.cmake
+++ b/CMake/AlmondscaleOptions.cmake
@@ -10,6 +10,7 @@
 endif()
 
 find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED COMPONENTS Crypto)
 find_package(Catch2 2 REQUIRED)
 find_package(prometheus-cpp CONFIG REQUIRED)
 find_library(CXXTOOLS_LIBRARY cxxtools REQUIRED)
