Add the stand-ins of platform, engine and service

The system's whole path needs something to talk to. Each stand-in is a small program by docs/design/backend-interfaces.md with a switch for each fault. The engine's logic has no threads and runs under a fake clock; its HTTP face closes every connection at a crash and comes back with a new boot number.

--- /dev/null
+++ b/Programs/StandIns/AttemptPhase.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace almondscale {
+
+// What part of an attempt an engine is asked to carry out.
+enum class AttemptPhase {
+    Full,
+    Prefill,
+    Decode,
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Programs/StandIns/AttemptState.h
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace almondscale {
+
+// How far an attempt has come.
+enum class AttemptState {
+    Queued,
+    Running,
+    Done,
+    Cancelled,
+};
+
+const char* attemptStateWord(AttemptState);
+
+} // namespace almondscale
--- /dev/null
+++ b/Programs/StandIns/EngineOrder.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "Core/FencingNumber.h"
+#include "Core/OrderNumber.h"
+
+#include <string>
+
+namespace almondscale {
+
+// An order to change what an engine does.
+struct EngineOrder {
+    OrderNumber order;
+    FencingNumber fencing;
+    // One of role, load_model, load_adapter and load_version.
+    std::string kind;
+    std::string value;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Programs/StandIns/JsonError.cpp
@@ -0,0 +1,14 @@
+#include "StandIns/JsonError.h"
+
+#include "Http/JsonBuilder.h"
+
+namespace almondscale {
+
+std::string jsonError(const std::string& word)
+{
+    JsonBuilder json;
+    json.text("error", word);
+    return json.finish();
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Programs/StandIns/KvCache.cpp
@@ -0,0 +1,9 @@
+#include "StandIns/KvCache.h"
+
+#include <xxhash.h>
+
+namespace almondscale {
+
+std::uint64_t hashForKv(const std::string& prompt) { return XXH64(prompt.data(), prompt.size(), 0); }
+
+} // namespace almondscale
