--- a/Source/Routing/Router.cpp
+++ b/Source/Routing/Router.cpp
@@ -124,9 +124,10 @@
     {
         if (part == Part::Whole)
             return engine.view.role == EngineRole::Mixed;
+        // A mixed engine takes either part beside engines that do only the other.
         if (part == Part::Prefill)
-            return engine.view.role == EngineRole::Prefill;
-        return engine.view.role == EngineRole::Decode;
+            return engine.view.role != EngineRole::Decode;
+        return engine.view.role != EngineRole::Prefill;
     }
 
     RouteCandidate candidate(Engine& engine, Part part, const RouteRequest& request, MonotonicTime start,
