Measure goodput through shifts of the mix under a fake clock

The bench runs the real router, admission queue and role policy against modelled engines, for the almondscale, fixed and threshold policies, and works out a clairvoyant upper bound by dynamic programming.

--- a/Programs/almondscale-bench/main.cpp
+++ b/Programs/almondscale-bench/main.cpp
@@ -1,4 +1,6 @@
+#include "CompareCommand.h"
 #include "ControlCommand.h"
+#include "ShiftCommand.h"
 
 #include <cstring>
 #include <iostream>
@@ -14,7 +16,10 @@
 };
 
 constexpr Command commands[] = {
+    { "compare", "all role policies on the same arrivals, against the clairvoyant bound",
+        almondscale::runCompareCommand },
     { "control", "cost and delays of the control traffic between hosts", almondscale::runControlCommand },
+    { "shift", "goodput and role changes of one policy under a moving mix", almondscale::runShiftCommand },
 };
 
 void printUsage(std::ostream& out)
--- a/Source/Roles/RolePolicy.cpp
+++ b/Source/Roles/RolePolicy.cpp
@@ -74,13 +74,13 @@
 {
     Pool pool;
     for (const auto& engine : m_engines) {
-        if (engine.state == EngineState::Down || engine.state == EngineState::Withdrawing)
+        if (engine.readiness == EngineReadiness::Down || engine.readiness == EngineReadiness::Withdrawing)
             continue;
         // What an engine that has gone silent does is unknown, so nothing is built on it.
         if (now - engine.reportedAt > m_settings.statusStaleAfter)
             return std::nullopt;
         ++pool.counts.of(engine.role);
-        if (engine.state == EngineState::Changing)
+        if (engine.readiness == EngineReadiness::Changing)
             ++pool.changing;
         else
             pool.ready.push_back(engine);
--- a/Tests/Roles/RolePolicyTest.cpp
+++ b/Tests/Roles/RolePolicyTest.cpp
@@ -23,7 +23,7 @@
     {
         for (int i = 0; i < 6; ++i)
             engines.push_back(
-                { EngineId("e" + std::to_string(i)), EngineRole::Mixed, EngineState::Ready, now });
+                { EngineId("e" + std::to_string(i)), EngineRole::Mixed, EngineReadiness::Ready, now });
     }
 
     void report()
@@ -139,8 +139,8 @@
 {
     run(60);
     turnToPrompts();
-    engines[0].state = EngineState::Changing;
-    engines[1].state = EngineState::Changing;
+    engines[0].readiness = EngineReadiness::Changing;
+    engines[1].readiness = EngineReadiness::Changing;
     CHECK(run(120) == 0);
 }
 
@@ -148,8 +148,8 @@
 {
     run(60);
     turnToPrompts();
-    engines[0].state = EngineState::Down;
-    engines[1].state = EngineState::Withdrawing;
+    engines[0].readiness = EngineReadiness::Down;
+    engines[1].readiness = EngineReadiness::Withdrawing;
     CHECK(run(300) > 0);
     CHECK(engines[0].role == EngineRole::Mixed);
     CHECK(engines[1].role == EngineRole::Mixed);
