--- a/Programs/StandIns/EngineFace.cpp
+++ b/Programs/StandIns/EngineFace.cpp
@@ -313,8 +313,10 @@
         lock.unlock();
         if (exchange.callerGone() || !writeProgress(exchange, writer, *progress, sent, cutAfter))
             return;
-        if (progress->state == AttemptState::Done || progress->state == AttemptState::Cancelled)
+        if (progress->state == AttemptState::Done || progress->state == AttemptState::Cancelled) {
+            exchange.endStream();
             return;
+        }
     }
 }
 
--- a/Programs/StandIns/HttpExchange.cpp
+++ b/Programs/StandIns/HttpExchange.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cerrno>
+#include <cstdio>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -91,7 +92,7 @@
     const std::string header = "HTTP/1.1 " + std::to_string(status)
         + " Cut\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size())
         + "\r\n\r\n";
-    write(header + body.substr(0, bytes));
+    sendUnlessSilent(header + body.substr(0, bytes));
     drop();
 }
 
@@ -105,10 +106,20 @@
 bool HttpExchange::startStream(const std::string& contentType)
 {
     m_answered = true;
-    return write("HTTP/1.1 200 OK\r\nContent-Type: " + contentType + "\r\nConnection: close\r\n\r\n");
+    return sendUnlessSilent("HTTP/1.1 200 OK\r\nContent-Type: " + contentType
+        + "\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n");
 }
 
 bool HttpExchange::write(const std::string& bytes)
+{
+    char size[24];
+    std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+    return sendUnlessSilent(size + bytes + "\r\n");
+}
+
+void HttpExchange::endStream() { sendUnlessSilent("0\r\n\r\n"); }
+
+bool HttpExchange::sendUnlessSilent(const std::string& bytes)
 {
     holdIfSilent();
     return sendAll(m_socket, bytes);
--- a/Programs/StandIns/HttpExchange.h
+++ b/Programs/StandIns/HttpExchange.h
@@ -31,8 +31,10 @@
     void drop();
     // Sends the header of an answer that ends with the connection.
     bool startStream(const std::string& contentType);
-    // False if the caller has gone.
+    // Sends a piece of a stream; false if the caller has gone.
     bool write(const std::string&);
+    // Marks a stream as whole; one without this mark was cut.
+    void endStream();
     bool callerGone() const;
     // From now on the other open connections of the stand-in carry nothing and stay open.
     void silenceOthers();
@@ -45,6 +47,8 @@
     const std::string& replyType() const { return m_replyType; }
 
 private:
+    bool sendUnlessSilent(const std::string& bytes);
+
     ConnectionBook& m_book;
     int m_socket;
     MonotonicTime m_headerReadAt;
--- a/Source/Http/HttpStream.cpp
+++ b/Source/Http/HttpStream.cpp
@@ -26,7 +26,8 @@
 
     CallResult open(const HttpCall& call)
     {
-        m_client.beginExecute(libraryRequest(call));
+        m_request = libraryRequest(call);
+        m_client.beginExecute(m_request);
         while (!m_headerRead && !m_finished && !call.deadline.passed(monotonicClock()()))
             wait(call.deadline);
         CallResult result;
@@ -112,6 +113,8 @@
 
     cxxtools::Selector m_selector;
     cxxtools::http::Client m_client;
+    // The library reads the request until it is sent.
+    cxxtools::http::Request m_request;
     std::string m_pending;
     // How much of m_pending is known to hold no line break.
     std::size_t m_scanned = 0;
--- a/Tests/Http/HttpStreamTest.cpp
+++ b/Tests/Http/HttpStreamTest.cpp
@@ -1,4 +1,5 @@
 #include "Http/HttpStream.h"
+#include "Http/HttpServer.h"
 #include "SilentServer.h"
 
 #include <catch2/catch.hpp>
@@ -35,6 +36,21 @@
     CHECK(stream.readLine(line, soon()) == HttpStream::Read::Ended);
 }
 
+TEST_CASE("HttpStream, call with a long body, arrives whole")
+{
+    HttpServer server({ "127.0.0.1", 0 }, [](const HttpRequest& request, ReplyWriter& reply) {
+        reply.beginStream({});
+        reply.write(request.method + " " + std::to_string(request.body.size()) + "\n");
+    });
+    HttpCall call = callTo(server.address());
+    call.body = std::string(1 << 20, 'p');
+    HttpStream stream;
+    REQUIRE(stream.open(call).ok());
+    std::string line;
+    REQUIRE(stream.readLine(line, soon()) == HttpStream::Read::Line);
+    CHECK(line == "POST 1048576");
+}
+
 TEST_CASE("HttpStream, connection cut within a line, ends without the partial line")
 {
     test::SilentServer server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\none\npart");
