Let a host ask a peer for what it holds, such as its rules

Answers travel in pieces that fit into frames over the peers' port; a lost piece is asked for again, and a hash of the whole keeps pieces of two answers apart. Observers are called without the service's lock held.

--- a/Source/Membership/Frame.h
+++ b/Source/Membership/Frame.h
@@ -4,6 +4,7 @@
 #include "Membership/SharedItem.h"
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace almondscale {
@@ -20,6 +21,9 @@
     Digest,
     // Carries the records and items that differ.
     State,
+    // Asks for a piece of what the receiver holds under a topic.
+    Request,
+    Reply,
 };
 
 // How long ago a host of the sender's data centre had an answer from another data centre.
@@ -56,6 +60,13 @@
     std::vector<ContactAge> contacts;
     std::vector<HostDigest> digests;
     std::vector<std::uint64_t> wanted;
+    // Request and Reply.
+    std::string topic;
+    std::uint32_t offset = 0;
+    // Reply: the bytes of the whole answer, 0 if there is none.
+    std::uint32_t total = 0;
+    std::uint64_t answerHash = 0;
+    std::string body;
 };
 
 } // namespace almondscale
--- a/Source/Membership/FrameCodec.cpp
+++ b/Source/Membership/FrameCodec.cpp
@@ -157,11 +157,22 @@
         return readId(from.target(), frame.target) && readName(from.subject()->ip(), frame.subject.ip);
     }
 
+    bool decodeRequest(const wire::Frame& from, Frame& frame)
+    {
+        frame.offset = from.offset();
+        frame.total = from.total();
+        frame.answerHash = from.answer_hash();
+        if (from.body())
+            frame.body.assign(from.body()->begin(), from.body()->end());
+        return readName(from.topic(), frame.topic, maxItemKeyBytes);
+    }
+
     bool decodeBody(const wire::Frame& from, Frame& frame)
     {
         decodeContacts(from, frame);
         return decodeAll(from.members(), frame.members, decodeRecord)
-            && decodeAll(from.items(), frame.items, decodeItem) && decodeDigests(from, frame);
+            && decodeAll(from.items(), frame.items, decodeItem) && decodeDigests(from, frame)
+            && decodeRequest(from, frame);
     }
 
 } // namespace
@@ -192,9 +203,14 @@
     const auto digestHosts = hosts.empty() ? 0 : builder.CreateVector(hosts);
     const auto digestHashes = hashes.empty() ? 0 : builder.CreateVector(hashes);
     const auto wanted = frame.wanted.empty() ? 0 : builder.CreateVector(frame.wanted);
+    const auto topic = text(builder, frame.topic);
+    const auto body = frame.body.empty()
+        ? 0
+        : builder.CreateVector(reinterpret_cast<const std::uint8_t*>(frame.body.data()), frame.body.size());
     const auto root = wire::CreateFrame(builder, static_cast<wire::FrameKind>(frame.kind), frame.sequence,
         sender, target, subject, frame.reconnect, frame.view, frame.everywhereView, frame.partial, members,
-        items, contacts, digestHosts, digestHashes, wanted);
+        items, contacts, digestHosts, digestHashes, wanted, topic, frame.offset, frame.total,
+        frame.answerHash, body);
     wire::FinishFrameBuffer(builder, root);
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
--- a/Source/Membership/Frames_generated.h
+++ b/Source/Membership/Frames_generated.h
@@ -37,37 +37,43 @@
   FrameKind_Push = 3,
   FrameKind_Digest = 4,
   FrameKind_State = 5,
+  FrameKind_Request = 6,
+  FrameKind_Reply = 7,
   FrameKind_MIN = FrameKind_Ping,
-  FrameKind_MAX = FrameKind_State
+  FrameKind_MAX = FrameKind_Reply
 };
 
-inline const FrameKind (&EnumValuesFrameKind())[6] {
+inline const FrameKind (&EnumValuesFrameKind())[8] {
   static const FrameKind values[] = {
     FrameKind_Ping,
     FrameKind_Ack,
     FrameKind_PingRequest,
     FrameKind_Push,
     FrameKind_Digest,
-    FrameKind_State
+    FrameKind_State,
+    FrameKind_Request,
+    FrameKind_Reply
   };
   return values;
 }
 
 inline const char * const *EnumNamesFrameKind() {
-  static const char * const names[7] = {
+  static const char * const names[9] = {
     "Ping",
     "Ack",
     "PingRequest",
     "Push",
     "Digest",
     "State",
+    "Request",
+    "Reply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameFrameKind(FrameKind e) {
-  if (flatbuffers::IsOutRange(e, FrameKind_Ping, FrameKind_State)) return "";
+  if (flatbuffers::IsOutRange(e, FrameKind_Ping, FrameKind_Reply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesFrameKind()[index];
 }
@@ -491,7 +497,12 @@
     VT_CONTACTS = 26,
     VT_DIGEST_HOSTS = 28,
     VT_DIGEST_HASHES = 30,
-    VT_WANTED = 32
+    VT_WANTED = 32,
+    VT_TOPIC = 34,
+    VT_OFFSET = 36,
+    VT_TOTAL = 38,
+    VT_ANSWER_HASH = 40,
+    VT_BODY = 42
   };
   almondscale::wire::FrameKind kind() const {
     return static_cast<almondscale::wire::FrameKind>(GetField<uint8_t>(VT_KIND, 0));
@@ -538,6 +549,21 @@
   const flatbuffers::Vector<uint64_t> *wanted() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_WANTED);
   }
+  const flatbuffers::String *topic() const {
+    return GetPointer<const flatbuffers::String *>(VT_TOPIC);
+  }
+  uint32_t offset() const {
+    return GetField<uint32_t>(VT_OFFSET, 0);
+  }
+  uint32_t total() const {
+    return GetField<uint32_t>(VT_TOTAL, 0);
+  }
+  uint64_t answer_hash() const {
+    return GetField<uint64_t>(VT_ANSWER_HASH, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *body() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -566,6 +592,13 @@
            verifier.VerifyVector(digest_hashes()) &&
            VerifyOffset(verifier, VT_WANTED) &&
            verifier.VerifyVector(wanted()) &&
+           VerifyOffset(verifier, VT_TOPIC) &&
+           verifier.VerifyString(topic()) &&
+           VerifyField<uint32_t>(verifier, VT_OFFSET, 4) &&
+           VerifyField<uint32_t>(verifier, VT_TOTAL, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ANSWER_HASH, 8) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyVector(body()) &&
            verifier.EndTable();
   }
 };
@@ -619,6 +652,21 @@
   void add_wanted(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> wanted) {
     fbb_.AddOffset(Frame::VT_WANTED, wanted);
   }
+  void add_topic(flatbuffers::Offset<flatbuffers::String> topic) {
+    fbb_.AddOffset(Frame::VT_TOPIC, topic);
+  }
+  void add_offset(uint32_t offset) {
+    fbb_.AddElement<uint32_t>(Frame::VT_OFFSET, offset, 0);
+  }
+  void add_total(uint32_t total) {
+    fbb_.AddElement<uint32_t>(Frame::VT_TOTAL, total, 0);
+  }
+  void add_answer_hash(uint64_t answer_hash) {
+    fbb_.AddElement<uint64_t>(Frame::VT_ANSWER_HASH, answer_hash, 0);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
+    fbb_.AddOffset(Frame::VT_BODY, body);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -646,11 +694,21 @@
     flatbuffers::Offset<flatbuffers::Vector<const almondscale::wire::Contact *>> contacts = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> digest_hosts = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> digest_hashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> wanted = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> wanted = 0,
+    flatbuffers::Offset<flatbuffers::String> topic = 0,
+    uint32_t offset = 0,
+    uint32_t total = 0,
+    uint64_t answer_hash = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_answer_hash(answer_hash);
   builder_.add_everywhere_view(everywhere_view);
   builder_.add_view(view);
   builder_.add_sequence(sequence);
+  builder_.add_body(body);
+  builder_.add_total(total);
+  builder_.add_offset(offset);
+  builder_.add_topic(topic);
   builder_.add_wanted(wanted);
   builder_.add_digest_hashes(digest_hashes);
   builder_.add_digest_hosts(digest_hosts);
@@ -682,7 +740,12 @@
     const std::vector<almondscale::wire::Contact> *contacts = nullptr,
     const std::vector<uint64_t> *digest_hosts = nullptr,
     const std::vector<uint32_t> *digest_hashes = nullptr,
-    const std::vector<uint64_t> *wanted = nullptr) {
+    const std::vector<uint64_t> *wanted = nullptr,
+    const char *topic = nullptr,
+    uint32_t offset = 0,
+    uint32_t total = 0,
+    uint64_t answer_hash = 0,
+    const std::vector<uint8_t> *body = nullptr) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<almondscale::wire::MemberRecord>>(*members) : 0;
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<almondscale::wire::Item>>(*items) : 0;
@@ -690,6 +753,8 @@
   auto digest_hosts__ = digest_hosts ? _fbb.CreateVector<uint64_t>(*digest_hosts) : 0;
   auto digest_hashes__ = digest_hashes ? _fbb.CreateVector<uint32_t>(*digest_hashes) : 0;
   auto wanted__ = wanted ? _fbb.CreateVector<uint64_t>(*wanted) : 0;
+  auto topic__ = topic ? _fbb.CreateString(topic) : 0;
+  auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   return almondscale::wire::CreateFrame(
       _fbb,
       kind,
@@ -706,7 +771,12 @@
       contacts__,
       digest_hosts__,
       digest_hashes__,
-      wanted__);
+      wanted__,
+      topic__,
+      offset,
+      total,
+      answer_hash,
+      body__);
 }
 
 inline const almondscale::wire::Frame *GetFrame(const void *buf) {
--- a/Source/Membership/Membership.cpp
+++ b/Source/Membership/Membership.cpp
@@ -37,6 +37,17 @@
 
 std::optional<Member> Membership::member(const HostId& host) const { return m_impl->member(host); }
 
+void Membership::ask(
+    const HostId& peer, const std::string& topic, std::function<void(Result<std::string>)> done)
+{
+    m_impl->ask(peer, topic, std::move(done));
+}
+
+void Membership::answer(const PeerRequest& request, const std::string& answer)
+{
+    m_impl->answer(request, answer);
+}
+
 void Membership::leave() { m_impl->leave(); }
 
 const MembershipCounters& Membership::counters() const { return m_impl->counters(); }
--- a/Source/Membership/Membership.h
+++ b/Source/Membership/Membership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Result.h"
 #include "Core/RulesVersion.h"
 #include "Membership/ItemScope.h"
 #include "Membership/Member.h"
@@ -8,6 +9,7 @@
 #include "Membership/MembershipSettings.h"
 #include "Membership/SeedHost.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -51,6 +53,12 @@
     std::vector<Member> members() const;
     std::optional<Member> member(const HostId&) const;
 
+    // Asks a peer for what it holds under the topic. Ends in the answer, NotFound if the peer has none,
+    // PeerUnreachable, or LimitExceeded.
+    void ask(const HostId& peer, const std::string& topic, std::function<void(Result<std::string>)> done);
+    // Answers a peer's request; empty if there is nothing under its topic.
+    void answer(const PeerRequest&, const std::string& answer);
+
     // Tells the peers that this host leaves. Ticks must go on for a while to spread it.
     void leave();
 
--- a/Source/Membership/MembershipCounters.h
+++ b/Source/Membership/MembershipCounters.h
@@ -15,8 +15,8 @@
     std::uint64_t entriesRefused = 0;
     std::uint64_t bytesSent = 0;
     // By FrameKind.
-    std::array<std::uint64_t, 6> framesSentOfKind {};
-    std::array<std::uint64_t, 6> bytesSentOfKind {};
+    std::array<std::uint64_t, 8> framesSentOfKind {};
+    std::array<std::uint64_t, 8> bytesSentOfKind {};
     std::uint64_t suspicions = 0;
     std::uint64_t refutations = 0;
     std::uint64_t deaths = 0;
--- a/Source/Membership/MembershipFrames.cpp
+++ b/Source/Membership/MembershipFrames.cpp
@@ -28,6 +28,24 @@
     return frame;
 }
 
+void Membership::Impl::ask(const HostId& peer, const std::string& topic, PeerRequests::Done done)
+{
+    const auto* entry = m_members.find(peer);
+    if (!entry) {
+        done(ErrorKind::PeerUnreachable);
+        return;
+    }
+    m_requests.ask(peer, entry->record.address, topic, std::move(done), m_hooks.clock());
+}
+
+void Membership::Impl::answer(const PeerRequest& request, const std::string& answer)
+{
+    auto frame = makeFrame(FrameKind::Reply);
+    frame.sequence = request.sequence;
+    PeerRequests::fillReply(frame, answer, request.offset);
+    send(request.from, frame);
+}
+
 void Membership::Impl::send(const Address& address, const Frame& frame)
 {
     const auto bytes = encodeFrame(frame);
@@ -69,6 +87,13 @@
     case FrameKind::State:
         onWanted(frame);
         break;
+    case FrameKind::Request:
+        if (m_hooks.requested)
+            m_hooks.requested({ frame.sender.address, frame.sequence, frame.topic, frame.offset });
+        break;
+    case FrameKind::Reply:
+        m_requests.onReply(frame, now);
+        break;
     }
 }
 
--- a/Source/Membership/MembershipHooks.h
+++ b/Source/Membership/MembershipHooks.h
@@ -3,6 +3,7 @@
 #include "Core/MonotonicTime.h"
 #include "Core/RandomSource.h"
 #include "Membership/Member.h"
+#include "Membership/PeerRequest.h"
 #include "Membership/SharedItem.h"
 
 #include <functional>
@@ -22,6 +23,8 @@
     std::function<void(const Member&)> memberChanged;
     // A peer's item changed or was removed; may be empty.
     std::function<void(const SharedItem&)> itemChanged;
+    // A peer asks for something; answered by Membership::answer. May be empty.
+    std::function<void(const PeerRequest&)> requested;
     // A peer has a higher rules version in force than it had; may be empty.
     std::function<void(const Member&)> rulesChanged;
 };
--- a/Source/Membership/MembershipImpl.h
+++ b/Source/Membership/MembershipImpl.h
@@ -5,6 +5,7 @@
 #include "Membership/MemberTable.h"
 #include "Membership/Membership.h"
 #include "Membership/NewsQueue.h"
+#include "Membership/PeerRequests.h"
 #include "Membership/ProbeOrder.h"
 
 #include <functional>
@@ -31,6 +32,8 @@
     std::vector<Member> members() const;
     std::optional<Member> member(const HostId&) const;
     void leave();
+    void ask(const HostId& peer, const std::string& topic, PeerRequests::Done);
+    void answer(const PeerRequest&, const std::string& answer);
     const MembershipCounters& counters() const { return m_counters; }
 
 private:
@@ -131,6 +134,7 @@
     std::map<std::string, std::string> m_paced;
     NewsQueue m_news;
     ProbeOrder m_order;
+    PeerRequests m_requests;
     std::vector<SeedHost> m_seeds;
     std::map<std::uint64_t, Probe> m_probes;
     std::map<std::uint64_t, Errand> m_errands;
--- a/Source/Membership/MembershipObservers.h
+++ b/Source/Membership/MembershipObservers.h
@@ -4,6 +4,7 @@
 #include "Membership/SharedItem.h"
 
 #include <functional>
+#include <string>
 
 namespace almondscale {
 
@@ -12,6 +13,8 @@
     std::function<void(const Member&)> memberChanged;
     std::function<void(const SharedItem&)> itemChanged;
     std::function<void(const Member&)> rulesChanged;
+    // Gives what this host holds under a topic that a peer asks for; empty if there is nothing.
+    std::function<std::string(const std::string& topic)> answer;
 };
 
 } // namespace almondscale
--- a/Source/Membership/MembershipProbes.cpp
+++ b/Source/Membership/MembershipProbes.cpp
@@ -25,6 +25,7 @@
         probeLinks(now);
         rejoin(now);
     }
+    m_requests.tick(now);
     publishPaced(now);
     pushUrgent(now);
     if (now < m_nextUpkeep)
--- a/Source/Membership/MembershipService.cpp
+++ b/Source/Membership/MembershipService.cpp
@@ -98,6 +98,14 @@
         return step(m_membership);
     }
 
+    void ask(const HostId& peer, const std::string& topic, std::function<void(Result<std::string>)> done)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_membership.ask(peer, topic, [this, done = std::move(done)](const Result<std::string>& result) {
+            m_events.emplace_back([done, result] { done(result); });
+        });
+    }
+
     const TransportCounters& transportCounters() const { return m_transportCounters; }
 
 private:
@@ -122,6 +130,9 @@
             if (m_observers.itemChanged)
                 m_events.emplace_back([this, item] { m_observers.itemChanged(item); });
         };
+        hooks.requested = [this](const PeerRequest& request) {
+            m_events.emplace_back([this, request] { answer(request); });
+        };
         hooks.rulesChanged = [this](const Member& member) {
             if (m_observers.rulesChanged)
                 m_events.emplace_back([this, member] { m_observers.rulesChanged(member); });
@@ -129,6 +140,12 @@
         return hooks;
     }
 
+    void answer(const PeerRequest& request)
+    {
+        const auto text = m_observers.answer ? m_observers.answer(request.topic) : std::string();
+        locked([&](Membership& membership) { membership.answer(request, text); });
+    }
+
     void reportMember(const Member& member) const
     {
         LogEvent("member")
@@ -256,6 +273,12 @@
     m_impl->locked([&](Membership& membership) { membership.setRules(version); });
 }
 
+void MembershipService::ask(
+    const HostId& peer, const std::string& topic, std::function<void(Result<std::string>)> done)
+{
+    m_impl->ask(peer, topic, std::move(done));
+}
+
 std::vector<Member> MembershipService::members() const
 {
     return m_impl->locked([](const Membership& membership) { return membership.members(); });
--- a/Source/Membership/MembershipService.h
+++ b/Source/Membership/MembershipService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Result.h"
 #include "Core/RulesVersion.h"
 #include "Membership/FrameKeys.h"
 #include "Membership/ItemScope.h"
@@ -11,6 +12,7 @@
 #include "Membership/SharedItem.h"
 #include "Membership/TransportCounters.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -50,6 +52,10 @@
     // Tells the peers which rules are in force here.
     void setRules(RulesVersion);
 
+    // Asks a peer for what its observers answer under the topic, such as its rules. `done` is called from the
+    // service's own thread with the answer, NotFound, PeerUnreachable or LimitExceeded.
+    void ask(const HostId& peer, const std::string& topic, std::function<void(Result<std::string>)> done);
+
     // All known hosts, this one included.
     std::vector<Member> members() const;
     std::optional<Member> member(const HostId&) const;
--- a/Source/Membership/MembershipState.cpp
+++ b/Source/Membership/MembershipState.cpp
@@ -18,6 +18,11 @@
     , m_incarnation(settings.incarnation)
     , m_members(settings)
     , m_items(settings)
+    , m_requests([this](const Address& to, const Frame& request) {
+        auto frame = request;
+        frame.sender = ownRecord();
+        send(to, frame);
+    })
     , m_budget(static_cast<long long>(settings.burstBytes))
     , m_lastTick(m_hooks.clock())
     , m_budgetAt(m_lastTick)
--- /dev/null
+++ b/Source/Membership/PeerRequest.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "Core/Address.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace almondscale {
+
+// A peer's request for something that this host holds, such as the rules in force.
+struct PeerRequest {
+    Address from;
+    std::uint64_t sequence = 0;
+    std::string topic;
+    // The first byte of the answer that the peer still misses.
+    std::size_t offset = 0;
+};
+
+} // namespace almondscale
--- a/Tests/Membership/MembershipServiceTest.cpp
+++ b/Tests/Membership/MembershipServiceTest.cpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <functional>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -48,12 +49,12 @@
         }
 
         // Another port is tried when one is taken.
-        std::unique_ptr<MembershipService> start(
-            const std::string& host, const FrameKeys& keys, Address& address)
+        std::unique_ptr<MembershipService> start(const std::string& host, const FrameKeys& keys,
+            Address& address, const MembershipObservers& observers = {})
         {
             for (;;) {
                 const auto wanted = settings(host, keys);
-                auto service = std::make_unique<MembershipService>(wanted, MembershipObservers());
+                auto service = std::make_unique<MembershipService>(wanted, observers);
                 address = wanted.listen;
                 if (!service->start())
                     return service;
@@ -110,6 +111,35 @@
     CHECK_FALSE(holdsLive(*stranger, "a"));
 }
 
+TEST_CASE(
+    "MembershipService, a peer is asked for a long answer, it arrives whole; what it lacks is not found")
+{
+    ServiceFixture fixture;
+    Address a;
+    Address b;
+    std::string rules(300000, 'r');
+    rules[200000] = 's';
+    MembershipObservers observers;
+    observers.answer = [&](const std::string& topic) { return topic == "rules" ? rules : std::string(); };
+    const auto first = fixture.start("a", { firstKey, {} }, a, observers);
+    const auto second = fixture.start("b", { firstKey, {} }, b);
+    second->setSeeds({ seed("a", a) });
+    REQUIRE(eventually([&] { return holdsLive(*second, "a"); }));
+    std::promise<std::string> answer;
+    second->ask(HostId("a"), "rules", [&](const Result<std::string>& result) {
+        answer.set_value(result ? result.value() : std::string());
+    });
+    CHECK(answer.get_future().get() == rules);
+    std::promise<ErrorKind> absent;
+    second->ask(
+        HostId("a"), "other", [&](const Result<std::string>& result) { absent.set_value(result.kind()); });
+    CHECK(absent.get_future().get() == ErrorKind::NotFound);
+    std::promise<ErrorKind> unknown;
+    second->ask(
+        HostId("c"), "rules", [&](const Result<std::string>& result) { unknown.set_value(result.kind()); });
+    CHECK(unknown.get_future().get() == ErrorKind::PeerUnreachable);
+}
+
 TEST_CASE("MembershipService, the key is changed host by host, the hosts stay together throughout")
 {
     ServiceFixture fixture;
