Make bookings run at most once by rows of the platform's table

A booking must never run twice, whatever is killed, lost or repeated.

A claim records its row, then marks it as sent by compare-and-set; only the attempt whose mark is known to stand may send, once. Lost answers are settled by reading back for the attempt's own writer id. A recorded attempt whose host is gone can be taken over, as its mark then expects a version that is no longer there; a marked one cannot and stays unknown. Ends that the table does not take are kept and tried again; an attempt that sent nothing frees its key.

--- /dev/null
+++ b/Source/Bookings/BookingClaim.cpp
@@ -0,0 +1,206 @@
+#include "Bookings/BookingClaim.h"
+
+namespace almondscale {
+
+namespace {
+
+    // So many calls are made again before the claim is given up.
+    constexpr int maxRetries = 4;
+
+} // namespace
+
+BookingClaim::BookingClaim(const BookingRequest& request, const BookingHolder& holder, HolderLive holderLive)
+    : m_request(request)
+    , m_holder(holder)
+    , m_holderLive(std::move(holderLive))
+    , m_retriesLeft(maxRetries)
+{
+}
+
+std::optional<TableCall> BookingClaim::nextCall() const
+{
+    TableCall call;
+    call.key = bookingRowKey(m_request);
+    switch (m_step) {
+    case Step::Record:
+        call.kind = TableCall::Kind::Write;
+        call.value = encodeBookingRow(rowIn(BookingState::Recorded));
+        call.expected = m_version;
+        call.writer = recordWriter();
+        return call;
+    case Step::Mark:
+        call.kind = TableCall::Kind::Write;
+        call.value = encodeBookingRow(rowIn(BookingState::Sent));
+        call.expected = m_version;
+        call.writer = markWriter();
+        return call;
+    case Step::ReadAfterRecord:
+    case Step::ReadAfterMark:
+        return call;
+    case Step::Decided:
+        break;
+    }
+    return std::nullopt;
+}
+
+void BookingClaim::onAnswer(const TableAnswer& answer)
+{
+    switch (m_step) {
+    case Step::Record:
+        return onRecorded(answer.written);
+    case Step::ReadAfterRecord:
+        return onReadAfterRecord(answer);
+    case Step::Mark:
+        return onMarked(answer.written);
+    case Step::ReadAfterMark:
+        return onReadAfterMark(answer);
+    case Step::Decided:
+        break;
+    }
+}
+
+void BookingClaim::onRecorded(const WriteResult& written)
+{
+    switch (written.outcome) {
+    case WriteOutcome::Applied:
+        m_mayHaveLeftRow = true;
+        m_version = written.version;
+        m_step = Step::Mark;
+        break;
+    case WriteOutcome::NotApplied:
+        retryOrGiveUp(Step::Record);
+        break;
+    case WriteOutcome::Unknown:
+        m_mayHaveLeftRow = true;
+        m_step = Step::ReadAfterRecord;
+        break;
+    case WriteOutcome::Conflict:
+        m_step = Step::ReadAfterRecord;
+        break;
+    }
+}
+
+void BookingClaim::onReadAfterRecord(const TableAnswer& answer)
+{
+    if (!answer.answered)
+        return retryOrGiveUp(Step::ReadAfterRecord);
+    if (!answer.row) {
+        // A lost insert can still arrive; the same insert again settles it.
+        m_version = RowVersion(0);
+        return retryOrGiveUp(Step::Record);
+    }
+    const auto& row = *answer.row;
+    if (row.writer != recordWriter())
+        return examine(row);
+    m_mayHaveLeftRow = true;
+    m_version = row.version;
+    m_step = Step::Mark;
+}
+
+void BookingClaim::onMarked(const WriteResult& written)
+{
+    switch (written.outcome) {
+    case WriteOutcome::Applied:
+        decide(BookingStart::Kind::Send);
+        break;
+    case WriteOutcome::NotApplied:
+        retryOrGiveUp(Step::Mark);
+        break;
+    case WriteOutcome::Unknown:
+    case WriteOutcome::Conflict:
+        m_step = Step::ReadAfterMark;
+        break;
+    }
+}
+
+void BookingClaim::onReadAfterMark(const TableAnswer& answer)
+{
+    if (!answer.answered)
+        return retryOrGiveUp(Step::ReadAfterMark);
+    if (!answer.row)
+        return decide(BookingStart::Kind::Refused, ErrorKind::BookingUnknown);
+    const auto& row = *answer.row;
+    if (row.writer == markWriter())
+        return decide(BookingStart::Kind::Send);
+    if (row.writer == recordWriter())
+        return retryOrGiveUp(Step::Mark);
+    // Another attempt took the key over before this one could mark it, so nothing of this one is left.
+    m_mayHaveLeftRow = false;
+    examine(row);
+}
+
+void BookingClaim::examine(const TableRow& row)
+{
+    const auto booking = decodeBookingRow(row.value);
+    if (!booking)
+        return decide(BookingStart::Kind::Refused, ErrorKind::BookingUnknown);
+    if (booking->fingerprint != m_request.fingerprint)
+        return decide(BookingStart::Kind::Refused, ErrorKind::BadRequest);
+    switch (booking->state) {
+    case BookingState::Answered:
+        m_start.answer = booking->answer;
+        return decide(BookingStart::Kind::Answered);
+    case BookingState::Lost:
+        return decide(BookingStart::Kind::Refused, ErrorKind::BookingUnknown);
+    case BookingState::Released:
+        return recordOver(row.version);
+    case BookingState::Recorded:
+    case BookingState::Sent:
+        return examineOpen(row, *booking);
+    }
+}
+
+// A recorded attempt whose host is gone may be replaced: should that host be alive after all,
+// its mark expects a version that is no longer there.
+void BookingClaim::examineOpen(const TableRow& row, const BookingRow& booking)
+{
+    if (m_holderLive(booking.holder.host, booking.holder.incarnation))
+        return decide(BookingStart::Kind::Refused, ErrorKind::BookingInProgress);
+    if (booking.state == BookingState::Recorded)
+        return recordOver(row.version);
+    decide(BookingStart::Kind::Refused, ErrorKind::BookingUnknown);
+}
+
+void BookingClaim::recordOver(RowVersion version)
+{
+    m_version = version;
+    retryOrGiveUp(Step::Record);
+}
+
+void BookingClaim::retryOrGiveUp(Step step)
+{
+    if (m_retriesLeft == 0)
+        return decide(BookingStart::Kind::Refused, ErrorKind::BookingNotRecorded);
+    --m_retriesLeft;
+    m_step = step;
+}
+
+void BookingClaim::decide(BookingStart::Kind kind, ErrorKind error)
+{
+    m_step = Step::Decided;
+    m_start.kind = kind;
+    m_start.error = error;
+}
+
+std::string BookingClaim::describe() const
+{
+    return "step=" + std::to_string(static_cast<int>(m_step))
+        + " version=" + std::to_string(m_version.count()) + " retries_left=" + std::to_string(m_retriesLeft)
+        + " left_row=" + (m_mayHaveLeftRow ? "maybe" : "no")
+        + " start=" + std::to_string(static_cast<int>(m_start.kind)) + " error=" + errorWord(m_start.error);
+}
+
+BookingRow BookingClaim::rowIn(BookingState state) const
+{
+    BookingRow row;
+    row.state = state;
+    row.holder = m_holder;
+    row.fingerprint = m_request.fingerprint;
+    return row;
+}
+
+WriterId BookingClaim::recordWriter() const { return WriterId(m_holder.attempt.text() + "/record"); }
+
+WriterId BookingClaim::markWriter() const { return WriterId(m_holder.attempt.text() + "/sent"); }
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Bookings/BookingClaim.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "Bookings/BookingHolder.h"
+#include "Bookings/BookingRequest.h"
+#include "Bookings/BookingRow.h"
+#include "Bookings/BookingStart.h"
+#include "Platform/TableCall.h"
+
+#include <optional>
+#include <string>
+
+namespace almondscale {
+
+// Claims a booking's key for one attempt, as a state machine over calls of the
+// table: the row is recorded, then marked as sent; only after the mark is known
+// to be this attempt's own may the call be sent.
+class BookingClaim {
+public:
+    BookingClaim(const BookingRequest&, const BookingHolder&, HolderLive);
+
+    // The call to make next; nothing when the claim is decided.
+    std::optional<TableCall> nextCall() const;
+    void onAnswer(const TableAnswer&);
+
+    // Holds once there is no next call.
+    const BookingStart& start() const { return m_start; }
+    // Whether a write of this attempt may stand in the table though the attempt sends nothing.
+    bool mayHaveLeftRow() const { return m_mayHaveLeftRow; }
+    // The whole state in a few words, for logs and to compare states.
+    std::string describe() const;
+
+private:
+    enum class Step {
+        Record,
+        ReadAfterRecord,
+        Mark,
+        ReadAfterMark,
+        Decided,
+    };
+
+    void onRecorded(const WriteResult&);
+    void onReadAfterRecord(const TableAnswer&);
+    void onMarked(const WriteResult&);
+    void onReadAfterMark(const TableAnswer&);
+    void examine(const TableRow&);
+    void examineOpen(const TableRow&, const BookingRow&);
+    void recordOver(RowVersion);
+    void retryOrGiveUp(Step);
+    void decide(BookingStart::Kind, ErrorKind = ErrorKind::None);
+    BookingRow rowIn(BookingState) const;
+    WriterId recordWriter() const;
+    WriterId markWriter() const;
+
+    BookingRequest m_request;
+    BookingHolder m_holder;
+    HolderLive m_holderLive;
+    Step m_step = Step::Record;
+    // The version that the next write expects.
+    RowVersion m_version;
+    int m_retriesLeft;
+    bool m_mayHaveLeftRow = false;
+    BookingStart m_start;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Bookings/BookingClosing.cpp
@@ -0,0 +1,64 @@
+#include "Bookings/BookingClosing.h"
+
+namespace almondscale {
+
+BookingClosing::BookingClosing(const BookingRequest& request, const BookingHolder& holder, BookingState state,
+    const BookingAnswer& answer)
+    : m_key(bookingRowKey(request))
+{
+    m_row.state = state;
+    m_row.holder = holder;
+    m_row.fingerprint = request.fingerprint;
+    m_row.answer = answer;
+}
+
+std::optional<TableCall> BookingClosing::nextCall() const
+{
+    if (m_done)
+        return std::nullopt;
+    TableCall call;
+    call.key = m_key;
+    if (!m_version)
+        return call;
+    call.kind = TableCall::Kind::Write;
+    call.value = encodeBookingRow(m_row);
+    call.expected = *m_version;
+    call.writer = WriterId(m_row.holder.attempt.text() + "/" + bookingStateWord(m_row.state));
+    return call;
+}
+
+void BookingClosing::onAnswer(const TableAnswer& answer)
+{
+    if (!m_version)
+        return onRead(answer);
+    m_done = answer.written.outcome == WriteOutcome::Applied;
+    // Whatever else happened shows in the row.
+    if (!m_done)
+        m_version.reset();
+}
+
+std::string BookingClosing::describe() const
+{
+    return std::string("state=") + bookingStateWord(m_row.state) + " version="
+        + (m_version ? std::to_string(m_version->count()) : "unread") + " done=" + (m_done ? "yes" : "no");
+}
+
+void BookingClosing::onRead(const TableAnswer& answer)
+{
+    if (!answer.answered)
+        return;
+    if (!answer.row && m_row.state == BookingState::Released) {
+        // The record that was lost on its way finds this row if it still arrives.
+        m_version = RowVersion(0);
+        return;
+    }
+    const auto row = answer.row ? decodeBookingRow(answer.row->value) : std::nullopt;
+    const bool own = row && row->holder.attempt == m_row.holder.attempt;
+    const bool open = own && (row->state == BookingState::Recorded || row->state == BookingState::Sent);
+    if (open)
+        m_version = answer.row->version;
+    else
+        m_done = true;
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Tests/Bookings/BookingModel.h
@@ -0,0 +1,355 @@
+#pragma once
+
+#include "Bookings/BookingClaim.h"
+#include "Bookings/BookingClosing.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace almondscale::test {
+
+// Ways to break the protocol on purpose, so that the search is seen to find it.
+enum class BookingFlaw {
+    None,
+    // A write with a lost answer is taken for applied.
+    TrustsLostAnswers,
+    // The call of a host that seems gone is sent again.
+    RepeatsSentCalls,
+    // The call is sent without the mark.
+    SkipsMark,
+};
+
+// Searches every interleaving of attempts with one key, and of the faults of the
+// table, the service and the hosts within a budget. The truth is the service's own count of runs.
+class BookingModel {
+public:
+    BookingModel(int attempts, int faults, BookingFlaw flaw)
+        : m_flaw(flaw)
+        , m_faults(faults)
+        , m_attempts(attempts)
+    {
+    }
+
+    // Whether every promise held in every state.
+    bool search()
+    {
+        World world;
+        world.faultsLeft = m_faults;
+        for (int i = 0; i < m_attempts; ++i)
+            world.attempts.push_back(newAttempt(i));
+        visit(world);
+        return m_breach.empty();
+    }
+
+    std::size_t states() const { return m_seen.size(); }
+    std::size_t ends() const { return m_ends; }
+    std::size_t endsWithRun() const { return m_endsWithRun; }
+    const std::string& breach() const { return m_breach; }
+
+private:
+    enum class Phase {
+        Claiming,
+        Sending,
+        Closing,
+        Over,
+    };
+
+    struct Attempt {
+        Phase phase = Phase::Claiming;
+        BookingHolder holder;
+        std::optional<BookingClaim> claim;
+        std::optional<BookingClosing> closing;
+        int runs = 0;
+        bool killed = false;
+        // What happened to the attempt, for the trace of a breach.
+        std::string history;
+    };
+
+    struct World {
+        std::optional<TableRow> row;
+        // Writes that are still under way.
+        std::vector<TableCall> delayed;
+        std::vector<Attempt> attempts;
+        int runs = 0;
+        int faultsLeft = 0;
+    };
+
+    static BookingRequest request() { return { Organisation("o"), ServiceName("s"), BookingKey("k"), 7 }; }
+
+    static BookingAnswer serviceAnswer() { return { 201, "text/plain", "booked" }; }
+
+    Attempt newAttempt(int number) const
+    {
+        Attempt attempt;
+        attempt.holder = { AttemptId("a" + std::to_string(number)), HostId("h"), Incarnation(1) };
+        attempt.claim.emplace(
+            request(), attempt.holder, [this](const HostId&, Incarnation) { return m_live; });
+        return attempt;
+    }
+
+    void visit(const World& world)
+    {
+        if (!m_breach.empty() || !m_seen.insert(std::hash<std::string>()(fingerprint(world))).second)
+            return;
+        if (world.runs > 1)
+            return fail(world, "the service ran the booking twice");
+        bool over = true;
+        for (std::size_t i = 0; i < world.attempts.size(); ++i) {
+            if (world.attempts[i].phase == Phase::Over)
+                continue;
+            over = false;
+            step(world, i);
+        }
+        for (std::size_t i = 0; i < world.delayed.size(); ++i)
+            arrive(world, i);
+        if (!over)
+            return;
+        ++m_ends;
+        m_endsWithRun += world.runs == 1 ? 1 : 0;
+    }
+
+    void step(const World& world, std::size_t i)
+    {
+        branch(world, i, true, "killed", [](World&, Attempt& attempt) { kill(attempt); });
+        if (world.attempts[i].phase == Phase::Sending)
+            return send(world, i);
+        const auto call = nextCall(world.attempts[i]);
+        if (call->kind == TableCall::Kind::Read)
+            return read(world, i);
+        write(world, i, *call);
+    }
+
+    static std::optional<TableCall> nextCall(const Attempt& attempt)
+    {
+        return attempt.phase == Phase::Claiming ? attempt.claim->nextCall() : attempt.closing->nextCall();
+    }
+
+    void send(const World& world, std::size_t i)
+    {
+        branch(world, i, false, "answered", [](World& next, Attempt& attempt) {
+            run(next, attempt);
+            close(attempt, BookingState::Answered);
+        });
+        branch(world, i, true, "answer lost", [](World& next, Attempt& attempt) {
+            run(next, attempt);
+            close(attempt, BookingState::Lost);
+        });
+        branch(world, i, true, "sent and killed", [](World& next, Attempt& attempt) {
+            run(next, attempt);
+            kill(attempt);
+        });
+        branch(world, i, true, "refused before a byte",
+            [](World&, Attempt& attempt) { close(attempt, BookingState::Released); });
+    }
+
+    static void kill(Attempt& attempt)
+    {
+        attempt.phase = Phase::Over;
+        attempt.killed = true;
+    }
+
+    static void run(World& world, Attempt& attempt)
+    {
+        ++world.runs;
+        ++attempt.runs;
+    }
+
+    static void close(Attempt& attempt, BookingState state)
+    {
+        attempt.closing.emplace(request(), attempt.holder, state, serviceAnswer());
+        attempt.phase = Phase::Closing;
+    }
+
+    void read(const World& world, std::size_t i)
+    {
+        const bool liveInTruth = holderLives(world);
+        for (const bool live : { true, false }) {
+            branch(world, i, live != liveInTruth, live ? "read" : "read, holder seems gone",
+                [this, live](World& next, Attempt& attempt) {
+                    TableAnswer answer;
+                    answer.row = next.row;
+                    tell(next, attempt, flawed(answer, {}), live);
+                });
+        }
+        branch(world, i, true, "read failed", [this](World& next, Attempt& attempt) {
+            TableAnswer answer;
+            answer.answered = false;
+            tell(next, attempt, answer, true);
+        });
+    }
+
+    // Whether the attempt in the row still runs.
+    static bool holderLives(const World& world)
+    {
+        const auto row = world.row ? decodeBookingRow(world.row->value) : std::nullopt;
+        return !row || !world.attempts[indexOf(row->holder.attempt)].killed;
+    }
+
+    static std::size_t indexOf(const AttemptId& attempt)
+    {
+        return static_cast<std::size_t>(attempt.text().back() - '0');
+    }
+
+    void write(const World& world, std::size_t i, const TableCall& call)
+    {
+        branch(world, i, false, "written", [this, &call](World& next, Attempt& attempt) {
+            TableAnswer answer;
+            answer.written = apply(next, call);
+            tell(next, attempt, answer, true);
+        });
+        branch(world, i, true, "answer of write lost", [this, &call](World& next, Attempt& attempt) {
+            apply(next, call);
+            tell(next, attempt, flawed({}, call), true);
+        });
+        branch(world, i, true, "write lost or late", [this, &call](World& next, Attempt& attempt) {
+            next.delayed.push_back(call);
+            tell(next, attempt, flawed({}, call), true);
+        });
+        branch(world, i, true, "write refused", [this](World& next, Attempt& attempt) {
+            TableAnswer answer;
+            answer.written.outcome = WriteOutcome::NotApplied;
+            tell(next, attempt, answer, true);
+        });
+    }
+
+    void arrive(const World& world, std::size_t i)
+    {
+        World next = world;
+        const auto call = next.delayed[i];
+        next.delayed.erase(next.delayed.begin() + static_cast<std::ptrdiff_t>(i));
+        apply(next, call);
+        visit(next);
+    }
+
+    static WriteResult apply(World& world, const TableCall& call)
+    {
+        const auto present = world.row ? world.row->version : RowVersion(0);
+        if (present != call.expected)
+            return { WriteOutcome::Conflict, present, world.row };
+        const auto version = present + RowVersion(1);
+        world.row = TableRow { call.key, call.value, version, call.writer };
+        return { WriteOutcome::Applied, version, std::nullopt };
+    }
+
+    TableAnswer flawed(TableAnswer answer, const TableCall& call) const
+    {
+        if (m_flaw == BookingFlaw::TrustsLostAnswers && call.kind == TableCall::Kind::Write)
+            answer.written = { WriteOutcome::Applied, call.expected + RowVersion(1), std::nullopt };
+        if (m_flaw == BookingFlaw::RepeatsSentCalls && answer.row) {
+            auto row = decodeBookingRow(answer.row->value);
+            if (row->state == BookingState::Sent)
+                row->state = BookingState::Recorded;
+            answer.row->value = encodeBookingRow(*row);
+        }
+        return answer;
+    }
+
+    void tell(World& world, Attempt& attempt, const TableAnswer& answer, bool live)
+    {
+        m_live = live;
+        attempt.history += describe(answer) + (live ? "+" : "-");
+        if (attempt.phase == Phase::Closing) {
+            attempt.closing->onAnswer(answer);
+            if (!attempt.closing->nextCall())
+                attempt.phase = Phase::Over;
+            return;
+        }
+        attempt.claim->onAnswer(answer);
+        const bool skipsMark
+            = m_flaw == BookingFlaw::SkipsMark && answer.written.outcome == WriteOutcome::Applied;
+        if (skipsMark)
+            attempt.phase = Phase::Sending;
+        else if (!attempt.claim->nextCall())
+            decided(world, attempt);
+    }
+
+    void decided(World& world, Attempt& attempt)
+    {
+        const auto& start = attempt.claim->start();
+        attempt.history += "=" + std::to_string(static_cast<int>(start.kind));
+        if (start.kind == BookingStart::Kind::Send) {
+            attempt.phase = Phase::Sending;
+            return;
+        }
+        if (start.kind == BookingStart::Kind::Answered
+            && !(start.answer == serviceAnswer() && world.runs == 1))
+            fail(world, "an answer was handed out that the service never gave");
+        attempt.phase = Phase::Over;
+        if (attempt.claim->mayHaveLeftRow())
+            close(attempt, BookingState::Released);
+    }
+
+    template <typename Change>
+    void branch(const World& world, std::size_t i, bool fault, const char* what, Change change)
+    {
+        if (fault && world.faultsLeft == 0)
+            return;
+        World next = world;
+        next.faultsLeft -= fault ? 1 : 0;
+        auto& attempt = next.attempts[i];
+        attempt.history += std::string(";") + what;
+        change(next, attempt);
+        visit(next);
+    }
+
+    static std::string describe(const TableAnswer& answer)
+    {
+        if (!answer.answered)
+            return "?";
+        std::string text = std::to_string(static_cast<int>(answer.written.outcome)) + "v"
+            + std::to_string(answer.written.version.count());
+        if (answer.row)
+            text += answer.row->writer.text() + std::to_string(answer.row->version.count());
+        return text;
+    }
+
+    static std::string describe(const Attempt& attempt)
+    {
+        if (attempt.phase == Phase::Claiming)
+            return "claiming " + attempt.claim->describe();
+        if (attempt.phase == Phase::Closing)
+            return "closing " + attempt.closing->describe();
+        if (attempt.phase == Phase::Sending)
+            return "sending";
+        return attempt.killed ? "killed" : "over";
+    }
+
+    static std::string fingerprint(const World& world)
+    {
+        std::string text = std::to_string(world.runs) + "/" + std::to_string(world.faultsLeft);
+        if (world.row)
+            text += world.row->writer.text() + std::to_string(world.row->version.count());
+        // Writes under way are in the order of their sending, which does not matter to what follows.
+        for (const auto& call : world.delayed)
+            text += "~" + call.writer.text() + std::to_string(call.expected.count());
+        for (const auto& attempt : world.attempts)
+            text += "|" + describe(attempt);
+        return text;
+    }
+
+    void fail(const World& world, const std::string& what)
+    {
+        if (!m_breach.empty())
+            return;
+        m_breach = what;
+        for (const auto& attempt : world.attempts)
+            m_breach += "\n  " + attempt.holder.attempt.text() + attempt.history;
+    }
+
+    BookingFlaw m_flaw;
+    int m_faults;
+    int m_attempts;
+    // The answer of the hook that tells whether a holder is live, which may be wrong at any time.
+    bool m_live = true;
+    std::unordered_set<std::uint64_t> m_seen;
+    std::size_t m_ends = 0;
+    std::size_t m_endsWithRun = 0;
+    std::string m_breach;
+};
+
+} // namespace almondscale::test
