--- /dev/null
+++ b/Programs/almondscaled/CompletionRun.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "CompletionCall.h"
+#include "CompletionWriter.h"
+#include "Dispatch/AnswerAssembler.h"
+#include "Dispatch/AttemptFailure.h"
+#include "Dispatch/SilenceDetector.h"
+#include "EngineStream.h"
+#include "HostContext.h"
+
+#include <optional>
+
+namespace almondscale {
+
+// Carries one caller's request through admission and its attempts to its only answer.
+class CompletionRun {
+public:
+    CompletionRun(HostContext&, const CompletionCall&, ModelPool&, ReplyWriter&);
+
+    void run();
+
+private:
+    // How an attempt ended.
+    enum class Ending {
+        Complete,
+        CallerGone,
+        DeadlinePassed,
+        Failed,
+    };
+
+    // What the engine says about an attempt whose connection is in doubt.
+    struct Inquiry {
+        bool answered = false;
+        AttemptStatus status;
+    };
+
+    PoolRequest poolRequest() const;
+    std::optional<RouteChoice> nextChoice();
+    Ending attempt(const RouteChoice&);
+    Ending prefill(const Address& engine, std::string& kvHandle);
+    Ending readAnswer(const Address& engine);
+    Ending takeItem(const EngineItem&, bool& progressed);
+    Ending onSilence(const Address& engine, SilenceDetector&);
+    Ending onLost(const Address& engine, SilenceDetector&);
+    bool resume(const Address& engine, SilenceDetector&);
+    Inquiry inquire(const Address& engine) const;
+    Ending failed(AttemptFailure, const EngineId&);
+    bool mayRetry();
+    bool giveUpAtDeadline(MonotonicTime now) const;
+    Deadline nextLook(const SilenceDetector&, MonotonicTime now) const;
+    void end(ErrorKind, Nanoseconds retryAfter = {});
+
+    HostContext& m_context;
+    const CompletionCall& m_call;
+    ModelPool& m_pool;
+    MonotonicTime m_arrivedAt;
+    std::string m_id;
+    CompletionWriter m_writer;
+    ReplyWriter& m_reply;
+    AnswerAssembler m_assembler;
+    EngineStream m_stream;
+    RouteRequest m_route;
+    AttemptId m_attempt;
+    EngineId m_engine;
+    RouteChoice m_choice;
+    AttemptFailure m_failure = AttemptFailure::NoAnswer;
+    bool m_mayHaveRun = false;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Programs/almondscaled/Host.cpp
@@ -0,0 +1,332 @@
+#include "Host.h"
+
+#include "CallerFrontend.h"
+#include "Core/LogEvent.h"
+#include "EngineWatcher.h"
+#include "HostContext.h"
+#include "HostListDuty.h"
+#include "HostViews.h"
+#include "Http/ErrorResponse.h"
+#include "Http/HttpClient.h"
+#include "Http/HttpServer.h"
+#include "Http/JsonBuilder.h"
+#include "Membership/MembershipService.h"
+#include "OperatorFrontend.h"
+#include "PeriodicDuty.h"
+#include "Platform/PlatformClient.h"
+#include "RulesDuty.h"
+
+#include <condition_variable>
+#include <thread>
+
+namespace almondscale {
+
+namespace {
+
+    // The shared item by which a host tells where its operators' port is.
+    constexpr const char* operatorsItem = "operators";
+    constexpr auto pullTimeout = std::chrono::milliseconds(500);
+    constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
+    constexpr auto closingsInterval = std::chrono::seconds(1);
+    constexpr unsigned operatorThreads = 32;
+
+    // Rises with each start of a process, whatever host it replaces.
+    Incarnation newIncarnation()
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        const auto count = std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+        return Incarnation(static_cast<std::uint64_t>(count));
+    }
+
+    MembershipServiceSettings membershipSettings(const HostSettings& settings, Incarnation incarnation)
+    {
+        MembershipServiceSettings result;
+        result.membership.host = settings.host;
+        result.membership.address = settings.peersListen;
+        result.membership.dataCentre = settings.dataCentre;
+        result.membership.incarnation = incarnation;
+        result.listen = settings.peersListen;
+        result.keys.signing = settings.peersKey;
+        result.keys.alsoAccepted = settings.peersPreviousKey;
+        return result;
+    }
+
+    RouterOptions routerOptions(const HostSettings& settings)
+    {
+        RouterOptions options;
+        options.dataCentre = settings.dataCentre;
+        return options;
+    }
+
+    AdmissionOptions admissionOptions(const HostSettings& settings)
+    {
+        AdmissionOptions options;
+        options.maxRequests = static_cast<std::size_t>(settings.queueRequests);
+        options.maxBytes = settings.queueBytes;
+        return options;
+    }
+
+} // namespace
+
+class Host::Impl {
+public:
+    explicit Impl(const HostSettings& settings)
+        : m_settings(settings)
+        , m_incarnation(newIncarnation())
+        , m_ids(settings.host, m_incarnation)
+        , m_platform(settings.platform, settings.platformTimeout)
+        , m_store(m_platform.table())
+        , m_engines(routerOptions(settings), admissionOptions(settings))
+        , m_context { m_settings, m_rules, m_engines, m_metrics, m_budgets, m_ids, monotonicClock() }
+        , m_callers(m_context, m_incarnation, m_platform.table(), holderLive())
+        , m_operators(
+              operatorHooks(), [this] { return operatorKeys(); }, [this] { return peerKeys(); })
+        , m_membership(membershipSettings(settings, m_incarnation), observers())
+        , m_rulesDuty(m_platform.table(), rulesHooks())
+        , m_watcher(m_engines, settings.dataCentre, settings.reportInterval)
+        , m_hostList(m_platform, m_membership, m_engines, settings)
+        , m_bookingsDuty(closingsInterval, [this] { m_callers.retryClosings(); })
+    {
+    }
+
+    void start()
+    {
+        if (const std::error_code error = m_membership.start())
+            throw std::system_error(error, "peers' port");
+        m_membership.publish(operatorsItem, m_settings.operatorsListen.text(), ItemScope::Everywhere);
+        m_rulesDuty.start();
+        m_watcher.start();
+        m_hostList.start();
+        m_bookingsDuty.start();
+        m_operatorServer = std::make_unique<HttpServer>(
+            m_settings.operatorsListen,
+            [this](const HttpRequest& request, ReplyWriter& reply) { m_operators.serve(request, reply); },
+            limits(operatorThreads));
+        m_callerServer = std::make_unique<HttpServer>(
+            m_settings.callersListen,
+            [this](const HttpRequest& request, ReplyWriter& reply) { m_callers.serve(request, reply); },
+            limits(static_cast<unsigned>(m_settings.maxThreads)));
+        LogEvent("started")
+            .with("host", m_settings.host)
+            .with("data_centre", m_settings.dataCentre)
+            .with("callers", m_settings.callersListen.text())
+            .with("operators", m_settings.operatorsListen.text())
+            .with("peers", m_settings.peersListen.text());
+    }
+
+    void requestShutdown()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_ending = true;
+        m_endAsked.notify_all();
+    }
+
+    void waitUntilEnded()
+    {
+        {
+            std::unique_lock lock(m_mutex);
+            m_endAsked.wait(lock, [this] { return m_ending; });
+        }
+        endGracefully();
+    }
+
+private:
+    HttpLimits limits(unsigned threads) const
+    {
+        HttpLimits limits;
+        limits.maxBody = m_settings.maxBody;
+        limits.maxThreads = threads;
+        limits.bodyTimeout = m_settings.bodyTimeout;
+        limits.idleTimeout = m_settings.idleTimeout;
+        return limits;
+    }
+
+    std::vector<std::string> operatorKeys() const { return { m_settings.operatorsKey }; }
+    std::vector<std::string> peerKeys() const { return { m_settings.peersKey, m_settings.peersPreviousKey }; }
+
+    OperatorHooks operatorHooks()
+    {
+        OperatorHooks hooks;
+        hooks.applyRules = [this](const RulesProposal& proposal) {
+            RulesApplyResult result = m_store.apply(proposal);
+            m_rulesDuty.refresh();
+            return result;
+        };
+        hooks.rulesInForce = [this] { return m_rulesDuty.change(); };
+        hooks.rulesHistory = [this](std::size_t limit) { return m_store.history(RulesVersion(1), limit); };
+        hooks.metrics = [this] { return metricsText(); };
+        hooks.shutDown = [this] { requestShutdown(); };
+        const auto view = [&hooks](const char* path, const std::function<std::string()>& make) {
+            hooks.views[path] = [make](const HttpRequest&) {
+                HttpResponse response;
+                response.body = make();
+                return response;
+            };
+        };
+        view("/status", [this] { return statusJson(); });
+        view("/hosts", [this] { return membersJson(m_membership.members()); });
+        view("/engines", [this] { return enginesJson(m_engines.engines()); });
+        return hooks;
+    }
+
+    MembershipObservers observers()
+    {
+        MembershipObservers observers;
+        observers.memberChanged = [this](const Member& member) {
+            LogEvent("host_changed").with("host", member.host).with("live", member.live());
+            if (!member.live())
+                m_rulesDuty.onPeerGone(member.host);
+            countPeers();
+        };
+        observers.itemChanged = [](const SharedItem&) {};
+        observers.rulesChanged = [this](const Member& member) {
+            if (member.host != m_settings.host)
+                m_rulesDuty.onPeerVersion(member.host, member.rules);
+        };
+        return observers;
+    }
+
+    HolderLive holderLive()
+    {
+        return [this](const HostId& host, Incarnation incarnation) {
+            const auto member = m_membership.member(host);
+            return member && member->live() && member->incarnation == incarnation;
+        };
+    }
+
+    RulesDutyHooks rulesHooks()
+    {
+        RulesDutyHooks hooks;
+        hooks.pullFromPeer = [this](const HostId& peer) { return pullRules(peer); };
+        hooks.peers = [this] { return placeInDataCentre(); };
+        hooks.adopted = [this](const std::shared_ptr<const RuleSet>& rules) {
+            m_engines.setRules(*rules);
+            m_rules.set(rules);
+            m_membership.setRules(rules->version);
+        };
+        return hooks;
+    }
+
+    std::optional<RulesChange> pullRules(const HostId& peer) const
+    {
+        for (const SharedItem& item : m_membership.items(operatorsItem)) {
+            const auto address = parseAddress(item.value);
+            if (item.host != peer || !address)
+                continue;
+            HttpCall call;
+            call.to = *address;
+            call.path = "/peer/rules";
+            call.headers["x-peer-key"] = m_settings.peersKey;
+            call.deadline = Deadline::after(monotonicClock()(), pullTimeout);
+            const CallResult result = callOnce(call);
+            if (!result.ok() || result.response->status != 200)
+                return std::nullopt;
+            return readRulesChange(result.response->body);
+        }
+        return std::nullopt;
+    }
+
+    RulesPeers placeInDataCentre() const
+    {
+        RulesPeers peers;
+        peers.hosts = 0;
+        for (const Member& member : m_membership.members()) {
+            if (!member.live() || member.dataCentre != m_settings.dataCentre)
+                continue;
+            ++peers.hosts;
+            if (member.host < m_settings.host)
+                ++peers.rank;
+        }
+        peers.hosts = std::max<std::size_t>(1, peers.hosts);
+        return peers;
+    }
+
+    void countPeers() { m_engines.setLivePeers(static_cast<int>(placeInDataCentre().hosts) - 1); }
+
+    std::string metricsText()
+    {
+        int live = 0;
+        for (const Member& member : m_membership.members())
+            live += member.live() ? 1 : 0;
+        std::size_t waiting = 0;
+        for (const auto& pool : m_engines.pools())
+            waiting += pool->waiting();
+        m_metrics.setGauge("almondscale_hosts_live", "Hosts that this host holds for live.", live);
+        m_metrics.setGauge("almondscale_requests_waiting", "Requests that wait for an engine.",
+            static_cast<double>(waiting));
+        m_metrics.setGauge(
+            "almondscale_requests_running", "Requests that are being answered.", m_callers.running());
+        m_metrics.setGauge("almondscale_rules_version", "The version of the rules in force.",
+            static_cast<double>(m_rulesDuty.version().count()));
+        return m_metrics.text();
+    }
+
+    std::string statusJson() const
+    {
+        return JsonBuilder()
+            .text("host", m_settings.host.text())
+            .text("data_centre", m_settings.dataCentre.text())
+            .integer("incarnation", static_cast<std::int64_t>(m_incarnation.count()))
+            .flag("ready", m_callers.ready())
+            .integer("rules_version", static_cast<std::int64_t>(m_rulesDuty.version().count()))
+            .integer("requests_running", m_callers.running())
+            .text("version", ALMONDSCALE_VERSION)
+            .finish();
+    }
+
+    void endGracefully()
+    {
+        LogEvent("shutting_down").with("running", m_callers.running());
+        m_callers.drain();
+        std::this_thread::sleep_for(m_settings.balancerGrace);
+        while (m_callers.running() > 0)
+            std::this_thread::sleep_for(drainCheckInterval);
+        m_callerServer->stop();
+        m_membership.leave();
+        m_hostList.stop();
+        m_bookingsDuty.stop();
+        m_rulesDuty.stop();
+        m_operatorServer->stop();
+        m_watcher.stop();
+        m_membership.stop();
+        LogEvent("ended").with("host", m_settings.host);
+    }
+
+    HostSettings m_settings;
+    Incarnation m_incarnation;
+    AttemptIds m_ids;
+    PlatformClient m_platform;
+    RulesStore m_store;
+    RulesHolder m_rules;
+    EngineDirectory m_engines;
+    HostMetrics m_metrics;
+    PoolBudgets m_budgets;
+    HostContext m_context;
+    CallerFrontend m_callers;
+    OperatorFrontend m_operators;
+    MembershipService m_membership;
+    RulesDuty m_rulesDuty;
+    EngineWatcher m_watcher;
+    HostListDuty m_hostList;
+    PeriodicDuty m_bookingsDuty;
+    std::unique_ptr<HttpServer> m_operatorServer;
+    std::unique_ptr<HttpServer> m_callerServer;
+    std::mutex m_mutex;
+    std::condition_variable m_endAsked;
+    bool m_ending = false;
+};
+
+Host::Host(const HostSettings& settings)
+    : m_impl(std::make_unique<Impl>(settings))
+{
+}
+
+Host::~Host() = default;
+
+void Host::start() { m_impl->start(); }
+
+void Host::requestShutdown() { m_impl->requestShutdown(); }
+
+void Host::waitUntilEnded() { m_impl->waitUntilEnded(); }
+
+} // namespace almondscale
--- /dev/null
+++ b/Programs/almondscaled/HostListDuty.cpp
@@ -0,0 +1,96 @@
+#include "HostListDuty.h"
+
+#include "Core/LogEvent.h"
+
+#include <sstream>
+
+namespace almondscale {
+
+namespace {
+
+    // The shared item that names the leaving engines, separated by blanks.
+    constexpr const char* leavingItem = "leaving";
+    constexpr auto stepInterval = std::chrono::milliseconds(500);
+    constexpr std::size_t frequentReaders = 2;
+    // Steps between two reads of the list by a frequent reader, and by any other host.
+    constexpr int frequentSteps = 1;
+    constexpr int rareSteps = 20;
+
+    std::string joined(const std::set<EngineId>& engines)
+    {
+        std::string text;
+        for (const EngineId& engine : engines)
+            text += (text.empty() ? "" : " ") + engine.text();
+        return text;
+    }
+
+} // namespace
+
+HostListDuty::HostListDuty(const PlatformClient& platform, MembershipService& membership,
+    EngineDirectory& engines, const HostSettings& settings)
+    : m_platform(platform)
+    , m_membership(membership)
+    , m_engines(engines)
+    , m_settings(settings)
+    , m_duty(stepInterval, [this] { step(); })
+{
+}
+
+void HostListDuty::step()
+{
+    if (m_step++ % (readsOften() ? frequentSteps : rareSteps) == 0)
+        readList();
+    applyLeaving();
+}
+
+bool HostListDuty::readsOften() const
+{
+    std::size_t lower = 0;
+    for (const Member& member : m_membership.members()) {
+        const bool peer = member.live() && member.dataCentre == m_settings.dataCentre;
+        if (peer && member.host < m_settings.host)
+            ++lower;
+    }
+    return lower < frequentReaders;
+}
+
+void HostListDuty::readList()
+{
+    const auto list = m_platform.hosts();
+    // While the platform is away, what it said last still holds.
+    if (!list)
+        return;
+    std::vector<SeedHost> seeds;
+    for (const ListedHost& host : list.value().hosts) {
+        if (!host.leaving && host.id != m_settings.host)
+            seeds.push_back({ host.id, host.controlAddress, host.dataCentre });
+    }
+    m_membership.setSeeds(std::move(seeds));
+    m_listedLeaving.clear();
+    for (const ListedBackend& backend : list.value().backends) {
+        if (backend.leaving)
+            m_listedLeaving.insert(EngineId(backend.id));
+    }
+}
+
+void HostListDuty::applyLeaving()
+{
+    const std::string text = joined(m_listedLeaving);
+    if (text != m_published) {
+        m_published = text;
+        LogEvent("backends_leaving").with("engines", text);
+        if (text.empty())
+            m_membership.retract(leavingItem);
+        else
+            m_membership.publish(leavingItem, text, ItemScope::Everywhere);
+    }
+    std::set<EngineId> leaving = m_listedLeaving;
+    for (const SharedItem& item : m_membership.items(leavingItem)) {
+        std::istringstream words(item.value);
+        for (std::string word; words >> word;)
+            leaving.insert(EngineId(word));
+    }
+    m_engines.setLeaving(leaving);
+}
+
+} // namespace almondscale
--- a/Tests/Core/BoundedRingTest.cpp
+++ b/Tests/Core/BoundedRingTest.cpp
@@ -15,6 +15,7 @@
     std::vector<std::atomic<int>> taken(items);
     std::atomic<int> total { 0 };
     std::vector<std::thread> consumers;
+    consumers.reserve(4);
     for (int i = 0; i < 4; ++i) {
         consumers.emplace_back([&] {
             while (total < items) {
