--- a/Programs/almondscaled/CompletionRun.cpp
+++ b/Programs/almondscaled/CompletionRun.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/LogEvent.h"
 #include "Dispatch/RetryDecision.h"
+#include "EngineExactState.h"
 #include "Http/HttpClient.h"
 #include "Http/Json.h"
 #include "PromptPrefix.h"
@@ -17,6 +18,7 @@
     constexpr auto callerCheckInterval = std::chrono::milliseconds(250);
     constexpr auto inquiryTimeout = std::chrono::milliseconds(500);
     constexpr auto acceptTimeout = std::chrono::seconds(5);
+    constexpr auto verdictInterval = std::chrono::milliseconds(25);
     constexpr auto engineRetryInterval = std::chrono::milliseconds(50);
 
     AttemptStatus::Kind statusKind(const std::string& word)
@@ -61,36 +63,148 @@
     const PromptPrefix prefix = promptPrefix(call.prompt);
     m_route.prefix = prefix.hash;
     m_route.prefixTokens = prefix.tokens;
+    m_fingerprint = fingerprintOf(call.model, call.prompt);
 }
 
 void CompletionRun::run()
 {
     m_context.budgets.onRequest(m_call.model.text(), m_arrivedAt);
-    m_attempt = AttemptId(m_context.ids.next());
-    const Admittance admittance = m_pool.admit(poolRequest());
-    if (admittance.refusal != ErrorKind::None) {
-        const MonotonicTime now = m_context.clock();
-        return end(admittance.refusal, std::max(Nanoseconds(0), admittance.retryAt - now));
-    }
-    std::optional<RouteChoice> choice = admittance.choice;
-    while (choice) {
+    while (const auto choice = nextChoice()) {
         const Ending ending = attempt(*choice);
-        m_pool.onFinished(m_attempt, *choice);
+        settle(*choice, ending);
         if (ending == Ending::Complete) {
             m_writer.finish();
             return end(ErrorKind::None);
         }
-        if (ending != Ending::Failed) {
-            cancelAttempt(m_context.engines.engine(m_engine)->view.address, m_attempt,
-                Deadline::after(m_context.clock(), inquiryTimeout));
-            return end(ending == Ending::CallerGone ? ErrorKind::AnswerLost : ErrorKind::DeadlinePassed);
-        }
+        if (ending != Ending::Failed)
+            return endWithoutAnswer(ending);
         if (!mayRetry())
             return;
-        choice = nextChoice();
     }
 }
 
+std::optional<RouteChoice> CompletionRun::nextChoice()
+{
+    m_attempt = AttemptId(m_context.ids.next());
+    switch (awaitVerdict()) {
+    case StrikeVerdict::Refused:
+        end(ErrorKind::CrashingRequest);
+        return std::nullopt;
+    case StrikeVerdict::Suspect:
+        return chooseAlone();
+    case StrikeVerdict::Deciding:
+        end(m_mayHaveRun ? ErrorKind::DeadlinePassed : ErrorKind::DeadlineUnreachable);
+        return std::nullopt;
+    case StrikeVerdict::Normal:
+        break;
+    }
+    return m_admitted ? chooseAgain() : admit();
+}
+
+// Crashes that have just become known are decided within the settle time of the strikes.
+StrikeVerdict CompletionRun::awaitVerdict()
+{
+    while (true) {
+        const StrikeVerdict verdict = m_context.crashes.verdict(m_fingerprint);
+        if (verdict != StrikeVerdict::Deciding || m_call.deadline.passed(m_context.clock()))
+            return verdict;
+        std::this_thread::sleep_for(verdictInterval);
+    }
+}
+
+std::optional<RouteChoice> CompletionRun::admit()
+{
+    const Admittance admittance = m_pool.admit(poolRequest());
+    if (admittance.refusal != ErrorKind::None) {
+        end(admittance.refusal, std::max(Nanoseconds(0), admittance.retryAt - m_context.clock()));
+        return std::nullopt;
+    }
+    m_admitted = true;
+    return admittance.choice;
+}
+
+std::optional<RouteChoice> CompletionRun::chooseAlone()
+{
+    while (true) {
+        const auto engine = m_context.quarantine.ask(ticket());
+        if (engine && awaitIdle(*engine)) {
+            m_alone = true;
+            RouteChoice choice;
+            choice.prefill = *engine;
+            choice.decode = *engine;
+            return choice;
+        }
+        const StrikeVerdict verdict = m_context.crashes.verdict(m_fingerprint);
+        const bool late = m_call.deadline.passed(m_context.clock());
+        if (late || verdict == StrikeVerdict::Refused || m_reply.callerGone()) {
+            m_context.quarantine.finish(ticket());
+            const ErrorKind lateKind
+                = m_mayHaveRun ? ErrorKind::DeadlinePassed : ErrorKind::DeadlineUnreachable;
+            end(verdict == StrikeVerdict::Refused ? ErrorKind::CrashingRequest : lateKind);
+            return std::nullopt;
+        }
+        std::this_thread::sleep_for(verdictInterval);
+    }
+}
+
+// Other hosts may still have had work on the engine when it was set aside.
+bool CompletionRun::awaitIdle(const EngineId& id)
+{
+    while (!m_call.deadline.passed(m_context.clock())) {
+        const auto engine = m_context.engines.engine(id);
+        if (!engine)
+            return false;
+        const auto state
+            = engineState(engine->view.address, Deadline::after(m_context.clock(), inquiryTimeout));
+        if (!state.reached)
+            return false;
+        if (state.inFlight == 0)
+            return true;
+        std::this_thread::sleep_for(verdictInterval);
+    }
+    return false;
+}
+
+void CompletionRun::settle(const RouteChoice& choice, Ending ending)
+{
+    m_pool.onFinished(m_attempt, choice);
+    for (const EngineRun& run : m_runs)
+        m_context.crashes.ended(run, m_fingerprint);
+    m_runs.clear();
+    if (!m_alone)
+        return;
+    m_alone = false;
+    if (ending == Ending::Complete)
+        m_context.crashes.completedAlone(m_fingerprint);
+    m_context.quarantine.finish(ticket());
+}
+
+void CompletionRun::endWithoutAnswer(Ending ending)
+{
+    const auto engine = m_context.engines.engine(m_engine);
+    m_stream.close();
+    end(ending == Ending::CallerGone ? ErrorKind::AnswerLost : ErrorKind::DeadlinePassed);
+    if (engine)
+        cancelAttempt(engine->view.address, m_attempt, Deadline::after(m_context.clock(), inquiryTimeout));
+}
+
+QuarantineTicket CompletionRun::ticket() const
+{
+    QuarantineTicket ticket;
+    ticket.model = m_call.model;
+    ticket.entry.host = m_context.settings.host;
+    ticket.entry.request = RequestId(m_id);
+    ticket.entry.fingerprint = m_fingerprint;
+    ticket.entry.deadline = m_call.deadline;
+    return ticket;
+}
+
+EngineRun CompletionRun::engineRun(const EngineId& id) const
+{
+    const auto engine = m_context.engines.engine(id);
+    return { id, engine ? engine->boot : 0 };
+}
+
 PoolRequest CompletionRun::poolRequest() const
 {
     PoolRequest request;
@@ -101,10 +215,9 @@
     return request;
 }
 
-std::optional<RouteChoice> CompletionRun::nextChoice()
+std::optional<RouteChoice> CompletionRun::chooseAgain()
 {
     while (true) {
-        m_attempt = AttemptId(m_context.ids.next());
         const auto choice = m_pool.chooseAgain(poolRequest());
         if (choice)
             return choice.value();
@@ -127,6 +240,11 @@
     const auto prefiller = m_context.engines.engine(choice.prefill);
     if (!decode || !prefiller)
         return failed(AttemptFailure::NotConnected, choice.decode);
+    m_runs = { engineRun(choice.prefill) };
+    if (choice.movesCache())
+        m_runs.push_back(engineRun(choice.decode));
+    for (const EngineRun& run : m_runs)
+        m_context.crashes.started(run, m_fingerprint);
 
     EngineAttempt attempt;
     if (choice.movesCache()) {
@@ -155,6 +273,7 @@
     case EngineAcceptance::Unknown:
         break;
     }
+    noteIfCrashed(decode->view.address);
     return failed(AttemptFailure::NoAnswer, choice.decode);
 }
 
@@ -173,8 +292,10 @@
         = stream.start(engine, attempt, Deadline::after(m_context.clock(), acceptTimeout));
     if (acceptance == EngineAcceptance::NotRun)
         return failed(AttemptFailure::RefusedNotRun, m_engine);
-    if (acceptance != EngineAcceptance::Accepted)
+    if (acceptance != EngineAcceptance::Accepted) {
+        noteIfCrashed(engine);
         return failed(AttemptFailure::NoAnswer, m_engine);
+    }
     while (true) {
         const MonotonicTime now = m_context.clock();
         const EngineItem item = stream.next(Deadline::after(now, callerCheckInterval));
@@ -182,8 +303,10 @@
             kvHandle = item.kvHandle;
             return Ending::Complete;
         }
-        if (item.kind != EngineItem::Kind::Silent)
+        if (item.kind != EngineItem::Kind::Silent) {
+            noteIfCrashed(engine);
             return failed(AttemptFailure::NoAnswer, m_engine);
+        }
         if (m_reply.callerGone())
             return Ending::CallerGone;
         if (giveUpAtDeadline(now))
@@ -278,6 +401,7 @@
         && inquiry.status.kind != AttemptStatus::Kind::Cancelled;
     if (known && resume(engine, silence))
         return Ending::Complete;
+    noteIfCrashed(engine);
     return failed(
         m_assembler.delivered() > 0 ? AttemptFailure::Truncated : AttemptFailure::NoAnswer, m_engine);
 }
@@ -312,6 +436,19 @@
     return inquiry;
 }
 
+void CompletionRun::noteIfCrashed(const Address& engine)
+{
+    for (const EngineRun& run : m_runs) {
+        const auto record = m_context.engines.engine(run.engine);
+        if (!record || record->view.address != engine)
+            continue;
+        const EngineExactState state
+            = engineState(engine, Deadline::after(m_context.clock(), inquiryTimeout));
+        if (state.refused || (state.reached && state.boot != run.boot))
+            m_context.crashes.crashed(run, m_fingerprint, m_alone);
+    }
+}
+
 CompletionRun::Ending CompletionRun::failed(AttemptFailure failure, const EngineId& engine)
 {
     m_failure = failure;
@@ -331,18 +468,25 @@
 
 bool CompletionRun::mayRetry()
 {
-    FailedAttempt attempt;
-    attempt.failure = m_failure;
-    attempt.repeatable = true;
-    attempt.earlierMayHaveRun = m_mayHaveRun;
-    attempt.deadline = m_call.deadline;
-    const MonotonicTime now = m_context.clock();
-    attempt.completionAt = now;
-    const RetryDecision decision
-        = decideRetry(attempt, [&] { return m_context.budgets.tryRetry(m_call.model.text(), now); });
-    if (!decision.retry)
-        end(decision.error);
-    return decision.retry;
+    while (true) {
+        const MonotonicTime now = m_context.clock();
+        FailedAttempt attempt;
+        attempt.failure = m_failure;
+        attempt.repeatable = true;
+        attempt.earlierMayHaveRun = m_mayHaveRun;
+        attempt.deadline = m_call.deadline;
+        attempt.completionAt = now;
+        const RetryDecision decision
+            = decideRetry(attempt, [&] { return m_context.budgets.tryRetry(m_call.model.text(), now); });
+        if (decision.retry)
+            return true;
+        const bool budgetOnly = decision.error == ErrorKind::RetryBudgetSpent;
+        if (!budgetOnly || m_reply.callerGone()) {
+            end(decision.error);
+            return false;
+        }
+        std::this_thread::sleep_for(engineRetryInterval);
+    }
 }
 
 bool CompletionRun::giveUpAtDeadline(MonotonicTime now) const
--- a/Programs/almondscaled/CompletionRun.h
+++ b/Programs/almondscaled/CompletionRun.h
@@ -4,11 +4,13 @@
 #include "CompletionWriter.h"
 #include "Dispatch/AnswerAssembler.h"
 #include "Dispatch/AttemptFailure.h"
+#include "Dispatch/Fingerprint.h"
 #include "Dispatch/SilenceDetector.h"
 #include "EngineStream.h"
 #include "HostContext.h"
 
 #include <optional>
+#include <vector>
 
 namespace almondscale {
 
@@ -34,8 +36,18 @@
         AttemptStatus status;
     };
 
-    PoolRequest poolRequest() const;
+    // The engines for the next attempt; nothing if the request was ended instead.
     std::optional<RouteChoice> nextChoice();
+    std::optional<RouteChoice> admit();
+    std::optional<RouteChoice> chooseAgain();
+    std::optional<RouteChoice> chooseAlone();
+    StrikeVerdict awaitVerdict();
+    bool awaitIdle(const EngineId&);
+    void settle(const RouteChoice&, Ending);
+    void endWithoutAnswer(Ending);
+    PoolRequest poolRequest() const;
+    QuarantineTicket ticket() const;
+    EngineRun engineRun(const EngineId&) const;
     Ending attempt(const RouteChoice&);
     Ending prefill(const Address& engine, std::string& kvHandle);
     Ending readAnswer(const Address& engine);
@@ -44,7 +56,10 @@
     Ending onLost(const Address& engine, SilenceDetector&);
     bool resume(const Address& engine, SilenceDetector&);
     Inquiry inquire(const Address& engine) const;
+    // Tells the guard if the engine's life ended while it ran the attempt.
+    void noteIfCrashed(const Address& engine);
     Ending failed(AttemptFailure, const EngineId&);
+    // Waits while only the budget forbids a further attempt; ends the request if none may be made.
     bool mayRetry();
     bool giveUpAtDeadline(MonotonicTime now) const;
     Deadline nextLook(const SilenceDetector&, MonotonicTime now) const;
@@ -64,6 +79,12 @@
     EngineId m_engine;
     RouteChoice m_choice;
     AttemptFailure m_failure = AttemptFailure::NoAnswer;
+    Fingerprint m_fingerprint;
+    // The lives of the engines that the current attempt uses.
+    std::vector<EngineRun> m_runs;
+    bool m_admitted = false;
+    // Whether the current attempt has its engine to itself.
+    bool m_alone = false;
     bool m_mayHaveRun = false;
 };
 
--- a/Programs/almondscaled/EngineDirectory.cpp
+++ b/Programs/almondscaled/EngineDirectory.cpp
@@ -77,21 +77,18 @@
     publish();
 }
 
-void EngineDirectory::setClosing(const std::set<EngineId>& closing)
-{
-    const std::lock_guard lock(m_mutex);
-    if (closing == m_closing)
-        return;
-    m_closing = closing;
-    publish();
-}
+void EngineDirectory::setClosing(const std::set<EngineId>& closing) { replace(m_closing, closing); }
+
+void EngineDirectory::setLeaving(const std::set<EngineId>& leaving) { replace(m_leaving, leaving); }
+
+void EngineDirectory::setReserved(const std::set<EngineId>& reserved) { replace(m_reserved, reserved); }
 
-void EngineDirectory::setLeaving(const std::set<EngineId>& leaving)
+void EngineDirectory::replace(std::set<EngineId>& set, const std::set<EngineId>& by)
 {
     const std::lock_guard lock(m_mutex);
-    if (leaving == m_leaving)
+    if (set == by)
         return;
-    m_leaving = leaving;
+    set = by;
     publish();
 }
 
@@ -139,7 +136,7 @@
 {
     if (record.leaving)
         return EngineState::Leaving;
-    if (record.closing)
+    if (record.closing || record.reserved)
         return EngineState::Closing;
     if (record.reachable)
         return EngineState::Open;
@@ -152,6 +149,7 @@
     for (auto& [id, record] : m_engines) {
         record.closing = m_closing.count(id) > 0;
         record.leaving = m_leaving.count(id) > 0;
+        record.reserved = m_reserved.count(id) > 0;
         record.view.reachable = record.reachable;
         record.view.state = stateOf(record);
         views[record.view.model].push_back(record.view);
--- a/Programs/almondscaled/EngineDirectory.h
+++ b/Programs/almondscaled/EngineDirectory.h
@@ -19,6 +19,8 @@
     bool reachable = false;
     bool closing = false;
     bool leaving = false;
+    // Kept free for requests under suspicion.
+    bool reserved = false;
     int failedPolls = 0;
     std::uint64_t boot = 0;
     LoadReport load;
@@ -36,6 +38,8 @@
     void setClosing(const std::set<EngineId>&);
     // Replaces the set of engines that are being withdrawn.
     void setLeaving(const std::set<EngineId>&);
+    // Replaces the set of engines that are kept free for requests under suspicion.
+    void setReserved(const std::set<EngineId>&);
     void setLivePeers(int);
 
     // The pool of a model, or nothing if no rule names it.
@@ -45,6 +49,7 @@
     std::optional<EngineRecord> engine(const EngineId&) const;
 
 private:
+    void replace(std::set<EngineId>& set, const std::set<EngineId>& by);
     void publish();
     static EngineState stateOf(const EngineRecord&);
 
@@ -55,6 +60,7 @@
     std::map<ModelName, std::shared_ptr<ModelPool>> m_pools;
     std::set<EngineId> m_closing;
     std::set<EngineId> m_leaving;
+    std::set<EngineId> m_reserved;
 };
 
 } // namespace almondscale
--- a/Programs/almondscaled/Host.cpp
+++ b/Programs/almondscaled/Host.cpp
@@ -17,6 +17,7 @@
 #include "RulesDuty.h"
 
 #include <condition_variable>
+#include <sstream>
 #include <thread>
 
 namespace almondscale {
@@ -27,6 +28,7 @@
     constexpr const char* operatorsItem = "operators";
     constexpr auto pullTimeout = std::chrono::milliseconds(500);
     constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
+    constexpr auto quarantineInterval = std::chrono::milliseconds(100);
     constexpr auto closingsInterval = std::chrono::seconds(1);
     constexpr unsigned operatorThreads = 32;
 
@@ -77,7 +79,12 @@
         , m_platform(settings.platform, settings.platformTimeout)
         , m_store(m_platform.table())
         , m_engines(routerOptions(settings), admissionOptions(settings))
-        , m_context { m_settings, m_rules, m_engines, m_metrics, m_budgets, m_ids, monotonicClock() }
+        , m_crashes(crashHooks())
+        , m_keeper(m_engines, m_crashes, settings.dataCentre, monotonicClock(),
+              [this](const std::string& key, const std::string& value) { share(key, value); })
+        , m_quarantine(m_keeper, settings.host, settings.peersKey, monotonicClock(), quarantineHooks())
+        , m_context { m_settings, m_rules, m_engines, m_metrics, m_budgets, m_ids, m_crashes, m_quarantine,
+            monotonicClock() }
         , m_callers(m_context, m_incarnation, m_platform.table(), holderLive())
         , m_operators(
               operatorHooks(), [this] { return operatorKeys(); }, [this] { return peerKeys(); })
@@ -85,6 +92,7 @@
         , m_rulesDuty(m_platform.table(), rulesHooks())
         , m_watcher(m_engines, settings.dataCentre, settings.reportInterval)
         , m_hostList(m_platform, m_membership, m_engines, settings)
+        , m_quarantineDuty(quarantineInterval, [this] { m_quarantine.tick(); })
         , m_bookingsDuty(closingsInterval, [this] { m_callers.retryClosings(); })
     {
     }
@@ -98,6 +106,7 @@
         m_watcher.start();
         m_hostList.start();
         m_bookingsDuty.start();
+        m_quarantineDuty.start();
         m_operatorServer = std::make_unique<HttpServer>(
             m_settings.operatorsListen,
             [this](const HttpRequest& request, ReplyWriter& reply) { m_operators.serve(request, reply); },
@@ -156,6 +165,12 @@
         hooks.rulesHistory = [this](std::size_t limit) { return m_store.history(RulesVersion(1), limit); };
         hooks.metrics = [this] { return metricsText(); };
         hooks.shutDown = [this] { requestShutdown(); };
+        hooks.peerCalls["/peer/rules"] = [this](const std::string&) -> std::optional<std::string> {
+            const auto change = m_rulesDuty.change();
+            return change ? std::optional(rulesChangeJson(*change)) : std::nullopt;
+        };
+        hooks.peerCalls["/peer/quarantine"]
+            = [this](const std::string& body) { return m_quarantine.answerPeer(body); };
         const auto view = [&hooks](const char* path, const std::function<std::string()>& make) {
             hooks.views[path] = [make](const HttpRequest&) {
                 HttpResponse response;
@@ -178,7 +193,7 @@
                 m_rulesDuty.onPeerGone(member.host);
             countPeers();
         };
-        observers.itemChanged = [](const SharedItem&) {};
+        observers.itemChanged = [this](const SharedItem& item) { takeItem(item); };
         observers.rulesChanged = [this](const Member& member) {
             if (member.host != m_settings.host)
                 m_rulesDuty.onPeerVersion(member.host, member.rules);
@@ -207,25 +222,90 @@
         return hooks;
     }
 
-    std::optional<RulesChange> pullRules(const HostId& peer) const
+    CrashGuardHooks crashHooks()
+    {
+        CrashGuardHooks hooks;
+        hooks.clock = monotonicClock();
+        hooks.publish = [this](const std::string& key, const std::string& value) { share(key, value); };
+        hooks.retract = [this](const std::string& key) { m_membership.retract(key); };
+        hooks.crashKnown = [this] { m_keeper.onCrash(); };
+        return hooks;
+    }
+
+    QuarantineHooks quarantineHooks()
+    {
+        QuarantineHooks hooks;
+        hooks.keeper = [this] { return firstHostOfDataCentre(); };
+        hooks.address = [this](const HostId& host) { return operatorsAddress(host); };
+        return hooks;
+    }
+
+    // Shares a text with all hosts; an empty text takes it back.
+    void share(const std::string& key, const std::string& value)
+    {
+        if (value.empty())
+            return m_membership.retract(key);
+        if (const std::error_code error = m_membership.publish(key, value, ItemScope::Everywhere))
+            LogEvent("item_not_shared", LogLevel::Warning).with("key", key).with("error", error.message());
+    }
+
+    void takeItem(const SharedItem& item)
+    {
+        const auto hasPrefix = [&item](const char* prefix) { return item.key.rfind(prefix, 0) == 0; };
+        if (hasPrefix(CrashGuard::itemPrefix) && item.host != m_settings.host && !item.value.empty())
+            m_crashes.merge(item.value);
+        if (hasPrefix(QuarantineKeeper::itemPrefix))
+            reserveEngines();
+    }
+
+    void reserveEngines()
+    {
+        std::set<EngineId> reserved;
+        for (const SharedItem& item : m_membership.items(QuarantineKeeper::itemPrefix)) {
+            std::istringstream words(item.value);
+            for (std::string word; words >> word;)
+                reserved.insert(EngineId(word));
+        }
+        m_engines.setReserved(reserved);
+    }
+
+    std::optional<Address> operatorsAddress(const HostId& host) const
     {
         for (const SharedItem& item : m_membership.items(operatorsItem)) {
-            const auto address = parseAddress(item.value);
-            if (item.host != peer || !address)
-                continue;
-            HttpCall call;
-            call.to = *address;
-            call.path = "/peer/rules";
-            call.headers["x-peer-key"] = m_settings.peersKey;
-            call.deadline = Deadline::after(monotonicClock()(), pullTimeout);
-            const CallResult result = callOnce(call);
-            if (!result.ok() || result.response->status != 200)
-                return std::nullopt;
-            return readRulesChange(result.response->body);
+            if (item.host == host)
+                return parseAddress(item.value);
         }
         return std::nullopt;
     }
 
+    // The host of this data centre that all its hosts name without asking each other.
+    HostId firstHostOfDataCentre() const
+    {
+        HostId first = m_settings.host;
+        for (const Member& member : m_membership.members()) {
+            const bool peer = member.live() && member.dataCentre == m_settings.dataCentre;
+            if (peer && member.host < first)
+                first = member.host;
+        }
+        return first;
+    }
+
+    std::optional<RulesChange> pullRules(const HostId& peer) const
+    {
+        const auto address = operatorsAddress(peer);
+        if (!address)
+            return std::nullopt;
+        HttpCall call;
+        call.to = *address;
+        call.path = "/peer/rules";
+        call.headers["x-peer-key"] = m_settings.peersKey;
+        call.deadline = Deadline::after(monotonicClock()(), pullTimeout);
+        const CallResult result = callOnce(call);
+        if (!result.ok() || result.response->status != 200)
+            return std::nullopt;
+        return readRulesChange(result.response->body);
+    }
+
     RulesPeers placeInDataCentre() const
     {
         RulesPeers peers;
@@ -285,6 +365,7 @@
         m_membership.leave();
         m_hostList.stop();
         m_bookingsDuty.stop();
+        m_quarantineDuty.stop();
         m_rulesDuty.stop();
         m_operatorServer->stop();
         m_watcher.stop();
@@ -301,6 +382,9 @@
     EngineDirectory m_engines;
     HostMetrics m_metrics;
     PoolBudgets m_budgets;
+    CrashGuard m_crashes;
+    QuarantineKeeper m_keeper;
+    Quarantine m_quarantine;
     HostContext m_context;
     CallerFrontend m_callers;
     OperatorFrontend m_operators;
@@ -308,6 +392,7 @@
     RulesDuty m_rulesDuty;
     EngineWatcher m_watcher;
     HostListDuty m_hostList;
+    PeriodicDuty m_quarantineDuty;
     PeriodicDuty m_bookingsDuty;
     std::unique_ptr<HttpServer> m_operatorServer;
     std::unique_ptr<HttpServer> m_callerServer;
--- a/Programs/almondscaled/HostContext.h
+++ b/Programs/almondscaled/HostContext.h
@@ -2,15 +2,14 @@
 
 #include "AttemptIds.h"
 #include "Core/MonotonicTime.h"
+#include "CrashGuard.h"
 #include "EngineDirectory.h"
 #include "HostMetrics.h"
 #include "PoolBudgets.h"
+#include "Quarantine.h"
 #include "RulesHolder.h"
 #include "Settings/HostSettings.h"
 
-#include <atomic>
-#include <mutex>
-
 namespace almondscale {
 
 // What the threads that serve requests share.
@@ -21,6 +20,8 @@
     HostMetrics& metrics;
     PoolBudgets& budgets;
     AttemptIds& ids;
+    CrashGuard& crashes;
+    Quarantine& quarantine;
     Clock clock;
 };
 
--- a/Programs/almondscaled/OperatorFrontend.cpp
+++ b/Programs/almondscaled/OperatorFrontend.cpp
@@ -15,6 +15,7 @@
 namespace {
 
     constexpr std::size_t historyLimit = 20;
+    const std::string peerPrefix = "/peer/";
 
     // Compares in a time that does not tell how much of the key was right.
     bool isAnyOf(const std::string& given, const std::vector<std::string>& keys)
@@ -116,12 +117,8 @@
         response.contentType = "text/plain; version=0.0.4";
         return response;
     }
-    if (request.path == "/peer/rules") {
-        if (!isAnyOf(request.header("x-peer-key"), m_peerKeys()))
-            return errorResponse(ErrorKind::Unauthorised);
-        const auto change = m_hooks.rulesInForce();
-        return change ? json(rulesChangeJson(*change)) : errorResponse(ErrorKind::NoRules);
-    }
+    if (request.path.compare(0, peerPrefix.size(), peerPrefix) == 0)
+        return answerPeer(request);
     if (!isAnyOf(request.header("x-operator-key"), m_operatorKeys())) {
         LogEvent("operator_refused", LogLevel::Warning).with("peer", request.peer).with("path", request.path);
         return errorResponse(ErrorKind::Unauthorised);
@@ -144,6 +141,17 @@
     return view->second(request);
 }
 
+HttpResponse OperatorFrontend::answerPeer(const HttpRequest& request) const
+{
+    if (!isAnyOf(request.header("x-peer-key"), m_peerKeys()))
+        return errorResponse(ErrorKind::Unauthorised);
+    const auto call = m_hooks.peerCalls.find(request.path);
+    if (call == m_hooks.peerCalls.end())
+        return errorResponse(ErrorKind::NotFound);
+    auto answer = call->second(request.body);
+    return answer ? json(std::move(*answer)) : errorResponse(ErrorKind::BadRequest);
+}
+
 HttpResponse OperatorFrontend::checkRules(const HttpRequest& request) const
 {
     const auto body = parseJson(request.body);
--- a/Programs/almondscaled/OperatorFrontend.h
+++ b/Programs/almondscaled/OperatorFrontend.h
@@ -16,6 +16,8 @@
     std::function<Result<std::vector<RulesChange>>(std::size_t limit)> rulesHistory;
     std::function<std::string()> metrics;
     std::function<void()> shutDown;
+    // Calls of peers by path, such as "/peer/rules"; nothing stands for a malformed call.
+    std::map<std::string, std::function<std::optional<std::string>(const std::string& body)>> peerCalls;
     // Read-only views by path, such as "/status".
     std::map<std::string, std::function<HttpResponse(const HttpRequest&)>> views;
 };
@@ -32,6 +34,7 @@
 
 private:
     HttpResponse answer(const HttpRequest&);
+    HttpResponse answerPeer(const HttpRequest&) const;
     HttpResponse checkRules(const HttpRequest&) const;
     HttpResponse applyRules(const HttpRequest&);
     HttpResponse showRules() const;
