Keep memory of mixed engines free for answers that prefill engines began

Mixed engines filled up with whole requests, so that prefill engines beside them stood still for want of a place to decode. Whole requests now leave 0.15 of a mixed engine's memory free when a prefill engine is there, and only such an engine gives the prefill part then.

--- a/Source/Routing/Router.cpp
+++ b/Source/Routing/Router.cpp
@@ -120,14 +120,15 @@
         return engine.view.state == EngineState::Open && engine.view.reachable;
     }
 
-    static bool fits(const Engine& engine, Part part)
+    bool fits(const Engine& engine, Part part) const
     {
         if (part == Part::Whole)
             return engine.view.role == EngineRole::Mixed;
         // A mixed engine takes either part beside engines that do only the other.
-        if (part == Part::Prefill)
-            return engine.view.role != EngineRole::Decode;
-        return engine.view.role != EngineRole::Prefill;
+        if (part == Part::Decode)
+            return engine.view.role != EngineRole::Prefill;
+        return engine.view.role == EngineRole::Prefill
+            || (engine.view.role == EngineRole::Mixed && !hasPrefillEngine(engine.view.model));
     }
 
     RouteCandidate candidate(Engine& engine, Part part, const RouteRequest& request, MonotonicTime start,
@@ -214,14 +215,26 @@
         return *best;
     }
 
-    static bool hasRoom(
-        const Engine& engine, Part part, const RouteRequest& request, const EngineEstimate& load)
+    bool hasPrefillEngine(const ModelName& model) const
+    {
+        for (const auto& [id, engine] : m_engines) {
+            if (engine.view.model == model && usable(engine) && engine.view.role == EngineRole::Prefill)
+                return true;
+        }
+        return false;
+    }
+
+    bool hasRoom(
+        const Engine& engine, Part part, const RouteRequest& request, const EngineEstimate& load) const
     {
         if (!load.blocksKnown)
             return true;
+        // Beside prefill engines a mixed one is needed most for the answers that these have begun.
+        const bool keepsReserve = part == Part::Whole && hasPrefillEngine(request.model);
+        const double reserve = keepsReserve ? m_options.mixedReserveShare * load.totalBlocks : 0;
         const auto tokens
             = part == Part::Prefill ? request.promptTokens : request.promptTokens + request.outputTokens;
-        return load.freeBlocks >= engine.load.blocksFor(tokens);
+        return load.freeBlocks - reserve >= engine.load.blocksFor(tokens);
     }
 
     Result<RouteChoice> chooseWhole(const RouteRequest& request, MonotonicTime now)
--- a/Source/Routing/RouterOptions.h
+++ b/Source/Routing/RouterOptions.h
@@ -15,6 +15,8 @@
     Nanoseconds longestEngineWait = std::chrono::milliseconds(400);
     // What another data centre must be better by, to be worth the way.
     Nanoseconds otherDataCentreCost = std::chrono::milliseconds(20);
+    // The share of a mixed engine's memory that whole requests leave free beside prefill engines.
+    double mixedReserveShare = 0.15;
     // A prefix is believed to be cached for this long after its last use.
     Nanoseconds prefixLifetime = std::chrono::seconds(60);
     // After a gap in the cache events, what was believed lasts this much longer.
