Add the load bench and give the stand-ins a namespace of their own

almondscale-bench load sends a seeded open-loop plan of calls, checks every streamed answer token by token and every booking against the service's own count, and prints what a host adds. The stand-ins' CacheEvent, HostList, LoadReport and PrefixCache clashed by name with types of the system once both are linked into one program, so they moved to almondscale::standin.

--- a/Programs/StandIns/AnswerToken.cpp
+++ b/Programs/StandIns/AnswerToken.cpp
@@ -2,7 +2,7 @@
 
 #include <xxhash.h>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 namespace {
 
@@ -23,4 +23,4 @@
     return text;
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/AttemptPhase.h
+++ b/Programs/StandIns/AttemptPhase.h
@@ -1,6 +1,6 @@
 #pragma once
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // What part of an attempt an engine is asked to carry out.
 enum class AttemptPhase {
@@ -9,4 +9,4 @@
     Decode,
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/AttemptProgress.h
+++ b/Programs/StandIns/AttemptProgress.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // What an attempt has made, from one token on.
 struct AttemptProgress {
@@ -24,4 +24,4 @@
     std::int64_t kvBytes = 0;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/AttemptRequest.h
+++ b/Programs/StandIns/AttemptRequest.h
@@ -8,7 +8,7 @@
 
 #include <string>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // The order to run one attempt.
 struct AttemptRequest {
@@ -24,4 +24,4 @@
     std::string kv;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/AttemptState.cpp
+++ b/Programs/StandIns/AttemptState.cpp
@@ -1,6 +1,6 @@
 #include "StandIns/AttemptState.h"
 
-namespace almondscale {
+namespace almondscale::standin {
 
 const char* attemptStateWord(AttemptState state)
 {
@@ -17,4 +17,4 @@
     return "unknown";
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/AttemptState.h
+++ b/Programs/StandIns/AttemptState.h
@@ -1,6 +1,6 @@
 #pragma once
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // How far an attempt has come.
 enum class AttemptState {
@@ -12,4 +12,4 @@
 
 const char* attemptStateWord(AttemptState);
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/AttemptStats.h
+++ b/Programs/StandIns/AttemptStats.h
@@ -2,7 +2,7 @@
 
 #include <cstdint>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // How often an attempt ran and what it made, kept over crashes for tests.
 struct AttemptStats {
@@ -10,4 +10,4 @@
     std::int64_t tokens = 0;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/CacheEvent.h
+++ b/Programs/StandIns/CacheEvent.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // Tells that a prompt prefix entered or left an engine's cache.
 struct CacheEvent {
@@ -17,4 +17,4 @@
     MonotonicTime visibleAt {};
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/ConnectionBook.cpp
+++ b/Programs/StandIns/ConnectionBook.cpp
@@ -4,7 +4,7 @@
 
 #include <sys/socket.h>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 namespace {
 
@@ -73,4 +73,4 @@
     return m_closed;
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/ConnectionBook.h
+++ b/Programs/StandIns/ConnectionBook.h
@@ -5,7 +5,7 @@
 #include <set>
 #include <string>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // The open connections of a stand-in, some of which have gone silent for good.
 class ConnectionBook {
@@ -32,4 +32,4 @@
     bool m_closed = false;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/EngineAttempt.h
+++ b/Programs/StandIns/EngineAttempt.h
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <string>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // An attempt inside a stand-in engine.
 struct EngineAttempt {
@@ -35,4 +35,4 @@
     }
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/EngineCore.cpp
+++ b/Programs/StandIns/EngineCore.cpp
@@ -9,7 +9,7 @@
 #include <map>
 #include <utility>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 namespace {
 
@@ -543,4 +543,4 @@
 
 bool EngineCore::down() const { return m_impl->down(); }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/EngineCore.h
+++ b/Programs/StandIns/EngineCore.h
@@ -20,7 +20,7 @@
 #include <string>
 #include <vector>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // A stand-in for a model engine: batches attempts in steps of its clock, with a
 // prefix cache in limited memory. It has no threads; advance() carries out what
@@ -65,4 +65,4 @@
     std::unique_ptr<Impl> m_impl;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/EngineFace.cpp
+++ b/Programs/StandIns/EngineFace.cpp
@@ -16,7 +16,7 @@
 #include <optional>
 #include <thread>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 namespace {
 
@@ -423,4 +423,4 @@
 
 void EngineFace::handle(HttpExchange& exchange) { m_impl->handle(exchange); }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/EngineFace.h
+++ b/Programs/StandIns/EngineFace.h
@@ -7,7 +7,7 @@
 #include <functional>
 #include <memory>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // The HTTP face of a stand-in engine, with a thread that runs its steps.
 class EngineFace {
@@ -25,4 +25,4 @@
     std::unique_ptr<Impl> m_impl;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/EngineFaults.h
+++ b/Programs/StandIns/EngineFaults.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // The faults that a stand-in engine can be told to have.
 struct EngineFaults {
@@ -19,4 +19,4 @@
     std::int64_t cutAfterTokens = 0;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/EngineJson.cpp
+++ b/Programs/StandIns/EngineJson.cpp
@@ -3,7 +3,7 @@
 #include "Http/Json.h"
 #include "Http/JsonBuilder.h"
 
-namespace almondscale {
+namespace almondscale::standin {
 
 namespace {
 
@@ -162,4 +162,4 @@
     return cache;
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/EngineJson.h
+++ b/Programs/StandIns/EngineJson.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // Nothing if a member is missing or not allowed.
 std::optional<AttemptRequest> attemptFromJson(const std::string&);
@@ -27,4 +27,4 @@
 std::string kvBytes(const KvCache&);
 std::optional<KvCache> kvFromBytes(const std::string&);
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/EngineMemory.cpp
+++ b/Programs/StandIns/EngineMemory.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 namespace {
 
@@ -90,4 +90,4 @@
         m_events.pop_front();
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/EngineMemory.h
+++ b/Programs/StandIns/EngineMemory.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // The KV memory of a stand-in engine: blocks of running attempts and of cached
 // prefixes, and the late events that tell about the latter.
@@ -53,4 +53,4 @@
     std::uint64_t m_eventSequence = 0;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/EngineOptions.cpp
+++ b/Programs/StandIns/EngineOptions.cpp
@@ -2,7 +2,7 @@
 
 #include "StandIns/OptionValues.h"
 
-namespace almondscale {
+namespace almondscale::standin {
 
 namespace {
 
@@ -80,4 +80,4 @@
         setMilliseconds(settings.downAfterCrash));
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/EngineOrder.h
+++ b/Programs/StandIns/EngineOrder.h
@@ -5,7 +5,7 @@
 
 #include <string>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // An order to change what an engine does.
 struct EngineOrder {
@@ -16,4 +16,4 @@
     std::string value;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/EngineSettings.h
+++ b/Programs/StandIns/EngineSettings.h
@@ -9,7 +9,7 @@
 
 #include <cstddef>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // What a stand-in engine can do and how fast.
 struct EngineSettings {
@@ -33,4 +33,4 @@
     Nanoseconds downAfterCrash = std::chrono::seconds(1);
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/EngineState.h
+++ b/Programs/StandIns/EngineState.h
@@ -8,7 +8,7 @@
 #include <cstdint>
 #include <string>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // What an engine is and does right now.
 struct EngineState {
@@ -26,4 +26,4 @@
     bool closing = false;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/EngineStats.h
+++ b/Programs/StandIns/EngineStats.h
@@ -8,7 +8,7 @@
 #include <map>
 #include <vector>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // What an engine has done over all its starts, for tests.
 struct EngineStats {
@@ -17,4 +17,4 @@
     std::int64_t crashes = 0;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/HostList.cpp
+++ b/Programs/StandIns/HostList.cpp
@@ -1,6 +1,6 @@
 #include "StandIns/HostList.h"
 
-namespace almondscale {
+namespace almondscale::standin {
 
 HostList::HostList(Nanoseconds lag)
     : m_lag(lag)
@@ -30,4 +30,4 @@
     return m_visible;
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/HostList.h
+++ b/Programs/StandIns/HostList.h
@@ -6,7 +6,7 @@
 #include <map>
 #include <string>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // A list by id whose readers see each change only after a lag.
 class HostList {
@@ -31,4 +31,4 @@
     std::map<std::string, std::string> m_visible;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/HttpExchange.cpp
+++ b/Programs/StandIns/HttpExchange.cpp
@@ -12,7 +12,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 namespace {
 
@@ -112,6 +112,9 @@
 
 bool HttpExchange::write(const std::string& bytes)
 {
+    // A chunk without bytes would mark the end.
+    if (bytes.empty())
+        return true;
     char size[24];
     std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
     return sendUnlessSilent(size + bytes + "\r\n");
@@ -137,4 +140,4 @@
 
 bool HttpExchange::callerGone() const { return peerGone(m_socket, 0); }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/HttpExchange.h
+++ b/Programs/StandIns/HttpExchange.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 class ConnectionBook;
 
@@ -65,4 +65,4 @@
     std::string m_replyType = "application/json";
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/JsonError.cpp
+++ b/Programs/StandIns/JsonError.cpp
@@ -2,7 +2,7 @@
 
 #include "Http/JsonBuilder.h"
 
-namespace almondscale {
+namespace almondscale::standin {
 
 std::string jsonError(const std::string& word)
 {
@@ -11,4 +11,4 @@
     return json.finish();
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/JsonError.h
+++ b/Programs/StandIns/JsonError.h
@@ -2,9 +2,9 @@
 
 #include <string>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // {"error": word}
 std::string jsonError(const std::string& word);
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/KvCache.cpp
+++ b/Programs/StandIns/KvCache.cpp
@@ -2,8 +2,8 @@
 
 #include <xxhash.h>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 std::uint64_t hashForKv(const std::string& prompt) { return XXH64(prompt.data(), prompt.size(), 0); }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/KvCache.h
+++ b/Programs/StandIns/KvCache.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // The KV cache of a prompt, as it moves between engines.
 struct KvCache {
@@ -18,4 +18,4 @@
 
 std::uint64_t hashForKv(const std::string& prompt);
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/LoadReport.h
+++ b/Programs/StandIns/LoadReport.h
@@ -8,7 +8,7 @@
 
 #include <cstdint>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // An engine's load at one instant.
 struct LoadReport {
@@ -26,4 +26,4 @@
     std::uint64_t sequence = 0;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/OptionTable.cpp
+++ b/Programs/StandIns/OptionTable.cpp
@@ -5,7 +5,7 @@
 #include <iostream>
 #include <utility>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 namespace {
 
@@ -70,4 +70,4 @@
     std::cout << "  --help\n        print this and end\n";
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/OptionTable.h
+++ b/Programs/StandIns/OptionTable.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // The long options of a stand-in program, read by getopt_long.
 class OptionTable {
@@ -36,4 +36,4 @@
     int m_exitCode = 0;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/OptionValues.cpp
+++ b/Programs/StandIns/OptionValues.cpp
@@ -4,7 +4,7 @@
 
 #include <exception>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 std::optional<std::int64_t> parseCount(const std::string& text)
 {
@@ -54,4 +54,4 @@
     };
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/OptionValues.h
+++ b/Programs/StandIns/OptionValues.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 std::optional<std::int64_t> parseCount(const std::string&);
 
@@ -17,4 +17,4 @@
 OptionTable::Setter setMilliseconds(Nanoseconds&);
 OptionTable::Setter setRate(double&);
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/OrderOutcome.cpp
+++ b/Programs/StandIns/OrderOutcome.cpp
@@ -1,6 +1,6 @@
 #include "StandIns/OrderOutcome.h"
 
-namespace almondscale {
+namespace almondscale::standin {
 
 const char* orderOutcomeWord(OrderOutcome outcome)
 {
@@ -19,4 +19,4 @@
     return "unknown";
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/OrderOutcome.h
+++ b/Programs/StandIns/OrderOutcome.h
@@ -1,6 +1,6 @@
 #pragma once
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // What became of an order.
 enum class OrderOutcome {
@@ -13,4 +13,4 @@
 
 const char* orderOutcomeWord(OrderOutcome);
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/OrderRecord.h
+++ b/Programs/StandIns/OrderRecord.h
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // An order that reached an engine, kept over crashes for tests.
 struct OrderRecord {
@@ -14,4 +14,4 @@
     std::uint64_t boot = 0;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/PeerName.cpp
+++ b/Programs/StandIns/PeerName.cpp
@@ -5,7 +5,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 std::string peerName(int socket)
 {
@@ -26,4 +26,4 @@
     return (state.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/PlatformFace.cpp
+++ b/Programs/StandIns/PlatformFace.cpp
@@ -12,7 +12,7 @@
 #include <mutex>
 #include <thread>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 namespace {
 
@@ -257,4 +257,4 @@
 
 void PlatformFace::handle(HttpExchange& exchange) { m_impl->handle(exchange); }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/PlatformFace.h
+++ b/Programs/StandIns/PlatformFace.h
@@ -5,7 +5,7 @@
 
 #include <memory>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // The HTTP face of the platform's stand-in: table, objects and the list of hosts.
 class PlatformFace {
@@ -20,4 +20,4 @@
     std::unique_ptr<Impl> m_impl;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/PlatformFaults.h
+++ b/Programs/StandIns/PlatformFaults.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // The faults that the stand-in of the platform can be told to have.
 struct PlatformFaults {
@@ -15,4 +15,4 @@
     std::int64_t loseAnswers = 0;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/PlatformSettings.h
+++ b/Programs/StandIns/PlatformSettings.h
@@ -2,7 +2,7 @@
 
 #include "Core/MonotonicTime.h"
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // What the stand-in of the platform allows.
 struct PlatformSettings {
@@ -12,4 +12,4 @@
     Nanoseconds hostLag = std::chrono::seconds(2);
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/PrefixCache.cpp
+++ b/Programs/StandIns/PrefixCache.cpp
@@ -1,6 +1,6 @@
 #include "StandIns/PrefixCache.h"
 
-namespace almondscale {
+namespace almondscale::standin {
 
 std::int64_t PrefixCache::match(const std::vector<std::uint64_t>& blocks) const
 {
@@ -83,4 +83,4 @@
     m_pinned = 0;
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/PrefixCache.h
+++ b/Programs/StandIns/PrefixCache.h
@@ -6,7 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // Blocks of KV cache that hold prompt prefixes, evicted in the order of last use.
 // A pinned block belongs to a running attempt and stays.
@@ -49,4 +49,4 @@
     std::int64_t m_pinned = 0;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/PrefixHash.cpp
+++ b/Programs/StandIns/PrefixHash.cpp
@@ -4,7 +4,7 @@
 
 #include <cstdio>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 namespace {
 
@@ -44,4 +44,4 @@
     return hash;
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/PrefixHash.h
+++ b/Programs/StandIns/PrefixHash.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // The number of words that identify a prompt's prefix in cache events.
 constexpr std::size_t prefixWords = 64;
@@ -21,4 +21,4 @@
 
 PrefixHash hashPrompt(const std::string& prompt, std::int64_t blockTokens);
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/RateLimit.cpp
+++ b/Programs/StandIns/RateLimit.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 RateLimit::RateLimit(double perSecond)
     : m_perSecond(perSecond)
@@ -21,4 +21,4 @@
     return true;
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/RateLimit.h
+++ b/Programs/StandIns/RateLimit.h
@@ -2,7 +2,7 @@
 
 #include "Core/MonotonicTime.h"
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // Lets through a number of calls a second, with bursts of up to a second's worth.
 class RateLimit {
@@ -17,4 +17,4 @@
     MonotonicTime m_last {};
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/ServiceFace.cpp
+++ b/Programs/StandIns/ServiceFace.cpp
@@ -9,7 +9,7 @@
 #include <mutex>
 #include <thread>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 namespace {
 
@@ -134,4 +134,4 @@
 
 void ServiceFace::handle(HttpExchange& exchange) { m_impl->handle(exchange); }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/ServiceFace.h
+++ b/Programs/StandIns/ServiceFace.h
@@ -4,7 +4,7 @@
 
 #include <memory>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // A stand-in for a plain service, which counts the runs of each idempotency key.
 // It does not recognise a repeated key, as an application that trusts its callers.
@@ -20,4 +20,4 @@
     std::unique_ptr<Impl> m_impl;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/ServiceFaults.h
+++ b/Programs/StandIns/ServiceFaults.h
@@ -5,7 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // The faults that a stand-in service can be told to have.
 struct ServiceFaults {
@@ -19,4 +19,4 @@
     std::int64_t cutAfterBytes = 0;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/ServiceMain.cpp
+++ b/Programs/StandIns/ServiceMain.cpp
@@ -7,6 +7,7 @@
 int main(int argc, char** argv)
 {
     using namespace almondscale;
+    using namespace almondscale::standin;
 
     Address listen { "127.0.0.1", 0 };
     OptionTable options("almondscale-service", "stands in for a plain service that counts its runs");
--- a/Programs/StandIns/StandInProgram.cpp
+++ b/Programs/StandIns/StandInProgram.cpp
@@ -8,7 +8,7 @@
 #include <iostream>
 #include <thread>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 StandInProgram::StandInProgram()
 {
@@ -39,4 +39,4 @@
     return result;
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/StandInProgram.h
+++ b/Programs/StandIns/StandInProgram.h
@@ -5,7 +5,7 @@
 #include <csignal>
 #include <functional>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 class StandInServer;
 
@@ -22,4 +22,4 @@
     sigset_t m_signals {};
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/StandInServer.cpp
+++ b/Programs/StandIns/StandInServer.cpp
@@ -17,7 +17,7 @@
 #include <mutex>
 #include <utility>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 namespace {
 
@@ -216,4 +216,4 @@
 
 void StandInServer::stop() { m_impl->stop(); }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/StandInServer.h
+++ b/Programs/StandIns/StandInServer.h
@@ -7,7 +7,7 @@
 #include <functional>
 #include <memory>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // The HTTP server of a stand-in. Every request is handled in a thread of its own.
 class StandInServer {
@@ -31,4 +31,4 @@
     std::unique_ptr<Impl> m_impl;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/SubmitOutcome.cpp
+++ b/Programs/StandIns/SubmitOutcome.cpp
@@ -1,6 +1,6 @@
 #include "StandIns/SubmitOutcome.h"
 
-namespace almondscale {
+namespace almondscale::standin {
 
 const char* submitOutcomeWord(SubmitOutcome outcome)
 {
@@ -23,4 +23,4 @@
     return "unknown";
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/SubmitOutcome.h
+++ b/Programs/StandIns/SubmitOutcome.h
@@ -1,6 +1,6 @@
 #pragma once
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // Whether an attempt was taken, or why it did not run.
 enum class SubmitOutcome {
@@ -15,4 +15,4 @@
 
 const char* submitOutcomeWord(SubmitOutcome);
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/TableStore.cpp
+++ b/Programs/StandIns/TableStore.cpp
@@ -1,6 +1,6 @@
 #include "StandIns/TableStore.h"
 
-namespace almondscale {
+namespace almondscale::standin {
 
 std::optional<TableRow> TableStore::read(const std::string& key) const
 {
@@ -31,4 +31,4 @@
     return { WriteOutcome::Applied, next, std::nullopt };
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/TableStore.h
+++ b/Programs/StandIns/TableStore.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // The rows of the stand-in's table service, in memory.
 class TableStore {
@@ -25,4 +25,4 @@
     std::map<std::string, TableRow> m_rows;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/TokenLines.cpp
+++ b/Programs/StandIns/TokenLines.cpp
@@ -2,7 +2,7 @@
 
 #include "Http/JsonBuilder.h"
 
-namespace almondscale {
+namespace almondscale::standin {
 
 TokenLines::TokenLines(const AttemptId& attempt)
 {
@@ -30,4 +30,4 @@
     return line.append(",\"done\":true}\n");
 }
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/StandIns/TokenLines.h
+++ b/Programs/StandIns/TokenLines.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <string>
 
-namespace almondscale {
+namespace almondscale::standin {
 
 // Writes the lines of an attempt's stream.
 class TokenLines {
@@ -22,4 +22,4 @@
     std::string m_begin;
 };
 
-} // namespace almondscale
+} // namespace almondscale::standin
--- a/Programs/almondscale-bench/main.cpp
+++ b/Programs/almondscale-bench/main.cpp
@@ -2,6 +2,8 @@
 #include "ControlCommand.h"
 #include "ShiftCommand.h"
 
+#include "Load/LoadCommand.h"
+
 #include <cstring>
 #include <iostream>
 
@@ -19,6 +21,7 @@
     { "compare", "all role policies on the same arrivals, against the clairvoyant bound",
         almondscale::runCompareCommand },
     { "control", "cost and delays of the control traffic between hosts", almondscale::runControlCommand },
+    { "load", "HTTP load on running hosts, with every answer checked in full", almondscale::runLoadCommand },
     { "shift", "goodput and role changes of one policy under a moving mix", almondscale::runShiftCommand },
 };
 
--- a/Tests/StandIns/EngineCoreTest.cpp
+++ b/Tests/StandIns/EngineCoreTest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 using namespace almondscale;
+using namespace almondscale::standin;
 using namespace std::chrono_literals;
 
 namespace {
--- a/Tests/StandIns/EngineMemoryTest.cpp
+++ b/Tests/StandIns/EngineMemoryTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 using namespace almondscale;
+using namespace almondscale::standin;
 
 namespace {
 
--- a/Tests/StandIns/HostListTest.cpp
+++ b/Tests/StandIns/HostListTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 using namespace almondscale;
+using namespace almondscale::standin;
 using namespace std::chrono_literals;
 
 TEST_CASE("Host list, read within its lag, shows what was before", "[platform]")
--- a/Tests/StandIns/StandInServerTest.cpp
+++ b/Tests/StandIns/StandInServerTest.cpp
@@ -13,6 +13,7 @@
 #include <thread>
 
 using namespace almondscale;
+using namespace almondscale::standin;
 using namespace std::chrono_literals;
 
 namespace {
--- a/Tests/StandIns/TableStoreTest.cpp
+++ b/Tests/StandIns/TableStoreTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 using namespace almondscale;
+using namespace almondscale::standin;
 
 TEST_CASE("Insert, of a row that is there, conflicts and returns the row", "[platform]")
 {
