--- a/Programs/almondscale-bench/ControlExperiment.cpp
+++ b/Programs/almondscale-bench/ControlExperiment.cpp
@@ -45,7 +45,6 @@
     {
         LinkBehaviour link;
         link.loss = options.loss;
-        link.rulesBytes = static_cast<std::size_t>(options.rulesBytes);
         link.sign = true;
         return link;
     }
@@ -88,6 +87,7 @@
 ControlFigures ControlExperiment::run()
 {
     const auto heapBefore = heapBytes();
+    m_fixture.applyRules(rulesOf(RulesVersion(++m_rules)));
     startAll();
     m_fixture.run(warmUp);
     m_figures.hosts = m_options.hosts;
@@ -117,6 +117,7 @@
         host->rulesBytes = 0;
     }
     m_measuring = true;
+    m_readsBefore = m_fixture.platformReads();
     m_measuredFrom = m_fixture.now();
     const auto cpuBefore = threadCpuSeconds();
     const auto end = m_measuredFrom + std::chrono::seconds(m_options.seconds);
@@ -152,17 +153,26 @@
     return *hosts[uniformBelow(m_random, hosts.size())];
 }
 
+// Limits of organisations, as many as fill the text.
+RulesChange ControlExperiment::rulesOf(RulesVersion version) const
+{
+    RulesChange change;
+    change.version = version;
+    change.change = WriterId("change-" + std::to_string(version.count()));
+    change.text = "limit * requests-per-second=" + std::to_string(version.count()) + " # dispatch\n";
+    for (int i = 0; change.text.size() < static_cast<std::size_t>(m_options.rulesBytes); ++i)
+        change.text += "limit organisation-" + std::to_string(i) + " requests-per-second=5 # dispatch\n";
+    return change;
+}
+
 void ControlExperiment::applyChange()
 {
-    auto& host = anyHost();
     Change change;
     change.version = RulesVersion(++m_rules);
     change.appliedAt = m_fixture.now();
     for (const auto* running : m_fixture.hosts())
         change.waiting.insert(running->incarnation);
-    // The host that takes the change from an operator reads it back from the platform.
-    ++m_platformReads;
-    m_fixture.applyRules(host.host, change.version);
+    m_fixture.applyRules(rulesOf(change.version));
     m_changes.push_back(change);
     ++m_figures.changes;
 }
@@ -288,7 +298,8 @@
     m_figures.bytesPerSecondPerHost = bytes / length / m_options.hosts;
     m_figures.rulesBytesPerSecondPerHost = rulesBytes / length / m_options.hosts;
     m_figures.bytesPerSecondWorstHost = worst;
-    m_figures.platformReadsPerSecond = static_cast<double>(m_platformReads) / length;
+    m_figures.platformReadsPerSecond
+        = static_cast<double>(m_fixture.platformReads() - m_readsBefore) / length;
     m_figures.changesUnfinished = m_changes.size();
     std::sort(m_detections.begin(), m_detections.end());
     constexpr double share = 0.99;
--- a/Programs/almondscale-bench/ControlExperiment.h
+++ b/Programs/almondscale-bench/ControlExperiment.h
@@ -36,6 +36,7 @@
     void measure();
     void step(double seconds);
     bool due(double perDay, double seconds);
+    RulesChange rulesOf(RulesVersion) const;
     void applyChange();
     void finishChanges();
     void fail();
@@ -55,7 +56,7 @@
     bool m_measuring = false;
     std::uint64_t m_names = 0;
     std::uint64_t m_rules = 0;
-    std::uint64_t m_platformReads = 0;
+    std::uint64_t m_readsBefore = 0;
     std::vector<SeedHost> m_listed;
     std::vector<Change> m_changes;
     std::map<Incarnation, Ended> m_ended;
--- a/Programs/almondscale-bench/ControlFigures.h
+++ b/Programs/almondscale-bench/ControlFigures.h
@@ -8,7 +8,7 @@
 struct ControlFigures {
     int hosts = 0;
     double bytesPerSecondPerHost = 0;
-    // The part that carries the text of the rules.
+    // The part of what comes in that is the text of the rules.
     double rulesBytesPerSecondPerHost = 0;
     // The host with the most traffic.
     double bytesPerSecondWorstHost = 0;
--- a/Programs/almondscale-bench/ControlFixture.cpp
+++ b/Programs/almondscale-bench/ControlFixture.cpp
@@ -1,5 +1,7 @@
 #include "ControlFixture.h"
 
+#include "Rules/RulesRows.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -9,10 +11,11 @@
 
     constexpr auto tickInterval = std::chrono::milliseconds(50);
     constexpr auto stepLength = std::chrono::milliseconds(1);
-    constexpr auto pullRetry = std::chrono::milliseconds(400);
     // Length, authentication code, and the headers of a segment and of its acknowledgement.
     constexpr std::size_t frameOverheadBytes = 4 + 32 + 52 + 52;
-    constexpr std::size_t pullRequestBytes = 100;
+    // A read of the head of the rules over HTTP, with headers of segments.
+    constexpr std::size_t readRequestBytes = 300;
+    constexpr std::size_t readAnswerBytes = 400;
     constexpr MonotonicTime startOfTime { std::chrono::hours(1) };
 
 } // namespace
@@ -54,6 +57,7 @@
         m_tune(settings);
     slot->membership = std::make_unique<Membership>(settings, hooksFor(*slot));
     slot->membership->setSeeds(m_seeds);
+    slot->keeper = std::make_unique<RulesKeeper>(keeperHooksFor(*slot));
     return *slot;
 }
 
@@ -66,27 +70,88 @@
         = [this, &host](const Address& to, const std::string& bytes) { sendFrame(host.address, to, bytes); };
     hooks.memberChanged = [this, &host](const Member& member) {
         host.reported[member.host] = member;
+        if (!member.live())
+            host.keeper->onPeerGone(member.host);
         if (m_reported)
             m_reported(host, member);
     };
     hooks.itemChanged
         = [&host](const SharedItem& item) { host.items[item.host.text() + "/" + item.key] = item.value; };
     hooks.rulesChanged = [this, &host](const Member& member) {
-        if (member.rules <= host.rules || member.rules <= host.wantedRules)
-            return;
-        host.wantedRules = member.rules;
-        pullRules(host, member.address);
+        host.keeper->onPeerVersion(m_now, member.host, member.rules);
+    };
+    hooks.requested = [&host](const PeerRequest& request) {
+        const auto change = host.keeper->change();
+        host.membership->answer(request, change ? encodeRulesChange(*change) : std::string());
     };
     return hooks;
 }
 
-void ControlFixture::pullRules(ControlHost& host, const Address& from)
+RulesKeeperHooks ControlFixture::keeperHooksFor(ControlHost& host)
 {
-    host.pullFrom = from;
-    host.pullAgainAt = m_now + pullRetry;
-    Delivery delivery;
-    delivery.askedRules = host.wantedRules;
-    send(host.address, from, std::move(delivery), pullRequestBytes);
+    RulesKeeperHooks hooks;
+    hooks.random = [this] { return m_random(); };
+    hooks.pullFromPeer = [this, &host](const HostId& peer) { pullRules(host, peer); };
+    hooks.readPlatform = [this, &host](RulesVersion known) { readPlatform(host, known); };
+    hooks.adopted = [&host](const std::shared_ptr<const RuleSet>& rules) {
+        host.rulesReverted = host.rulesReverted || rules->version < host.rules;
+        host.rules = rules->version;
+        host.membership->setRules(rules->version);
+    };
+    hooks.peers = [&host] {
+        RulesPeers peers;
+        for (const auto& member : host.membership->members()) {
+            if (member.host == host.host || member.dataCentre != host.dataCentre || !member.live())
+                continue;
+            ++peers.hosts;
+            if (member.host < host.host)
+                ++peers.rank;
+        }
+        return peers;
+    };
+    return hooks;
+}
+
+void ControlFixture::pullRules(ControlHost& host, const HostId& peer) const
+{
+    host.membership->ask(peer, "rules", [this, &host, peer](const Result<std::string>& answer) {
+        if (answer)
+            host.rulesBytes += answer.value().size();
+        const auto change = answer ? decodeRulesChange(answer.value()) : std::nullopt;
+        if (change)
+            host.keeper->onPulled(m_now, peer, *change);
+        else
+            host.keeper->onPullFailed(m_now, peer);
+    });
+}
+
+void ControlFixture::readPlatform(const ControlHost& host, RulesVersion known)
+{
+    const auto address = host.address;
+    const auto incarnation = host.incarnation;
+    m_events.emplace(m_now + m_link.toPlatform,
+        [this, address, incarnation, known] { answerRead(address, incarnation, known); });
+}
+
+void ControlFixture::answerRead(const Address& address, Incarnation incarnation, RulesVersion known)
+{
+    auto* host = at(address);
+    if (!host || host->incarnation != incarnation)
+        return;
+    if (m_platformDown) {
+        host->keeper->onPlatformUnavailable(m_now);
+        return;
+    }
+    ++m_platformReads;
+    host->bytesOut += readRequestBytes;
+    host->bytesIn += readAnswerBytes;
+    if (!m_rules || m_rules->version <= known) {
+        host->keeper->onPlatformRules(m_now, std::nullopt);
+        return;
+    }
+    host->bytesIn += m_rules->text.size();
+    host->rulesBytes += m_rules->text.size();
+    host->keeper->onPlatformRules(m_now, m_rules);
 }
 
 void ControlFixture::kill(const HostId& host)
@@ -100,43 +165,30 @@
 
 void ControlFixture::resume(const HostId& host) { find(host)->paused = false; }
 
-void ControlFixture::applyRules(const HostId& host, RulesVersion version)
-{
-    auto& target = *find(host);
-    target.rules = std::max(target.rules, version);
-    target.membership->setRules(target.rules);
-}
+void ControlFixture::applyRules(const RulesChange& change) { m_rules = change; }
+
+void ControlFixture::platformDown(bool down) { m_platformDown = down; }
 
 void ControlFixture::inject(const HostId& host, const std::string& bytes)
 {
     find(host)->membership->onFrame(bytes);
 }
 
-void ControlFixture::send(const Address& from, const Address& to, Delivery delivery, std::size_t bytes)
+void ControlFixture::sendFrame(const Address& from, const Address& to, const std::string& frame)
 {
     auto* sender = at(from);
     const auto* receiver = at(to);
-    sender->bytesOut += bytes + frameOverheadBytes;
-    if (delivery.frame.empty())
-        sender->rulesBytes += bytes + frameOverheadBytes;
+    Delivery delivery { from, to, frame, {} };
+    if (m_link.sign)
+        delivery.code = m_keys.sign({ {}, 0, to }, frame);
+    sender->bytesOut += frame.size() + frameOverheadBytes;
     if (!receiver || uniform(m_random) < m_link.loss)
         return;
     if (m_cut && m_cut(*sender, *receiver))
         return;
     const auto delay = sender->dataCentre == receiver->dataCentre ? m_link.within : m_link.across;
     const auto jitter = Nanoseconds(uniformBelow(m_random, static_cast<std::uint64_t>(delay.count())));
-    delivery.from = from;
-    delivery.to = to;
-    m_deliveries.emplace(m_now + delay + jitter, std::move(delivery));
-}
-
-void ControlFixture::sendFrame(const Address& from, const Address& to, const std::string& frame)
-{
-    Delivery delivery;
-    delivery.frame = frame;
-    if (m_link.sign)
-        delivery.code = m_keys.sign({ {}, 0, to }, frame);
-    send(from, to, std::move(delivery), frame.size());
+    m_events.emplace(m_now + delay + jitter, [this, delivery = std::move(delivery)] { deliver(delivery); });
 }
 
 bool ControlFixture::accepts(const Delivery& delivery) const
@@ -150,23 +202,7 @@
     if (!host)
         return;
     if (host->paused) {
-        m_deliveries.emplace(m_now + tickInterval, delivery);
-        return;
-    }
-    if (delivery.askedRules != RulesVersion()) {
-        host->bytesIn += pullRequestBytes + frameOverheadBytes;
-        if (host->rules < delivery.askedRules)
-            return;
-        Delivery answer;
-        answer.carriedRules = host->rules;
-        send(host->address, delivery.from, std::move(answer), m_link.rulesBytes);
-        return;
-    }
-    if (delivery.carriedRules != RulesVersion()) {
-        host->bytesIn += m_link.rulesBytes + frameOverheadBytes;
-        host->rulesBytes += m_link.rulesBytes + frameOverheadBytes;
-        host->rules = std::max(host->rules, delivery.carriedRules);
-        host->membership->setRules(host->rules);
+        m_events.emplace(m_now + tickInterval, [this, delivery] { deliver(delivery); });
         return;
     }
     host->bytesIn += delivery.frame.size() + frameOverheadBytes;
@@ -181,8 +217,7 @@
             continue;
         host->nextTick = m_now + tickInterval;
         host->membership->tick();
-        if (host->rules < host->wantedRules && m_now >= host->pullAgainAt)
-            pullRules(*host, host->pullFrom);
+        host->keeper->tick(m_now);
     }
 }
 
@@ -191,10 +226,10 @@
     const auto end = m_now + length;
     while (m_now < end) {
         m_now += stepLength;
-        while (!m_deliveries.empty() && m_deliveries.begin()->first <= m_now) {
-            const auto delivery = std::move(m_deliveries.begin()->second);
-            m_deliveries.erase(m_deliveries.begin());
-            deliver(delivery);
+        while (!m_events.empty() && m_events.begin()->first <= m_now) {
+            const auto event = std::move(m_events.begin()->second);
+            m_events.erase(m_events.begin());
+            event();
         }
         runTicks();
     }
--- a/Programs/almondscale-bench/ControlFixture.h
+++ b/Programs/almondscale-bench/ControlFixture.h
@@ -4,13 +4,14 @@
 
 #include "Core/RandomSource.h"
 #include "Membership/FrameAuthenticator.h"
+#include "Rules/RulesChange.h"
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,8 +22,7 @@
     double loss = 0;
     Nanoseconds within = std::chrono::microseconds(300);
     Nanoseconds across = std::chrono::milliseconds(5);
-    // The bytes of the rules text that a pull carries.
-    std::size_t rulesBytes = 20000;
+    Nanoseconds toPlatform = std::chrono::milliseconds(5);
     // Whether each frame is signed and checked, as on the peers' port.
     bool sign = false;
 };
@@ -53,8 +53,11 @@
     // A paused host does nothing; its frames wait.
     void pause(const HostId&);
     void resume(const HostId&);
-    // Brings a rules version into force at one host, as from the platform.
-    void applyRules(const HostId&, RulesVersion);
+    // Makes a version the newest in the platform's table.
+    void applyRules(const RulesChange&);
+    // While the platform is down no host can read it.
+    void platformDown(bool);
+    std::uint64_t platformReads() const { return m_platformReads; }
     // Gives bytes to a host as if a peer had sent them.
     void inject(const HostId&, const std::string& bytes);
 
@@ -74,17 +77,16 @@
         Address to;
         std::string frame;
         std::string code;
-        // For pulls of the rules: the version that is asked for or carried.
-        RulesVersion askedRules;
-        RulesVersion carriedRules;
     };
 
-    void send(const Address& from, const Address& to, Delivery, std::size_t bytes);
     void sendFrame(const Address& from, const Address& to, const std::string& frame);
     bool accepts(const Delivery&) const;
     void deliver(const Delivery&);
     void runTicks();
-    void pullRules(ControlHost&, const Address& from);
+    void pullRules(ControlHost&, const HostId& peer) const;
+    void readPlatform(const ControlHost&, RulesVersion known);
+    void answerRead(const Address&, Incarnation, RulesVersion known);
+    RulesKeeperHooks keeperHooksFor(ControlHost&);
     ControlHost* at(const Address&);
     MembershipHooks hooksFor(ControlHost&);
 
@@ -98,7 +100,10 @@
     std::vector<SeedHost> m_seeds;
     std::uint64_t m_incarnations = 0;
     std::map<Address, std::unique_ptr<ControlHost>> m_hosts;
-    std::multimap<MonotonicTime, Delivery> m_deliveries;
+    std::multimap<MonotonicTime, std::function<void()>> m_events;
+    std::optional<RulesChange> m_rules;
+    bool m_platformDown = false;
+    std::uint64_t m_platformReads = 0;
 };
 
 } // namespace almondscale
--- a/Programs/almondscale-bench/ControlHost.h
+++ b/Programs/almondscale-bench/ControlHost.h
@@ -2,6 +2,7 @@
 
 #include "Core/MonotonicTime.h"
 #include "Membership/Membership.h"
+#include "Rules/RulesKeeper.h"
 
 #include <cstdint>
 #include <map>
@@ -22,13 +23,12 @@
     MonotonicTime nextTick {};
     std::uint64_t bytesIn = 0;
     std::uint64_t bytesOut = 0;
-    // The part of both that carried rules.
+    // The part of what came in that was the text of the rules.
     std::uint64_t rulesBytes = 0;
+    std::unique_ptr<RulesKeeper> keeper;
     RulesVersion rules;
-    // When to ask again for a newer version of the rules, and whom.
-    RulesVersion wantedRules;
-    MonotonicTime pullAgainAt = MonotonicTime::max();
-    Address pullFrom;
+    // Whether a lower version ever came into force after a higher one.
+    bool rulesReverted = false;
     // The last state of each peer that was reported.
     std::map<HostId, Member> reported;
     // The last value of each peer's items that was reported, by host and key.
--- a/Source/Membership/MembershipFrames.cpp
+++ b/Source/Membership/MembershipFrames.cpp
@@ -111,6 +111,9 @@
     for (const auto& item : frame.items)
         applyItem(item);
     mergeContacts(frame, now);
+    // Each frame tells it anew, so that a pull that failed can be tried again.
+    if (trusted && m_rules < frame.sender.rules && m_hooks.rulesChanged)
+        m_hooks.rulesChanged(memberOf(sender->record));
 }
 
 void Membership::Impl::mergeContacts(const Frame& frame, MonotonicTime now)
--- a/Source/Membership/MembershipHooks.h
+++ b/Source/Membership/MembershipHooks.h
@@ -25,7 +25,7 @@
     std::function<void(const SharedItem&)> itemChanged;
     // A peer asks for something; answered by Membership::answer. May be empty.
     std::function<void(const PeerRequest&)> requested;
-    // A peer has a higher rules version in force than it had; may be empty.
+    // A peer told in a frame that it has a higher rules version in force than this host; may be empty.
     std::function<void(const Member&)> rulesChanged;
 };
 
--- a/Source/Membership/MembershipState.cpp
+++ b/Source/Membership/MembershipState.cpp
@@ -70,7 +70,6 @@
         return;
     }
     const auto* former = m_members.find(record.host);
-    const auto formerRules = former ? former->record.rules : RulesVersion();
     const auto formerFloor = former ? former->record.itemFloor : 0;
     const auto settled = settleAddress(record, now);
     const auto change = m_members.apply(settled, now);
@@ -88,8 +87,6 @@
         m_urgent = true;
         reportMember(entry.record);
     }
-    if (formerRules < entry.record.rules && m_hooks.rulesChanged)
-        m_hooks.rulesChanged(memberOf(entry.record));
 }
 
 // Of two hosts on one address, the one with the lower incarnation is gone.
