--- a/Programs/almondscale-bench/Load/LoadCaller.cpp
+++ b/Programs/almondscale-bench/Load/LoadCaller.cpp
@@ -113,9 +113,7 @@
         HttpCall call = commonCall(line, settings, host, plannedAt);
         call.path = "/v1/completions";
         JsonBuilder body;
-        body.text("model", line.model.empty() ? settings.model : line.model)
-            .text("prompt", prompt)
-            .integer("max_tokens", planned.maxTokens);
+        body.text("model", settings.model).text("prompt", prompt).integer("max_tokens", planned.maxTokens);
         call.body = body.flag("stream", true).finish();
         HttpStream stream;
         const CallResult result = stream.open(call);
--- a/Programs/almondscale-bench/Load/LoadMix.cpp
+++ b/Programs/almondscale-bench/Load/LoadMix.cpp
@@ -14,15 +14,10 @@
     constexpr std::int64_t maxAnswerTokens = 4000;
 
     const std::map<std::string, std::string> knownMixes = {
-        { "demo",
-            "completion until=0.5 weight=9 prompt-words=800..2000 max-tokens=1..4 organisation=nigam "
-            "model=blank-sorter\n"
-            "completion from=0.5 weight=9 prompt-words=40..120 max-tokens=40..120 organisation=portones "
-            "model=blank-sorter\n"
-            "booking weight=2 repeat=0.2 organisation=portones\n" },
         { "shift",
-            "completion until=0.5 prompt-words=800..2000 max-tokens=1..4\n"
-            "completion from=0.5 prompt-words=40..120 max-tokens=40..120\n" },
+            "completion until=0.5 weight=9 prompt-words=800..2000 max-tokens=1..4 organisation=nigam\n"
+            "completion from=0.5 weight=9 prompt-words=40..120 max-tokens=40..120 organisation=portones\n"
+            "booking weight=2 repeat=0.2 organisation=portones\n" },
         { "long-prompts", "completion prompt-words=800..2000 max-tokens=1..4\n" },
         { "long-answers", "completion prompt-words=40..120 max-tokens=100..300\n" },
         { "short", "completion prompt-words=8..16 max-tokens=1..2\n" },
@@ -64,14 +59,6 @@
         };
     }
 
-    ReadValue word(std::string MixLine::*member)
-    {
-        return [=](MixLine& line, const std::string& text) {
-            line.*member = text;
-            return !text.empty();
-        };
-    }
-
     const std::map<std::string, ReadValue>& keys()
     {
         static const std::map<std::string, ReadValue> known = {
@@ -86,8 +73,11 @@
                 } },
             { "prefix-share", number(&MixLine::prefixShare, 0, 1) },
             { "repeat", number(&MixLine::repeat, 0, 1) },
-            { "organisation", word(&MixLine::organisation) },
-            { "model", word(&MixLine::model) },
+            { "organisation",
+                [](MixLine& line, const std::string& text) {
+                    line.organisation = text;
+                    return !text.empty();
+                } },
             { "priority",
                 [](MixLine& line, const std::string& text) {
                     std::int64_t value = 0;
--- a/Programs/almondscale-bench/Load/LoadOptions.cpp
+++ b/Programs/almondscale-bench/Load/LoadOptions.cpp
@@ -21,7 +21,6 @@
 
     constexpr option longOptions[] = {
         { "url", required_argument, nullptr, 'u' },
-        { "metrics", required_argument, nullptr, 'c' },
         { "direct-engine", required_argument, nullptr, 'e' },
         { "service", required_argument, nullptr, 's' },
         { "service-name", required_argument, nullptr, 'b' },
@@ -82,8 +81,8 @@
         while (std::getline(list, entry, ',')) {
             if (entry.compare(0, scheme.size(), scheme) == 0)
                 entry.erase(0, scheme.size());
-            // A path, such as /metrics, is known.
-            entry.erase(std::min(entry.find('/'), entry.size()));
+            if (!entry.empty() && entry.back() == '/')
+                entry.pop_back();
             const std::optional<Address> address = parseAddress(entry);
             if (!address)
                 return complain("'" + entry + "' must be http://IP:PORT");
@@ -116,8 +115,6 @@
         switch (letter) {
         case 'u':
             return readAddresses(text, options.hosts);
-        case 'c':
-            return readAddresses(text, options.metrics);
         case 'e':
             return readAddresses(text, options.directEngines);
         case 's':
@@ -184,8 +181,6 @@
     }
     if (!checkWhole(options))
         return std::nullopt;
-    if (options.metrics.empty())
-        options.metrics = options.hosts;
     return options;
 }
 
@@ -197,7 +192,6 @@
            "  --model NAME             the model to ask for, 'model' by default\n"
            "  --service URL,...        the services that run the bookings, whose /runs is read at the end\n"
            "  --service-name NAME      the name of the service in the rules, 'booking' by default\n"
-           "  --metrics URL,...        where the hosts' processor time is read, the --url by default\n"
            "  --direct-engine URL,...  engines of the model that are called directly for comparison\n"
            "  --probes N               pairs of calls through a host and direct, 300 by default\n"
            "  --rate R                 calls a second over all hosts, 20 by default\n"
--- a/Programs/almondscale-bench/Load/LoadRun.cpp
+++ b/Programs/almondscale-bench/Load/LoadRun.cpp
@@ -120,7 +120,7 @@
     std::string costText(
         const LoadOptions& options, const std::optional<Nanoseconds>& before, std::int64_t sent)
     {
-        const std::optional<Nanoseconds> after = processorTime(options.metrics);
+        const std::optional<Nanoseconds> after = processorTime(options.hosts);
         std::string text = "host_cpu_us_per_request=";
         if (before && after && sent > 0)
             text += std::to_string(microseconds(*after - *before) / sent);
@@ -162,7 +162,7 @@
     size.length = options.length;
     size.hosts = options.hosts.size();
     size.seed = options.seed;
-    const std::optional<Nanoseconds> before = processorTime(options.metrics);
+    const std::optional<Nanoseconds> before = processorTime(options.hosts);
     Callers callers(options, planCalls(options.mix, size));
     callers.run();
     LoadResult result;
--- a/Programs/almondscale-bench/Load/MixLine.h
+++ b/Programs/almondscale-bench/Load/MixLine.h
@@ -21,8 +21,6 @@
     double weight = 1;
     CountRange promptWords { 100, 100 };
     CountRange maxTokens { 4, 4 };
-    // The model to ask for; the one of the run if empty.
-    std::string model;
     // How many prompt beginnings there are, and their share of a prompt.
     std::int64_t prefixes = 8;
     double prefixShare = 0.5;
--- a/Programs/almondscaled/CrashGuard.cpp
+++ b/Programs/almondscaled/CrashGuard.cpp
@@ -98,7 +98,6 @@
         .with("boot", run.boot)
         .with("fingerprint", fingerprint)
         .with("alone", alone);
-    m_hooks.crashKnown();
     shareChanges(std::move(changes), now);
 }
 
@@ -120,12 +119,8 @@
     const auto record = decodeStrike(value, now);
     if (!record)
         return;
-    {
-        const std::lock_guard lock(m_mutex);
-        m_strikes.merge(*record, now);
-    }
-    if (!isCleared(*record))
-        m_hooks.crashKnown();
+    const std::lock_guard lock(m_mutex);
+    m_strikes.merge(*record, now);
 }
 
 void CrashGuard::shareChanges(std::vector<StrikeRecord> changes, MonotonicTime now)
--- a/Programs/almondscaled/CrashGuard.h
+++ b/Programs/almondscaled/CrashGuard.h
@@ -19,8 +19,6 @@
     // Shares a strike record with all hosts, and takes it back.
     std::function<void(const std::string& key, const std::string& value)> publish;
     std::function<void(const std::string& key)> retract;
-    // Called when a crash becomes known, here or at another host.
-    std::function<void()> crashKnown;
 };
 
 // Knows which requests run on which engines and which of them crash engines; safe for use by many threads.
--- a/Programs/almondscaled/Host.cpp
+++ b/Programs/almondscaled/Host.cpp
@@ -228,7 +228,6 @@
         hooks.clock = monotonicClock();
         hooks.publish = [this](const std::string& key, const std::string& value) { share(key, value); };
         hooks.retract = [this](const std::string& key) { m_membership.retract(key); };
-        hooks.crashKnown = [this] { m_keeper.onCrash(); };
         return hooks;
     }
 
--- a/Programs/almondscaled/QuarantineKeeper.cpp
+++ b/Programs/almondscaled/QuarantineKeeper.cpp
@@ -41,13 +41,6 @@
     grantAll(lane);
 }
 
-void QuarantineKeeper::onCrash()
-{
-    const std::lock_guard lock(m_mutex);
-    for (auto& [model, lane] : m_lanes)
-        lane.lane.onCrash(m_clock());
-}
-
 void QuarantineKeeper::tick()
 {
     const bool anySuspect = m_guard.anySuspect();
--- a/Programs/almondscaled/QuarantineKeeper.h
+++ b/Programs/almondscaled/QuarantineKeeper.h
@@ -33,7 +33,6 @@
     // The engine that the request may have to itself now, or nothing while it must wait.
     std::optional<EngineId> ask(const QuarantineTicket&);
     void finish(const QuarantineTicket&);
-    void onCrash();
     // Chooses the engines that are kept free; call it every 100 ms.
     void tick();
 
--- a/Tests/Bench/Load/LoadPlanTest.cpp
+++ b/Tests/Bench/Load/LoadPlanTest.cpp
@@ -21,7 +21,7 @@
 {
     PlanSize size;
     size.hosts = 3;
-    const LoadMix mix = mixOf(*namedMix("demo"));
+    const LoadMix mix = mixOf(*namedMix("shift"));
     const auto first = planCalls(mix, size);
     const auto second = planCalls(mix, size);
     REQUIRE(first.size() == second.size());
