--- a/Source/Membership/MembershipDigests.cpp
+++ b/Source/Membership/MembershipDigests.cpp
@@ -91,7 +91,7 @@
     if (partial)
         keepLocal(frame.digests);
     constexpr std::size_t digestBytes = sizeof(std::uint64_t) + sizeof(std::uint32_t);
-    if (!spendBudget(frame.digests.size() * digestBytes))
+    if (!routineAllowed() || !spendBudget(frame.digests.size() * digestBytes))
         return;
     send(to.address, frame);
 }
@@ -179,7 +179,7 @@
             for (auto i = items; i < frame.items.size(); ++i)
                 bytes += encodedBytes(frame.items[i]);
         }
-        if (!spendBudget(bytes))
+        if (!routineAllowed() || !spendBudget(bytes))
             return;
         send(to.address, frame);
     }
--- a/Source/Membership/MembershipFrames.cpp
+++ b/Source/Membership/MembershipFrames.cpp
@@ -212,7 +212,10 @@
         return true;
     }
     const auto* item = m_items.find(key.host, key.item);
-    if (!item || (item->scope == ItemScope::DataCentre && to != m_settings.dataCentre))
+    if (!item)
+        return false;
+    const bool local = item->scope == ItemScope::DataCentre;
+    if (local && (to != m_settings.dataCentre || !routineAllowed()))
         return false;
     frame.items.push_back(*item);
     bytes += encodedBytes(*item);
--- a/Source/Membership/MembershipImpl.h
+++ b/Source/Membership/MembershipImpl.h
@@ -117,6 +117,7 @@
     std::size_t carryLimit(const NewsKey&) const;
     void refillBudget(MonotonicTime now);
     bool spendBudget(std::size_t bytes);
+    bool routineAllowed() const;
 
     MembershipSettings m_settings;
     MembershipHooks m_hooks;
--- a/Source/Membership/MembershipState.cpp
+++ b/Source/Membership/MembershipState.cpp
@@ -10,6 +10,11 @@
     // Removed items that this host keeps in mind before it raises the floor over them.
     constexpr std::size_t maxRemovedItems = 32;
 
+    NewsUrgency urgencyOf(ItemScope scope)
+    {
+        return scope == ItemScope::Everywhere ? NewsUrgency::Urgent : NewsUrgency::Routine;
+    }
+
 } // namespace
 
 Membership::Impl::Impl(const MembershipSettings& settings, MembershipHooks hooks)
@@ -161,7 +166,7 @@
     if (change != ItemChange::Replaced)
         return;
     touch(item.host);
-    m_news.add({ item.host, item.key });
+    m_news.add({ item.host, item.key }, urgencyOf(item.scope));
     m_urgent = m_urgent || item.scope == ItemScope::Everywhere;
     if (m_hooks.itemChanged)
         m_hooks.itemChanged(item);
@@ -209,7 +214,7 @@
         return ErrorKind::LimitExceeded;
     ++m_itemVersion;
     touch(m_settings.host);
-    m_news.add({ m_settings.host, key });
+    m_news.add({ m_settings.host, key }, urgencyOf(scope));
     m_urgent = m_urgent || scope == ItemScope::Everywhere;
     return {};
 }
@@ -389,6 +394,12 @@
     m_budgetAt = now;
 }
 
+// Half of the burst is kept for urgent news, so that routine traffic cannot hold it up.
+bool Membership::Impl::routineAllowed() const
+{
+    return m_budget > static_cast<long long>(m_settings.burstBytes / 2);
+}
+
 bool Membership::Impl::spendBudget(std::size_t bytes)
 {
     if (m_budget <= 0)
--- a/Source/Membership/NewsQueue.h
+++ b/Source/Membership/NewsQueue.h
@@ -21,13 +21,18 @@
     }
 };
 
-// Decides which news a frame carries: the least carried first, each a bounded number of times.
+// Which news goes first.
+enum class NewsUrgency {
+    Urgent,
+    Routine,
+};
+
+// Decides which news a frame carries: the urgent first and of these the least carried, each a bounded number
+// of times.
 class NewsQueue {
 public:
-    void add(const NewsKey&);
+    void add(const NewsKey&, NewsUrgency = NewsUrgency::Urgent);
     void drop(const NewsKey&);
-    bool empty() const { return m_carried.empty(); }
-    std::size_t size() const { return m_carried.size(); }
 
     // Offers news to `take`, which answers whether it went into the frame; stops when `full` says so. News
     // goes when it has been carried as often as `limit` says.
@@ -35,7 +40,12 @@
         const std::function<bool(const NewsKey&)>& take, const std::function<bool()>& full);
 
 private:
-    std::map<NewsKey, std::size_t> m_carried;
+    struct Entry {
+        NewsUrgency urgency = NewsUrgency::Urgent;
+        std::size_t carried = 0;
+    };
+
+    std::map<NewsKey, Entry> m_entries;
 };
 
 } // namespace almondscale
