--- a/Programs/almondscaled/CrashGuard.cpp
+++ b/Programs/almondscaled/CrashGuard.cpp
@@ -98,7 +98,7 @@
         .with("boot", run.boot)
         .with("fingerprint", fingerprint)
         .with("alone", alone);
-    shareChanges(std::move(changes), now);
+    shareChanges(changes, now);
 }
 
 void CrashGuard::completedAlone(Fingerprint fingerprint)
@@ -110,7 +110,7 @@
         m_strikes.onCompletedAlone(fingerprint, now);
         changes = m_strikes.takeChanges();
     }
-    shareChanges(std::move(changes), now);
+    shareChanges(changes, now);
 }
 
 void CrashGuard::merge(const std::string& value)
@@ -123,7 +123,7 @@
     m_strikes.merge(*record, now);
 }
 
-void CrashGuard::shareChanges(std::vector<StrikeRecord> changes, MonotonicTime now)
+void CrashGuard::shareChanges(const std::vector<StrikeRecord>& changes, MonotonicTime now)
 {
     for (const StrikeRecord& record : changes) {
         // The room for shared records is small, so those of requests that are cleared make way.
--- a/Programs/almondscaled/CrashGuard.h
+++ b/Programs/almondscaled/CrashGuard.h
@@ -42,7 +42,7 @@
     void merge(const std::string& value);
 
 private:
-    void shareChanges(std::vector<StrikeRecord>, MonotonicTime now);
+    void shareChanges(const std::vector<StrikeRecord>&, MonotonicTime now);
 
     CrashGuardHooks m_hooks;
     mutable std::mutex m_mutex;
