Judge a role change by how long its gain lasted before

The policy took a new mix for short-lived until it had lasted as long as the change costs, and did not count the harm of roles that are wrong once the mix turns back. A first spell that is three samples old is now expected to last 60 s, later ones as long as those before them over 15 min, and the loss until roles are changed back is part of the cost.

--- a/Source/Roles/DemandEstimate.cpp
+++ b/Source/Roles/DemandEstimate.cpp
@@ -77,6 +77,7 @@
     if (!demand)
         return;
     m_samples.push_back(*demand);
+    ++m_samplesEver;
     const auto most = static_cast<std::size_t>(m_settings.longHorizon / m_settings.shortHorizon);
     while (m_samples.size() > most)
         m_samples.pop_front();
--- a/Source/Roles/DemandEstimate.h
+++ b/Source/Roles/DemandEstimate.h
@@ -5,6 +5,7 @@
 #include "Roles/Demand.h"
 #include "Roles/DemandReport.h"
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -19,7 +20,7 @@
         // The span over which the present demand is averaged.
         Nanoseconds shortHorizon = std::chrono::seconds(8);
         // The span that is remembered, as one sample for each short horizon.
-        Nanoseconds longHorizon = std::chrono::seconds(240);
+        Nanoseconds longHorizon = std::chrono::seconds(900);
         // A host that has not reported for this long is left out.
         Nanoseconds staleAfter = std::chrono::seconds(5);
         // A host silent for this long counts as gone for good.
@@ -39,6 +40,9 @@
     // One demand for each short horizon within the long one, the oldest first.
     const std::deque<Demand>& samples() const { return m_samples; }
 
+    // How many samples were taken since the start, including those that were dropped.
+    std::uint64_t samplesEver() const { return m_samplesEver; }
+
 private:
     struct Received {
         MonotonicTime at;
@@ -50,6 +54,7 @@
     Settings m_settings;
     std::map<HostId, std::deque<Received>> m_reports;
     std::deque<Demand> m_samples;
+    std::uint64_t m_samplesEver = 0;
     MonotonicTime m_nextSample {};
 };
 
--- a/Source/Roles/RolePersistence.cpp
+++ b/Source/Roles/RolePersistence.cpp
@@ -1,5 +1,7 @@
 #include "Roles/RolePersistence.h"
 
+#include <algorithm>
+
 namespace almondscale {
 
 namespace {
@@ -24,11 +26,11 @@
 
 } // namespace
 
-Nanoseconds expectedPersistence(const std::vector<double>& gains, Nanoseconds sampleSpan, double noticeable)
+Nanoseconds expectedPersistence(const std::vector<double>& gains, const PersistenceSettings& settings)
 {
-    if (gains.empty() || gains.back() <= noticeable)
+    if (gains.empty() || gains.back() <= settings.noticeable)
         return Nanoseconds(0);
-    const auto lengths = spells(gains, noticeable);
+    const auto lengths = spells(gains, settings.noticeable);
     const int age = lengths.back();
     int longer = 0;
     int excess = 0;
@@ -38,10 +40,12 @@
         ++longer;
         excess += lengths[i] - age;
     }
-    // Without an earlier spell that outlasted this one, it is expected to last as long again.
-    if (longer == 0)
-        return sampleSpan * age;
-    return sampleSpan * excess / longer;
+    if (longer > 0)
+        return settings.sampleSpan * excess / longer;
+    // What has outlasted all before it is expected to last as long again.
+    const Nanoseconds again = settings.sampleSpan * age;
+    const bool first = lengths.size() == 1 && age >= settings.oldEnoughSamples;
+    return first ? std::max(again, settings.firstSpell) : again;
 }
 
 } // namespace almondscale
--- a/Source/Roles/RolePersistence.h
+++ b/Source/Roles/RolePersistence.h
@@ -6,8 +6,18 @@
 
 namespace almondscale {
 
+// How the persistence of a gain is judged.
+struct PersistenceSettings {
+    Nanoseconds sampleSpan {};
+    // A smaller gain counts as none.
+    double noticeable = 0;
+    // What a first spell of gain is expected to last once it is old enough.
+    Nanoseconds firstSpell {};
+    int oldEnoughSamples = 3;
+};
+
 // How long a gain that is there now is expected to stay, judged by how long it stayed before.
 // The samples say, the oldest first and the present one last, how large the gain was.
-Nanoseconds expectedPersistence(const std::vector<double>& gains, Nanoseconds sampleSpan, double noticeable);
+Nanoseconds expectedPersistence(const std::vector<double>& gains, const PersistenceSettings&);
 
 } // namespace almondscale
--- a/Source/Roles/RolePolicy.cpp
+++ b/Source/Roles/RolePolicy.cpp
@@ -4,6 +4,7 @@
 #include "Roles/RoleBounds.h"
 #include "Roles/RoleCapacity.h"
 #include "Roles/RolePersistence.h"
+#include "Roles/SampledCapacity.h"
 
 #include <algorithm>
 #include <limits>
@@ -18,6 +19,20 @@
 
     double seconds(Nanoseconds time) { return std::chrono::duration<double>(time).count(); }
 
+    // The mean of the losses that were more than noticeable; 0 if there was none.
+    double meanLoss(const std::vector<double>& gains, double noticeable)
+    {
+        double sum = 0;
+        int count = 0;
+        for (const double gain : gains) {
+            if (gain >= -noticeable)
+                continue;
+            sum -= gain;
+            ++count;
+        }
+        return count > 0 ? sum / count : 0;
+    }
+
 } // namespace
 
 class RolePolicy::Impl {
@@ -27,6 +42,7 @@
         , m_hooks(std::move(hooks))
         , m_capacity(settings.speeds)
         , m_estimate(settings.estimate)
+        , m_sampled(m_capacity)
     {
     }
 
@@ -65,6 +81,7 @@
     RoleHooks m_hooks;
     RoleCapacity m_capacity;
     DemandEstimate m_estimate;
+    SampledCapacity m_sampled;
     std::vector<EngineStatus> m_engines;
     // No change is decided before this.
     Deadline m_dwellUntil;
@@ -127,21 +144,20 @@
 double RolePolicy::Impl::expectedGain(
     const RoleCounts& from, const RoleCounts& to, const Demand& demand) const
 {
-    std::vector<double> gains;
-    double sum = 0;
-    for (const auto& sample : m_estimate.samples()) {
-        gains.push_back(inTime(to, sample) - inTime(from, sample));
-        sum += gains.back();
-    }
-    const double mean = gains.empty() ? 0 : sum / static_cast<double>(gains.size());
     const double now = inTime(to, demand) - inTime(from, demand);
-    gains.push_back(now);
+    auto gains = m_sampled.gains(from, to, m_settings.usableShare);
     const double noticeable = m_settings.noticeableShare * demand.requestsPerSecond;
-    const auto persists = expectedPersistence(gains, m_settings.estimate.shortHorizon, noticeable);
-    const double stays = seconds(std::min(persists, m_settings.horizon));
-    // Once the present spell is over, the long horizon says what is to be expected.
-    const double after = std::min(0.0, mean) * (seconds(m_settings.horizon) - stays);
-    return now * stays + after - m_settings.worthFactor * changeCost(from, to, demand);
+    const double setback = meanLoss(gains, noticeable);
+    gains.push_back(now);
+    PersistenceSettings persistence;
+    persistence.sampleSpan = m_settings.estimate.shortHorizon;
+    persistence.noticeable = noticeable;
+    persistence.firstSpell = m_settings.firstSpell;
+    const auto stays = std::min(expectedPersistence(gains, persistence), m_settings.horizon);
+    // When the mix turns back, the new roles do harm until they are changed again.
+    const auto harmful = std::min(m_settings.horizon - stays, m_settings.setbackTime);
+    return now * seconds(stays) - setback * seconds(harmful)
+        - m_settings.worthFactor * changeCost(from, to, demand);
 }
 
 std::optional<RolePolicy::Impl::Target> RolePolicy::Impl::target(
@@ -220,6 +236,7 @@
     const auto pool = survey(now);
     if (!pool || mayChange(*pool) <= 0)
         return {};
+    m_sampled.update(m_estimate.samples(), m_estimate.samplesEver(), pool->counts.total());
     const auto found = target(*pool, *demand, m_hooks.rules ? m_hooks.rules() : std::vector<RoleRule>());
     if (!found)
         return {};
--- a/Source/Roles/RoleSettings.h
+++ b/Source/Roles/RoleSettings.h
@@ -14,6 +14,10 @@
     Nanoseconds changeTime = std::chrono::seconds(12);
     // The longest time over which the gain of a change is counted.
     Nanoseconds horizon = std::chrono::seconds(120);
+    // What the first spell of a new mix is expected to last.
+    Nanoseconds firstSpell = std::chrono::seconds(60);
+    // How long roles that have become wrong do harm before they are changed again.
+    Nanoseconds setbackTime = std::chrono::seconds(30);
     // The shortest time between two decisions to change roles.
     Nanoseconds dwell = std::chrono::seconds(20);
     // An engine's status older than this is not acted on.
--- /dev/null
+++ b/Source/Roles/SampledCapacity.cpp
@@ -0,0 +1,57 @@
+#include "Roles/SampledCapacity.h"
+
+#include <algorithm>
+
+namespace almondscale {
+
+SampledCapacity::SampledCapacity(const RoleCapacity& capacity)
+    : m_capacity(capacity)
+{
+}
+
+SampledCapacity::Sample SampledCapacity::work(const Demand& demand) const
+{
+    Sample sample { demand.requestsPerSecond, {} };
+    for (const auto& counts : m_counts)
+        sample.answersPerSecond.push_back(m_capacity.answersPerSecond(counts, demand));
+    return sample;
+}
+
+void SampledCapacity::update(const std::deque<Demand>& samples, std::uint64_t samplesEver, int engines)
+{
+    if (m_counts.empty() || m_counts.front().total() != engines) {
+        m_counts = allRoleCounts(engines);
+        m_samples.clear();
+        m_samplesEver = samplesEver - samples.size();
+    }
+    const auto fresh = static_cast<std::size_t>(samplesEver - m_samplesEver);
+    for (std::size_t i = samples.size() - std::min(fresh, samples.size()); i < samples.size(); ++i)
+        m_samples.push_back(work(samples[i]));
+    m_samplesEver = samplesEver;
+    while (m_samples.size() > samples.size())
+        m_samples.pop_front();
+}
+
+std::size_t SampledCapacity::indexOf(const RoleCounts& counts) const
+{
+    const auto found = std::find(m_counts.begin(), m_counts.end(), counts);
+    return static_cast<std::size_t>(found - m_counts.begin());
+}
+
+std::vector<double> SampledCapacity::gains(
+    const RoleCounts& from, const RoleCounts& to, double usableShare) const
+{
+    const auto fromIndex = indexOf(from);
+    const auto toIndex = indexOf(to);
+    std::vector<double> gains;
+    for (const auto& sample : m_samples) {
+        const double before
+            = std::min(sample.requestsPerSecond, usableShare * sample.answersPerSecond[fromIndex]);
+        const double after
+            = std::min(sample.requestsPerSecond, usableShare * sample.answersPerSecond[toIndex]);
+        gains.push_back(after - before);
+    }
+    return gains;
+}
+
+} // namespace almondscale
--- a/Tests/Roles/RolePersistenceTest.cpp
+++ b/Tests/Roles/RolePersistenceTest.cpp
@@ -5,23 +5,38 @@
 using namespace almondscale;
 using std::chrono::seconds;
 
+namespace {
+
+Nanoseconds persistence(const std::vector<double>& gains)
+{
+    PersistenceSettings settings;
+    settings.sampleSpan = seconds(8);
+    settings.noticeable = 0.1;
+    settings.firstSpell = seconds(60);
+    return expectedPersistence(gains, settings);
+}
+
+} // namespace
+
 TEST_CASE("RolePersistence, no gain now, is zero")
 {
-    CHECK(expectedPersistence({ 5, 5, 5, 0 }, seconds(8), 0.1) == Nanoseconds(0));
-    CHECK(expectedPersistence({}, seconds(8), 0.1) == Nanoseconds(0));
+    CHECK(persistence({ 5, 5, 5, 0 }) == Nanoseconds(0));
+    CHECK(persistence({}) == Nanoseconds(0));
 }
 
-TEST_CASE("RolePersistence, a first spell, is expected to last as long again")
+TEST_CASE("RolePersistence, a first spell, is believed in once it is old enough")
 {
-    CHECK(expectedPersistence({ 0, 0, 5, 5, 5 }, seconds(8), 0.1) == seconds(24));
+    CHECK(persistence({ 0, 0, 5, 5 }) == seconds(16));
+    CHECK(persistence({ 0, 0, 5, 5, 5 }) == seconds(60));
+    CHECK(persistence({ 0, 0, 5, 5, 5, 5, 5, 5, 5, 5, 5 }) == seconds(72));
 }
 
 TEST_CASE("RolePersistence, a longer spell before, is expected to reach its length")
 {
-    CHECK(expectedPersistence({ 5, 5, 5, 5, 0, 5 }, seconds(8), 0.1) == seconds(24));
+    CHECK(persistence({ 5, 5, 5, 5, 0, 0, 5 }) == seconds(24));
 }
 
 TEST_CASE("RolePersistence, only shorter spells before, is expected to last as long again")
 {
-    CHECK(expectedPersistence({ 5, 0, 5, 0, 5, 5 }, seconds(8), 0.1) == seconds(16));
+    CHECK(persistence({ 5, 0, 0, 5, 0, 0, 5, 5 }) == seconds(16));
 }
