Keep prefixes on few engines and compare routing policies on the same arrivals

Greedy policies send a request to whichever engine would finish it first and so spread each prefix over all engines, where it is computed again and evicts others; above the capacity without cache hits they do not recover. Prefix affinity takes the first engines in the prefix's rendezvous order, more of them for a prefix that a large part of the requests has, and lets a request wait when these are full.

A request in a full pool no longer holds up those behind it: AdmissionQueue::upcoming lists the requests to try.

--- a/Programs/almondscale-bench/main.cpp
+++ b/Programs/almondscale-bench/main.cpp
@@ -1,5 +1,6 @@
 #include "CompareCommand.h"
 #include "ControlCommand.h"
+#include "RoutingCommand.h"
 #include "ShiftCommand.h"
 
 #include <cstring>
@@ -19,6 +20,8 @@
     { "compare", "all role policies on the same arrivals, against the clairvoyant bound",
         almondscale::runCompareCommand },
     { "control", "cost and delays of the control traffic between hosts", almondscale::runControlCommand },
+    { "routing", "routing policies on the same arrivals at hosts with late load reports",
+        almondscale::runRoutingCommand },
     { "shift", "goodput and role changes of one policy under a moving mix", almondscale::runShiftCommand },
 };
 
--- a/Source/Admission/AdmissionQueue.cpp
+++ b/Source/Admission/AdmissionQueue.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-    // A pool that takes less than this is treated as if it took this much.
-    constexpr double leastWorkPerSecond = 1e-3;
+    // A pool that takes less than this part of what it first was taken to do is
+    // treated as if it took this much, so that it is tried again after a standstill.
+    constexpr double leastPartOfInitial = 0.1;
 
     // The time over which rates of work are averaged.
     constexpr Nanoseconds rateWindow = std::chrono::seconds(3);
@@ -76,6 +77,29 @@
         return level->second.waiting.begin()->second;
     }
 
+    std::vector<WaitingRequest> upcoming(std::size_t most) const
+    {
+        std::vector<WaitingRequest> requests;
+        const auto first = nextLevel();
+        if (first != m_levels.end())
+            append(first->second, most, requests);
+        for (auto level = m_levels.end(); level != m_levels.begin();) {
+            --level;
+            if (level != first)
+                append(level->second, most, requests);
+        }
+        return requests;
+    }
+
+    static void append(const Level& level, std::size_t most, std::vector<WaitingRequest>& requests)
+    {
+        for (const auto& [deadline, request] : level.waiting) {
+            if (requests.size() >= most)
+                return;
+            requests.push_back(request);
+        }
+    }
+
     void take(const RequestId& id, MonotonicTime now)
     {
         const auto request = erase(id);
@@ -141,8 +165,9 @@
     Nanoseconds waitBehind(
         Nanoseconds higher, double higherArriving, Nanoseconds ahead, MonotonicTime now) const
     {
-        const double rate = std::max(leastWorkPerSecond, m_taken.perSecond(now));
-        const double left = std::max(leastWorkPerSecond, rate - higherArriving);
+        const double least = leastPartOfInitial * m_options.initialWorkPerSecond;
+        const double rate = std::max(least, m_taken.perSecond(now));
+        const double left = std::max(least, rate - higherArriving);
         const double inOrder = seconds(higher + ahead) / left;
         const double levels = static_cast<double>(std::max<std::size_t>(1, waitingLevels()));
         const double byShare = seconds(ahead) * levels / (rate * m_options.evenShare);
@@ -249,6 +274,11 @@
 
 std::optional<WaitingRequest> AdmissionQueue::next(MonotonicTime) const { return m_impl->next(); }
 
+std::vector<WaitingRequest> AdmissionQueue::upcoming(std::size_t most) const
+{
+    return m_impl->upcoming(most);
+}
+
 void AdmissionQueue::take(const RequestId& id, MonotonicTime now) { m_impl->take(id, now); }
 
 void AdmissionQueue::remove(const RequestId& id) { m_impl->erase(id); }
--- a/Source/Admission/AdmissionQueue.h
+++ b/Source/Admission/AdmissionQueue.h
@@ -27,6 +27,9 @@
 
     // The request to send next; it stays queued until it is taken or removed.
     std::optional<WaitingRequest> next(MonotonicTime now) const;
+    // The requests to try in turn, next() first, if the engines that suit some of
+    // them are full.
+    std::vector<WaitingRequest> upcoming(std::size_t most) const;
     // The request was sent to an engine.
     void take(const RequestId&, MonotonicTime now);
     // The caller has gone, or the request was answered otherwise.
--- a/Source/Routing/EngineLoad.cpp
+++ b/Source/Routing/EngineLoad.cpp
@@ -11,6 +11,9 @@
     // The weight of a new observation in a learned speed.
     constexpr double learningWeight = 0.1;
 
+    // A request may take this long to reach the engine.
+    constexpr Nanoseconds longestTransit = std::chrono::milliseconds(5);
+
     double seconds(Nanoseconds time) { return std::chrono::duration<double>(time).count(); }
 
 } // namespace
@@ -90,14 +93,14 @@
         return estimate;
 
     for (const auto& [attempt, sent] : m_sent) {
-        if (m_report && sent.at <= report.sampledAt)
+        if (isReported(sent.at))
             continue;
         estimate.requests += 1;
         estimate.freeBlocks -= sent.blocks;
     }
     for (const auto& finished : m_finished) {
         // What was sent and finished since the report was never in it.
-        if (!m_report || finished.sentAt > report.sampledAt)
+        if (!isReported(finished.sentAt))
             continue;
         estimate.requests -= 1;
         estimate.freeBlocks += finished.blocks;
@@ -112,6 +115,12 @@
     return estimate;
 }
 
+// Whether the last report was sampled after the engine had received the request.
+bool EngineLoad::isReported(MonotonicTime sentAt) const
+{
+    return m_report && sentAt + longestTransit <= m_report->sampledAt;
+}
+
 double EngineLoad::blocksFor(TokenCount tokens) const
 {
     const double perBlock = std::max<double>(1, static_cast<double>(m_speed.tokensPerBlock.count()));
@@ -124,7 +133,7 @@
 {
     std::vector<const Sent*> sends;
     for (const auto& [attempt, sent] : m_sent) {
-        if (!m_report || sent.at > m_report->sampledAt)
+        if (!isReported(sent.at))
             sends.push_back(&sent);
     }
     std::sort(sends.begin(), sends.end(), [](const Sent* a, const Sent* b) { return a->at < b->at; });
@@ -133,8 +142,9 @@
     if (!m_report && !sends.empty())
         at = sends.front()->at;
     for (const Sent* sent : sends) {
-        work = std::max(0.0, work - perSecond * seconds(sent->at - at)) + sent->*part;
-        at = sent->at;
+        const double elapsed = std::max(0.0, seconds(sent->at - at));
+        work = std::max(0.0, work - perSecond * elapsed) + sent->*part;
+        at = std::max(at, sent->at);
     }
     if (now > at)
         work = std::max(0.0, work - perSecond * seconds(now - at));
--- a/Source/Routing/EngineLoad.h
+++ b/Source/Routing/EngineLoad.h
@@ -51,6 +51,7 @@
         double blocks = 0;
     };
 
+    bool isReported(MonotonicTime sentAt) const;
     double backlog(double reported, double Sent::*part, double perSecond, MonotonicTime now) const;
     void learn(double& figure, double tokens, Nanoseconds time);
 
--- /dev/null
+++ b/Source/Routing/PrefixShares.cpp
@@ -0,0 +1,39 @@
+#include "Routing/PrefixShares.h"
+
+namespace almondscale {
+
+namespace {
+
+    // After so many requests the older ones count half.
+    constexpr int halvingInterval = 256;
+
+    // Prefixes whose count falls below this are forgotten.
+    constexpr double leastCount = 0.2;
+
+} // namespace
+
+void PrefixShares::add(PrefixHash prefix)
+{
+    m_counts[prefix] += 1;
+    m_total += 1;
+    if (++m_sinceHalving >= halvingInterval)
+        halve();
+}
+
+double PrefixShares::share(PrefixHash prefix) const
+{
+    const auto found = m_counts.find(prefix);
+    return found == m_counts.end() ? 0 : found->second / m_total;
+}
+
+void PrefixShares::halve()
+{
+    m_sinceHalving = 0;
+    m_total /= 2;
+    for (auto count = m_counts.begin(); count != m_counts.end();) {
+        count->second /= 2;
+        count = count->second < leastCount ? m_counts.erase(count) : std::next(count);
+    }
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Routing/PrefixShares.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Routing/PrefixHash.h"
+
+#include <unordered_map>
+
+namespace almondscale {
+
+// What part of the requests that this host sent lately had each prefix. Bounded.
+class PrefixShares {
+public:
+    void add(PrefixHash);
+    double share(PrefixHash) const;
+
+private:
+    void halve();
+
+    std::unordered_map<PrefixHash, double> m_counts;
+    double m_total = 0;
+    int m_sinceHalving = 0;
+};
+
+} // namespace almondscale
--- a/Source/Routing/RouteChoice.h
+++ b/Source/Routing/RouteChoice.h
@@ -2,6 +2,7 @@
 
 #include "Core/EngineId.h"
 #include "Core/MonotonicTime.h"
+#include "Core/TokenCount.h"
 
 namespace almondscale {
 
@@ -9,6 +10,9 @@
 struct RouteChoice {
     EngineId prefill;
     EngineId decode;
+    // What the prefill engine probably has to compute, without what it holds in its
+    // cache; to be passed to Router::onSent.
+    TokenCount prefillTokens;
     MonotonicTime firstTokenAt;
     MonotonicTime completionAt;
 
--- a/Source/Routing/RoutePolicy.cpp
+++ b/Source/Routing/RoutePolicy.cpp
@@ -1,6 +1,8 @@
 #include "Routing/RoutePolicy.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
 #include <memory>
 #include <xxhash.h>
 
@@ -32,10 +34,48 @@
         return a.wait < b.wait;
     }
 
-    std::size_t betterOfTwo(const std::vector<RouteCandidate>& candidates, const RandomSource& random)
+    using Candidates = std::vector<RouteCandidate>;
+    using Choice = std::optional<std::size_t>;
+
+    std::vector<std::size_t> notFull(const Candidates& candidates)
+    {
+        std::vector<std::size_t> indexes;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            if (!candidates[i].full)
+                indexes.push_back(i);
+        }
+        return indexes;
+    }
+
+    Choice best(const Candidates& candidates, const std::vector<std::size_t>& indexes)
+    {
+        if (indexes.empty())
+            return std::nullopt;
+        return *std::min_element(indexes.begin(), indexes.end(),
+            [&](std::size_t a, std::size_t b) { return better(candidates[a], candidates[b]); });
+    }
+
+    Choice bestOfTwoDrawn(const Candidates& candidates, const RandomSource& random)
+    {
+        const auto open = notFull(candidates);
+        if (open.empty())
+            return std::nullopt;
+        const auto [first, second] = drawTwo(open.size(), random);
+        return best(candidates, { open[first], open[second] });
+    }
+
+    // The indexes of all candidates in the prefix's rendezvous order.
+    std::vector<std::size_t> rendezvousOrder(const Candidates& candidates, PrefixHash prefix)
     {
-        const auto [first, second] = drawTwo(candidates.size(), random);
-        return better(candidates[second], candidates[first]) ? second : first;
+        std::vector<std::pair<std::uint64_t, std::size_t>> weights;
+        for (std::size_t i = 0; i < candidates.size(); ++i)
+            weights.emplace_back(rendezvousWeight(candidates[i].engine, prefix), i);
+        std::sort(weights.rbegin(), weights.rend());
+        std::vector<std::size_t> order;
+        order.reserve(weights.size());
+        for (const auto& weight : weights)
+            order.push_back(weight.second);
+        return order;
     }
 
 } // namespace
@@ -43,67 +83,79 @@
 RoutePolicy roundRobin()
 {
     auto turn = std::make_shared<std::size_t>(0);
-    return [turn](const std::vector<RouteCandidate>& candidates, const RouteRequest&, const RandomSource&) {
-        return (*turn)++ % candidates.size();
+    return [turn](const Candidates& candidates, const RouteRequest&, const RandomSource&) {
+        return Choice((*turn)++ % candidates.size());
     };
 }
 
 RoutePolicy leastReportedLoad()
 {
-    return [](const std::vector<RouteCandidate>& candidates, const RouteRequest&, const RandomSource&) {
+    return [](const Candidates& candidates, const RouteRequest&, const RandomSource&) {
         const auto least = std::min_element(candidates.begin(), candidates.end(),
             [](const auto& a, const auto& b) { return a.reportedLoad < b.reportedLoad; });
-        return static_cast<std::size_t>(least - candidates.begin());
+        return Choice(static_cast<std::size_t>(least - candidates.begin()));
     };
 }
 
 RoutePolicy shortestExpectedWork()
 {
-    return [](const std::vector<RouteCandidate>& candidates, const RouteRequest&, const RandomSource&) {
-        const auto best = std::min_element(candidates.begin(), candidates.end(), better);
-        return static_cast<std::size_t>(best - candidates.begin());
+    return [](const Candidates& candidates, const RouteRequest&, const RandomSource&) {
+        return best(candidates, notFull(candidates));
     };
 }
 
 RoutePolicy powerOfTwoChoices()
 {
-    return [](const std::vector<RouteCandidate>& candidates, const RouteRequest&,
-               const RandomSource& random) { return betterOfTwo(candidates, random); };
+    return [](const Candidates& candidates, const RouteRequest&, const RandomSource& random) {
+        return bestOfTwoDrawn(candidates, random);
+    };
 }
 
 RoutePolicy boundedRendezvous(Nanoseconds slack)
 {
-    return [slack](const std::vector<RouteCandidate>& candidates, const RouteRequest& request,
-               const RandomSource&) {
+    return [slack](const Candidates& candidates, const RouteRequest& request, const RandomSource&) {
         Nanoseconds total {};
         for (const auto& candidate : candidates)
             total += candidate.wait;
         const Nanoseconds bound = total / static_cast<std::int64_t>(candidates.size()) + slack;
-        std::size_t best = candidates.size();
-        std::uint64_t bestWeight = 0;
-        for (std::size_t i = 0; i < candidates.size(); ++i) {
-            const auto weight = rendezvousWeight(candidates[i].engine, request.prefix);
-            if (candidates[i].wait > bound || (best < candidates.size() && weight <= bestWeight))
-                continue;
-            best = i;
-            bestWeight = weight;
+        for (const auto index : rendezvousOrder(candidates, request.prefix)) {
+            if (!candidates[index].full && candidates[index].wait <= bound)
+                return Choice(index);
         }
-        // At least the engine with the shortest wait is within the bound.
-        return best;
+        return Choice();
     };
 }
 
 RoutePolicy prefixOrTwoChoices()
 {
-    return
-        [](const std::vector<RouteCandidate>& candidates, const RouteRequest&, const RandomSource& random) {
-            std::size_t best = betterOfTwo(candidates, random);
-            for (std::size_t i = 0; i < candidates.size(); ++i) {
-                if (candidates[i].holdsPrefix && better(candidates[i], candidates[best]))
-                    best = i;
-            }
-            return best;
-        };
+    return [](const Candidates& candidates, const RouteRequest&, const RandomSource& random) {
+        const auto drawn = bestOfTwoDrawn(candidates, random);
+        if (!drawn)
+            return drawn;
+        std::vector<std::size_t> options { *drawn };
+        for (const auto index : notFull(candidates)) {
+            if (candidates[index].holdsPrefix)
+                options.push_back(index);
+        }
+        return best(candidates, options);
+    };
+}
+
+RoutePolicy prefixAffinity()
+{
+    return [](const Candidates& candidates, const RouteRequest& request, const RandomSource&) {
+        constexpr double leastHomes = 2;
+        // Engines for a prefix, relative to its part of the requests.
+        constexpr double excess = 2;
+        const auto count = static_cast<double>(candidates.size());
+        const double wanted = std::max(leastHomes, std::ceil(excess * request.prefixShare * count));
+        const auto homes = static_cast<std::size_t>(std::min(wanted, count));
+        const auto order = rendezvousOrder(candidates, request.prefix);
+        std::vector<std::size_t> open;
+        std::copy_if(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(homes),
+            std::back_inserter(open), [&](std::size_t index) { return !candidates[index].full; });
+        return best(candidates, open);
+    };
 }
 
 } // namespace almondscale
--- a/Source/Routing/RoutePolicy.h
+++ b/Source/Routing/RoutePolicy.h
@@ -7,12 +7,14 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace almondscale {
 
-// Picks one of the candidates, of which there is at least one, and returns its index.
-using RoutePolicy = std::function<std::size_t(
+// Picks one of the candidates, of which there is at least one, and returns its
+// index; nothing if the request should rather wait at the host.
+using RoutePolicy = std::function<std::optional<std::size_t>(
     const std::vector<RouteCandidate>&, const RouteRequest&, const RandomSource&)>;
 
 // Each engine in turn. A baseline.
@@ -35,4 +37,10 @@
 // of two engines drawn at random.
 RoutePolicy prefixOrTwoChoices();
 
+// The best, by expected completion, of the first engines in the prefix's
+// rendezvous order: two, or more for a prefix that a large part of the requests
+// has. If all of them are full the request waits; sending it elsewhere would have
+// the prefix computed once more, and drive another one out of the cache there.
+RoutePolicy prefixAffinity();
+
 } // namespace almondscale
--- a/Source/Routing/RouteRequest.h
+++ b/Source/Routing/RouteRequest.h
@@ -20,6 +20,8 @@
     PrefixHash prefix;
     // The tokens that need no prefill on an engine that holds the prefix.
     TokenCount prefixTokens;
+    // The part of the recent requests that have this prefix; the router sets it.
+    double prefixShare = 0;
     Deadline deadline = Deadline::never();
     Priority priority;
     // Engines that must not be chosen, such as those that failed this request.
--- a/Source/Routing/Router.cpp
+++ b/Source/Routing/Router.cpp
@@ -2,6 +2,7 @@
 
 #include "Routing/EngineLoad.h"
 #include "Routing/PrefixHints.h"
+#include "Routing/PrefixShares.h"
 
 #include <algorithm>
 #include <cmath>
@@ -144,6 +145,7 @@
             const auto cached = result.holdsPrefix ? request.prefixTokens.count() : 0;
             const auto tokens = std::max<std::int64_t>(0, request.promptTokens.count() - cached);
             prefillWait = nanoseconds(load.prefillTokens / speed.prefillTokensPerSecond);
+            result.prefillTokens = TokenCount(tokens);
             prefillWork = nanoseconds(static_cast<double>(tokens) / speed.prefillTokensPerSecond);
         }
         Nanoseconds slotWait {};
@@ -185,33 +187,38 @@
             if (!hasRoom(engine, part, request, load))
                 continue;
             auto option = candidate(engine, part, request, start, now, load);
-            if (option.wait > m_options.longestEngineWait)
-                continue;
+            option.full = option.wait > m_options.longestEngineWait;
             const bool isNear = engine.view.dataCentre == m_options.dataCentre;
             (isNear ? near : far).push_back(std::move(option));
         }
         if (!anyUsable)
             return ErrorKind::NoEngine;
-        if (near.empty() && far.empty())
+        const auto best = nearOrFar(near, far, request);
+        if (!best)
             return ErrorKind::QueueFull;
-        return nearOrFar(near, far, request);
+        return *best;
     }
 
-    Picked nearOrFar(const std::vector<RouteCandidate>& near, const std::vector<RouteCandidate>& far,
-        const RouteRequest& request)
+    std::optional<Picked> nearOrFar(const std::vector<RouteCandidate>& near,
+        const std::vector<RouteCandidate>& far, const RouteRequest& request)
     {
-        std::optional<Picked> best;
-        if (!near.empty()) {
-            const auto& chosen = near[m_policy(near, request, m_random)];
-            best = Picked { chosen, chosen.completionAt };
-        }
-        if (!far.empty()) {
-            const auto& chosen = far[m_policy(far, request, m_random)];
-            const auto cost = chosen.completionAt + m_options.otherDataCentreCost;
-            if (!best || cost < best->cost)
-                best = Picked { chosen, cost };
-        }
-        return *best;
+        const auto nearest = pickOne(near, Nanoseconds(0), request);
+        const auto farthest = pickOne(far, m_options.otherDataCentreCost, request);
+        if (nearest && farthest)
+            return farthest->cost < nearest->cost ? farthest : nearest;
+        return nearest ? nearest : farthest;
+    }
+
+    std::optional<Picked> pickOne(
+        const std::vector<RouteCandidate>& candidates, Nanoseconds extra, const RouteRequest& request)
+    {
+        if (candidates.empty())
+            return std::nullopt;
+        const auto chosen = m_policy(candidates, request, m_random);
+        if (!chosen)
+            return std::nullopt;
+        const auto& candidate = candidates[*chosen];
+        return Picked { candidate, candidate.completionAt + extra };
     }
 
     static bool hasRoom(
@@ -230,7 +237,8 @@
         if (!picked)
             return picked.error();
         const auto& option = picked.value().candidate;
-        return RouteChoice { option.engine, option.engine, option.firstTokenAt, picked.value().cost };
+        return RouteChoice { option.engine, option.engine, option.prefillTokens, option.firstTokenAt,
+            picked.value().cost };
     }
 
     Result<RouteChoice> choosePair(const RouteRequest& request, MonotonicTime now)
@@ -246,11 +254,13 @@
         if (!decode)
             return decode.error();
         const auto& to = decode.value().candidate;
-        return RouteChoice { from.engine, to.engine, to.firstTokenAt, decode.value().cost };
+        return RouteChoice { from.engine, to.engine, from.prefillTokens, to.firstTokenAt,
+            decode.value().cost };
     }
 
-    Result<RouteChoice> choose(const RouteRequest& request, MonotonicTime now)
+    Result<RouteChoice> choose(RouteRequest request, MonotonicTime now)
     {
+        request.prefixShare = m_shares[request.model].share(request.prefix);
         const auto whole = chooseWhole(request, now);
         const auto pair = choosePair(request, now);
         if (!whole && !pair) {
@@ -264,12 +274,33 @@
         return best;
     }
 
+    // The least time over the engines, with the decode divided as told.
+    template <typename Divisor>
+    std::optional<Nanoseconds> leastTime(const RouteRequest& request, const Divisor& divisor) const
+    {
+        std::optional<Nanoseconds> best;
+        for (const auto& [id, engine] : m_engines) {
+            if (engine.view.model != request.model || !usable(engine))
+                continue;
+            const auto& speed = engine.load.speed();
+            const double prefill
+                = static_cast<double>(request.promptTokens.count()) / speed.prefillTokensPerSecond;
+            const double decode
+                = static_cast<double>(request.outputTokens.count()) / speed.decodeTokensPerSecond;
+            const auto time = nanoseconds(prefill + decode / divisor(speed));
+            if (!best || time < *best)
+                best = time;
+        }
+        return best;
+    }
+
     int livePeers = 0;
     RouterOptions m_options;
     RoutePolicy m_policy;
     RandomSource m_random;
     std::map<EngineId, Engine> m_engines;
     std::map<ModelName, SendRate> m_rates;
+    std::map<ModelName, PrefixShares> m_shares;
 };
 
 Router::Router(RouterOptions options, RoutePolicy policy, RandomSource random)
@@ -300,8 +331,10 @@
         return;
     engine->load.forgetBefore(now - m_impl->m_options.longestAttempt);
     engine->load.onSent(attempt, prefill, decode, now);
-    if (doesPrefill(engine->view.role))
+    if (doesPrefill(engine->view.role)) {
+        m_impl->m_shares[engine->view.model].add(prefix);
         engine->hints.add(prefix, now + m_impl->m_options.prefixLifetime, now);
+    }
     m_impl->countSent(*engine, prefill, decode, now);
 }
 
@@ -340,17 +373,12 @@
 
 std::optional<Nanoseconds> Router::unloadedTime(const RouteRequest& request) const
 {
-    std::optional<Nanoseconds> best;
-    for (const auto& [id, engine] : m_impl->m_engines) {
-        if (engine.view.model != request.model || !Impl::usable(engine))
-            continue;
-        const auto& speed = engine.load.speed();
-        const double time = static_cast<double>(request.promptTokens.count()) / speed.prefillTokensPerSecond
-            + static_cast<double>(request.outputTokens.count()) / speed.decodeTokensPerSecond;
-        if (!best || nanoseconds(time) < *best)
-            best = nanoseconds(time);
-    }
-    return best;
+    return m_impl->leastTime(request, [](const EngineSpeed&) { return 1; });
+}
+
+std::optional<Nanoseconds> Router::engineWork(const RouteRequest& request) const
+{
+    return m_impl->leastTime(request, [](const EngineSpeed& speed) { return speed.slots; });
 }
 
 } // namespace almondscale
--- a/Source/Routing/Router.h
+++ b/Source/Routing/Router.h
@@ -12,6 +12,7 @@
 #include "Routing/RouterOptions.h"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace almondscale {
@@ -32,6 +33,7 @@
     // An older report than the last one is ignored.
     void onLoadReport(const EngineId&, const LoadReport&);
 
+    // The prefill tokens are those of the choice, or 0 at an engine that only decodes.
     // An attempt whose prefill and decode are split is reported once for each engine.
     void onSent(const AttemptId&, const EngineId&, TokenCount prefill, TokenCount decode, PrefixHash,
         MonotonicTime now);
@@ -51,6 +53,9 @@
     EngineSpeed speed(const EngineId&) const;
     // How long an idle engine would need for the request; nothing if no engine serves the model.
     std::optional<Nanoseconds> unloadedTime(const RouteRequest&) const;
+    // What the request takes of an engine's time: a prefill has the engine to
+    // itself, a decode one of its slots.
+    std::optional<Nanoseconds> engineWork(const RouteRequest&) const;
 
 private:
     class Impl;
--- a/Source/Routing/RouterOptions.h
+++ b/Source/Routing/RouterOptions.h
@@ -12,7 +12,7 @@
     DataCentre dataCentre;
     // An engine with more work in front than this gets none; the request waits
     // at the host, where a later one of higher priority can still pass it.
-    Nanoseconds longestEngineWait = std::chrono::milliseconds(400);
+    Nanoseconds longestEngineWait = std::chrono::seconds(1);
     // What another data centre must be better by, to be worth the way.
     Nanoseconds otherDataCentreCost = std::chrono::milliseconds(20);
     // A prefix is believed to be cached for this long after its last use.
--- a/Tests/Admission/AdmissionQueueTest.cpp
+++ b/Tests/Admission/AdmissionQueueTest.cpp
@@ -207,6 +207,11 @@
     REQUIRE_FALSE(queue.submit(waiting("low", 0, Deadline::never()), start));
     REQUIRE_FALSE(queue.submit(waiting("later", 1, Deadline(start + 60s)), start));
     REQUIRE_FALSE(queue.submit(waiting("sooner", 1, Deadline(start + 30s)), start));
+    const auto upcoming = queue.upcoming(2);
+    REQUIRE(upcoming.size() == 2);
+    CHECK(upcoming[0].id == RequestId("sooner"));
+    CHECK(upcoming[1].id == RequestId("later"));
+    CHECK(queue.upcoming(9).back().id == RequestId("low"));
     for (const char* expected : { "sooner", "later", "low" }) {
         const auto next = queue.next(start);
         REQUIRE(next);
