--- a/Programs/almondscaled/CompletionRun.cpp
+++ b/Programs/almondscaled/CompletionRun.cpp
@@ -134,6 +134,9 @@
             choice.decode = *engine;
             return choice;
         }
+        // An engine that went away after it was granted would hold the request for ever.
+        if (engine)
+            m_context.quarantine.finish(ticket());
         const StrikeVerdict verdict = m_context.crashes.verdict(m_fingerprint);
         const bool late = m_call.deadline.passed(m_context.clock());
         if (late || verdict == StrikeVerdict::Refused || m_reply.callerGone()) {
