--- a/Programs/almondscale-bench/main.cpp
+++ b/Programs/almondscale-bench/main.cpp
@@ -3,6 +3,8 @@
 #include "RoutingCommand.h"
 #include "ShiftCommand.h"
 
+#include "Load/LoadCommand.h"
+
 #include <cstring>
 #include <iostream>
 
@@ -20,6 +22,7 @@
     { "compare", "all role policies on the same arrivals, against the clairvoyant bound",
         almondscale::runCompareCommand },
     { "control", "cost and delays of the control traffic between hosts", almondscale::runControlCommand },
+    { "load", "HTTP load on running hosts, with every answer checked in full", almondscale::runLoadCommand },
     { "routing", "routing policies on the same arrivals at hosts with late load reports",
         almondscale::runRoutingCommand },
     { "shift", "goodput and role changes of one policy under a moving mix", almondscale::runShiftCommand },
--- a/Source/Membership/MembershipState.cpp
+++ b/Source/Membership/MembershipState.cpp
@@ -18,6 +18,11 @@
     , m_incarnation(settings.incarnation)
     , m_members(settings)
     , m_items(settings)
+    , m_requests([this](const Address& to, const Frame& request) {
+        auto frame = request;
+        frame.sender = ownRecord();
+        send(to, frame);
+    })
     , m_budget(static_cast<long long>(settings.burstBytes))
     , m_lastTick(m_hooks.clock())
     , m_budgetAt(m_lastTick)
@@ -65,7 +70,6 @@
         return;
     }
     const auto* former = m_members.find(record.host);
-    const auto formerRules = former ? former->record.rules : RulesVersion();
     const auto formerFloor = former ? former->record.itemFloor : 0;
     const auto settled = settleAddress(record, now);
     const auto change = m_members.apply(settled, now);
@@ -83,8 +87,6 @@
         m_urgent = true;
         reportMember(entry.record);
     }
-    if (formerRules < entry.record.rules && m_hooks.rulesChanged)
-        m_hooks.rulesChanged(memberOf(entry.record));
 }
 
 // Of two hosts on one address, the one with the lower incarnation is gone.
