--- a/Tests/Routing/RoutePolicyTest.cpp
+++ b/Tests/Routing/RoutePolicyTest.cpp
@@ -22,7 +22,7 @@
 TEST_CASE("RoutePolicy, the same arrivals at eight hosts, are answered in time more often than by baselines")
 {
     RoutingExperiment experiment;
-    experiment.length = 20s;
+    experiment.length = 10s;
     experiment.seed = static_cast<std::uint64_t>(GENERATE(1, 2, 3));
     experiment.requestsPerSecond = GENERATE(60.0, 100.0, 160.0);
     experiment.hotShare = GENERATE(0.0, 0.5);
