--- a/Programs/almondscale-bench/RoutingFixture.cpp
+++ b/Programs/almondscale-bench/RoutingFixture.cpp
@@ -88,7 +88,7 @@
                 EngineView view;
                 view.id = EngineId("engine" + std::to_string(i));
                 view.model = m_model;
-                view.state = EngineState::Open;
+                view.state = EngineAvailability::Open;
                 m_views.push_back(view);
                 RoutingEngineHooks hooks;
                 hooks.after = [this](Nanoseconds delay, std::function<void()> action) {
--- a/Programs/almondscale-bench/Shift/PoolRun.cpp
+++ b/Programs/almondscale-bench/Shift/PoolRun.cpp
@@ -109,7 +109,7 @@
     struct Engine {
         EngineId id;
         std::unique_ptr<EngineModel> model;
-        EngineState state = EngineState::Open;
+        EngineAvailability state = EngineAvailability::Open;
         EngineReadiness readiness = EngineReadiness::Ready;
         EngineRole nextRole = EngineRole::Mixed;
         std::uint64_t boot = 1;
@@ -507,7 +507,7 @@
     const auto planned = static_cast<std::size_t>(m_requests[request].decodeEngine);
     const auto state = m_engines[planned].state;
     const bool decodes = m_engines[planned].model->role() != EngineRole::Prefill;
-    if (decodes && (state == EngineState::Open || state == EngineState::Closing))
+    if (decodes && (state == EngineAvailability::Open || state == EngineAvailability::Closing))
         return planned;
     return std::nullopt;
 }
@@ -653,7 +653,7 @@
     }
     engine.readiness = EngineReadiness::Changing;
     engine.nextRole = change.to;
-    engine.state = EngineState::Closing;
+    engine.state = EngineAvailability::Closing;
     tellHostsOfEngines();
     m_result.roleChanges.push_back({ m_now, change.from, change.to });
     schedule(m_now + closingTime, EventKind::PollDrain, index);
@@ -662,13 +662,13 @@
 void PoolRun::Impl::pollDrain(std::size_t index)
 {
     auto& engine = m_engines[index];
-    if (engine.state != EngineState::Closing && engine.state != EngineState::Leaving)
+    if (engine.state != EngineAvailability::Closing && engine.state != EngineAvailability::Leaving)
         return;
     if (!engine.model->idle() || engine.promised > 0) {
         schedule(m_now + drainPoll, EventKind::PollDrain, index);
         return;
     }
-    engine.state = EngineState::Dead;
+    engine.state = EngineAvailability::Dead;
     tellHostsOfEngines();
     if (engine.readiness == EngineReadiness::Withdrawing)
         return;
@@ -685,7 +685,7 @@
     auto& engine = m_engines[index];
     engine.model->restart(engine.nextRole);
     ++engine.boot;
-    engine.state = EngineState::Open;
+    engine.state = EngineAvailability::Open;
     engine.readiness = EngineReadiness::Ready;
     tellHostsOfEngines();
     for (std::size_t i = 0; i < m_hosts.size(); ++i)
@@ -696,7 +696,7 @@
 {
     auto& engine = m_engines[index];
     engine.nextRole = engine.model->role();
-    engine.state = EngineState::Dead;
+    engine.state = EngineAvailability::Dead;
     engine.readiness = EngineReadiness::Down;
     tellHostsOfEngines();
     for (const auto request : engine.model->restart(engine.model->role())) {
@@ -721,7 +721,7 @@
         return;
     }
     m_engines[0].readiness = EngineReadiness::Withdrawing;
-    m_engines[0].state = EngineState::Leaving;
+    m_engines[0].state = EngineAvailability::Leaving;
     tellHostsOfEngines();
     schedule(m_now + closingTime, EventKind::PollDrain, 0);
 }
--- a/Programs/almondscale/Command.cpp
+++ b/Programs/almondscale/Command.cpp
@@ -4,6 +4,7 @@
 #include "RulesCommands.h"
 #include "ViewCommands.h"
 
+#include <algorithm>
 #include <iostream>
 #include <sstream>
 
@@ -34,6 +35,15 @@
             true, showHosts },
         { "engines", "", "List the engines.", "Shows each engine's role, state and last reported load.", true,
             showEngines },
+        { "engines order", "ENGINE KIND VALUE", "Give one engine an order.",
+            "KIND is role, load_model, load_adapter or load_version. Ask the host that holds the lease of "
+            "the\n"
+            "engine's pool, which 'almondscale leases' shows. The engine is emptied first; no request is "
+            "cut.",
+            true, orderEngine },
+        { "leases", "", "List the leases of the host's data centre.",
+            "Shows the holder and the fencing number of each pool, and the last order of this host.", true,
+            showLeases },
         { "shutdown", "", "End one host gracefully.",
             "The host tells the balancer, finishes its requests and ends with status 0.", true, shutDown },
     };
@@ -48,8 +58,10 @@
         bool same = true;
         for (std::string word; name >> word; ++count)
             same = same && count < words.size() && words[count] == word;
-        const std::size_t arguments = *command.arguments ? 1 : 0;
-        if (same && (words.size() == count + arguments || words.size() == count))
+        const std::string arguments = command.arguments;
+        const auto blanks = static_cast<std::size_t>(std::count(arguments.begin(), arguments.end(), ' '));
+        const std::size_t most = arguments.empty() ? 0 : blanks + 1;
+        if (same && (words.size() == count + most || words.size() == count))
             return &command;
     }
     return nullptr;
--- a/Programs/almondscale/ViewCommands.cpp
+++ b/Programs/almondscale/ViewCommands.cpp
@@ -1,6 +1,7 @@
 #include "ViewCommands.h"
 
 #include "Http/Json.h"
+#include "Http/JsonBuilder.h"
 #include "TextTable.h"
 
 #include <iostream>
@@ -59,6 +60,32 @@
             { "FREE BLOCKS", "free_blocks" }, { "FENCING", "checks_fencing" } });
 }
 
+ExitStatus showLeases(const ToolOptions& options, const HostConnection& host)
+{
+    return showTable(options, host, "/leases", "leases",
+        { { "DATA CENTRE", "data_centre" }, { "MODEL", "model" }, { "HOLDER", "holder" },
+            { "FENCING", "fencing" }, { "HELD HERE", "held_here" }, { "MAY ORDER", "may_order" },
+            { "LAST ORDER", "last_order" } });
+}
+
+ExitStatus orderEngine(const ToolOptions& options, const HostConnection& host)
+{
+    if (options.words.size() != 5) {
+        std::cerr << "give ENGINE KIND VALUE, such as engine-1 role prefill\n";
+        return ExitStatus::WrongUse;
+    }
+    const std::string body = JsonBuilder()
+                                 .text("engine", options.words[2])
+                                 .text("kind", options.words[3])
+                                 .text("value", options.words[4])
+                                 .finish();
+    const CallResult result = host.post("/engines/order", body);
+    if (!result.ok() || result.response->status != 202)
+        return reportFailure(result);
+    std::cout << "ordered; 'almondscale leases' shows how it ends\n";
+    return ExitStatus::Success;
+}
+
 ExitStatus shutDown(const ToolOptions&, const HostConnection& host)
 {
     const CallResult result = host.post("/shutdown", "");
--- a/Programs/almondscale/ViewCommands.h
+++ b/Programs/almondscale/ViewCommands.h
@@ -8,6 +8,8 @@
 ExitStatus showStatus(const ToolOptions&, const HostConnection&);
 ExitStatus showHosts(const ToolOptions&, const HostConnection&);
 ExitStatus showEngines(const ToolOptions&, const HostConnection&);
+ExitStatus showLeases(const ToolOptions&, const HostConnection&);
+ExitStatus orderEngine(const ToolOptions&, const HostConnection&);
 ExitStatus shutDown(const ToolOptions&, const HostConnection&);
 
 } // namespace almondscale
--- a/Programs/almondscaled/CompletionRun.cpp
+++ b/Programs/almondscaled/CompletionRun.cpp
@@ -2,7 +2,7 @@
 
 #include "Core/LogEvent.h"
 #include "Dispatch/RetryDecision.h"
-#include "EngineExactState.h"
+#include "EngineStateReply.h"
 #include "Http/HttpClient.h"
 #include "Http/Json.h"
 #include "PromptPrefix.h"
@@ -158,10 +158,10 @@
         if (!engine)
             return false;
         const auto state
-            = engineState(engine->view.address, Deadline::after(m_context.clock(), inquiryTimeout));
-        if (!state.reached)
+            = askEngineState(engine->view.address, Deadline::after(m_context.clock(), inquiryTimeout)).state;
+        if (!state)
             return false;
-        if (state.inFlight == 0)
+        if (state->inFlight == 0)
             return true;
         std::this_thread::sleep_for(verdictInterval);
     }
@@ -445,9 +445,9 @@
         const auto record = m_context.engines.engine(run.engine);
         if (!record || record->view.address != engine)
             continue;
-        const EngineExactState state
-            = engineState(engine, Deadline::after(m_context.clock(), inquiryTimeout));
-        if (state.refused || (state.reached && state.boot != run.boot))
+        const EngineStateReply reply
+            = askEngineState(engine, Deadline::after(m_context.clock(), inquiryTimeout));
+        if (reply.refused || (reply.state && reply.state->boot != run.boot))
             m_context.crashes.crashed(run, m_fingerprint, m_alone);
     }
 }
--- a/Programs/almondscaled/CompletionServer.cpp
+++ b/Programs/almondscaled/CompletionServer.cpp
@@ -54,6 +54,9 @@
         return reply.send(errorResponse(ErrorKind::UnknownModel));
     if (call.promptTokens + call.maxTokens > model->contextTokens)
         return reply.send(errorResponse(ErrorKind::PromptTooLong));
+    if (const auto retryAt = m_context.limits.admit(call.organisation))
+        return reply.send(errorResponse(ErrorKind::LimitExceeded, {}, *retryAt - now));
+    m_context.demand.add(call.model, call.promptTokens, call.maxTokens);
     call.priority = std::min(call.priority, highestPriority(*rules, call.organisation));
     CompletionRun(m_context, call, *pool, reply).run();
 }
--- a/Programs/almondscaled/CrashGuard.cpp
+++ b/Programs/almondscaled/CrashGuard.cpp
@@ -58,6 +58,13 @@
     return m_strikes.anySuspect(m_hooks.clock());
 }
 
+bool CrashGuard::runs(const EngineId& engine) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto first = m_running.lower_bound({ engine, 0 });
+    return first != m_running.end() && first->first.engine == engine;
+}
+
 void CrashGuard::started(const EngineRun& run, Fingerprint fingerprint)
 {
     const std::lock_guard lock(m_mutex);
--- a/Programs/almondscaled/CrashGuard.h
+++ b/Programs/almondscaled/CrashGuard.h
@@ -32,6 +32,8 @@
     StrikeVerdict verdict(Fingerprint);
     bool anySuspect() const;
 
+    // Whether any request of this host runs on the engine.
+    bool runs(const EngineId&) const;
     void started(const EngineRun&, Fingerprint);
     void ended(const EngineRun&, Fingerprint);
     // The engine crashed while the request was on it; to be called before ended().
--- a/Programs/almondscaled/EngineDirectory.cpp
+++ b/Programs/almondscaled/EngineDirectory.cpp
@@ -132,15 +132,15 @@
     return found->second;
 }
 
-EngineState EngineDirectory::stateOf(const EngineRecord& record)
+EngineAvailability EngineDirectory::availabilityOf(const EngineRecord& record)
 {
     if (record.leaving)
-        return EngineState::Leaving;
+        return EngineAvailability::Leaving;
     if (record.closing || record.reserved)
-        return EngineState::Closing;
+        return EngineAvailability::Closing;
     if (record.reachable)
-        return EngineState::Open;
-    return record.boot == 0 ? EngineState::Unknown : EngineState::Dead;
+        return EngineAvailability::Open;
+    return record.boot == 0 ? EngineAvailability::Unknown : EngineAvailability::Dead;
 }
 
 void EngineDirectory::publish()
@@ -151,7 +151,7 @@
         record.leaving = m_leaving.count(id) > 0;
         record.reserved = m_reserved.count(id) > 0;
         record.view.reachable = record.reachable;
-        record.view.state = stateOf(record);
+        record.view.state = availabilityOf(record);
         views[record.view.model].push_back(record.view);
     }
     for (const auto& [model, pool] : m_pools)
--- a/Programs/almondscaled/EngineDirectory.h
+++ b/Programs/almondscaled/EngineDirectory.h
@@ -51,7 +51,7 @@
 private:
     void replace(std::set<EngineId>& set, const std::set<EngineId>& by);
     void publish();
-    static EngineState stateOf(const EngineRecord&);
+    static EngineAvailability availabilityOf(const EngineRecord&);
 
     RouterOptions m_routing;
     AdmissionOptions m_admission;
--- a/Programs/almondscaled/Host.cpp
+++ b/Programs/almondscaled/Host.cpp
@@ -1,7 +1,10 @@
 #include "Host.h"
 
+#include "AuthorityDuty.h"
 #include "CallerFrontend.h"
+#include "ClosingBook.h"
 #include "Core/LogEvent.h"
+#include "DemandCounters.h"
 #include "EngineWatcher.h"
 #include "HostContext.h"
 #include "HostListDuty.h"
@@ -10,6 +13,7 @@
 #include "Http/HttpClient.h"
 #include "Http/HttpServer.h"
 #include "Http/JsonBuilder.h"
+#include "LimitsDuty.h"
 #include "Membership/MembershipService.h"
 #include "OperatorFrontend.h"
 #include "PeriodicDuty.h"
@@ -28,6 +32,7 @@
     constexpr const char* operatorsItem = "operators";
     constexpr auto pullTimeout = std::chrono::milliseconds(500);
     constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
+    constexpr auto closingInterval = std::chrono::milliseconds(50);
     constexpr auto quarantineInterval = std::chrono::milliseconds(100);
     constexpr auto closingsInterval = std::chrono::seconds(1);
     constexpr unsigned operatorThreads = 32;
@@ -82,9 +87,11 @@
         , m_crashes(crashHooks())
         , m_keeper(m_engines, m_crashes, settings.dataCentre, monotonicClock(),
               [this](const std::string& key, const std::string& value) { share(key, value); })
-        , m_quarantine(m_keeper, settings.host, settings.peersKey, monotonicClock(), quarantineHooks())
+        , m_quarantine(m_keeper, settings.host, monotonicClock(), quarantineHooks())
+        , m_limits(settings.host, m_rules, monotonicClock(), limitsHooks())
+        , m_demand(monotonicClock()())
         , m_context { m_settings, m_rules, m_engines, m_metrics, m_budgets, m_ids, m_crashes, m_quarantine,
-            monotonicClock() }
+            m_limits, m_demand, monotonicClock() }
         , m_callers(m_context, m_incarnation, m_platform.table(), holderLive())
         , m_operators(
               operatorHooks(), [this] { return operatorKeys(); }, [this] { return peerKeys(); })
@@ -92,6 +99,11 @@
         , m_rulesDuty(m_platform.table(), rulesHooks())
         , m_watcher(m_engines, settings.dataCentre, settings.reportInterval)
         , m_hostList(m_platform, m_membership, m_engines, settings)
+        , m_closings(m_membership, m_engines, m_crashes, monotonicClock())
+        , m_closingsDuty(closingInterval, [this] { m_closings.tick(); })
+        , m_authority({ m_settings, m_incarnation, m_platform.table(), m_rules, m_engines, m_membership,
+                          m_closings, monotonicClock() },
+              m_demand)
         , m_quarantineDuty(quarantineInterval, [this] { m_quarantine.tick(); })
         , m_bookingsDuty(closingsInterval, [this] { m_callers.retryClosings(); })
     {
@@ -107,6 +119,9 @@
         m_hostList.start();
         m_bookingsDuty.start();
         m_quarantineDuty.start();
+        m_closingsDuty.start();
+        m_limits.start();
+        m_authority.start();
         m_operatorServer = std::make_unique<HttpServer>(
             m_settings.operatorsListen,
             [this](const HttpRequest& request, ReplyWriter& reply) { m_operators.serve(request, reply); },
@@ -171,6 +186,12 @@
         };
         hooks.peerCalls["/peer/quarantine"]
             = [this](const std::string& body) { return m_quarantine.answerPeer(body); };
+        hooks.peerCalls["/peer/limits"] = [this](const std::string& body) {
+            return m_limits.onMessages(body) ? std::optional(std::string("{}")) : std::nullopt;
+        };
+        hooks.order = [this](const EngineId& engine, OrderKind kind, const std::string& value) {
+            return m_authority.order(engine, kind, value);
+        };
         const auto view = [&hooks](const char* path, const std::function<std::string()>& make) {
             hooks.views[path] = [make](const HttpRequest&) {
                 HttpResponse response;
@@ -180,6 +201,7 @@
         };
         view("/status", [this] { return statusJson(); });
         view("/hosts", [this] { return membersJson(m_membership.members()); });
+        view("/leases", [this] { return m_authority.json(); });
         view("/engines", [this] { return enginesJson(m_engines.engines()); });
         return hooks;
     }
@@ -231,11 +253,60 @@
         return hooks;
     }
 
+    LimitsHooks limitsHooks()
+    {
+        LimitsHooks hooks;
+        hooks.peers = [this] { return limitPeers(); };
+        hooks.send = [this](const HostId& host, const std::string& messages) {
+            return callPeer(host, "POST", "/peer/limits", messages).has_value();
+        };
+        return hooks;
+    }
+
+    // A host that is cut off keeps its share for as long as the platform lists it.
+    std::vector<LimitPeer> limitPeers() const
+    {
+        std::map<HostId, bool> reachable;
+        for (const HostId& host : m_hostList.listedHosts())
+            reachable[host] = false;
+        for (const Member& member : m_membership.members()) {
+            if (member.live() || member.state == MemberState::Unreachable)
+                reachable[member.host] = member.live();
+        }
+        std::vector<LimitPeer> peers;
+        peers.reserve(reachable.size());
+        for (const auto& [host, live] : reachable)
+            peers.push_back({ host, live });
+        return peers;
+    }
+
+    // The body of a peer's answer on its operators' port; nothing if it could not be had.
+    std::optional<std::string> callPeer(
+        const HostId& host, const char* method, const char* path, const std::string& body) const
+    {
+        const auto address = operatorsAddress(host);
+        if (!address)
+            return std::nullopt;
+        HttpCall call;
+        call.to = *address;
+        call.method = method;
+        call.path = path;
+        call.headers["x-peer-key"] = m_settings.peersKey;
+        call.body = body;
+        call.deadline = Deadline::after(monotonicClock()(), pullTimeout);
+        const CallResult result = callOnce(call);
+        if (!result.ok() || result.response->status != 200)
+            return std::nullopt;
+        return result.response->body;
+    }
+
     QuarantineHooks quarantineHooks()
     {
         QuarantineHooks hooks;
         hooks.keeper = [this] { return firstHostOfDataCentre(); };
-        hooks.address = [this](const HostId& host) { return operatorsAddress(host); };
+        hooks.send = [this](const HostId& host, const std::string& ticket) {
+            return callPeer(host, "POST", "/peer/quarantine", ticket);
+        };
         return hooks;
     }
 
@@ -291,18 +362,8 @@
 
     std::optional<RulesChange> pullRules(const HostId& peer) const
     {
-        const auto address = operatorsAddress(peer);
-        if (!address)
-            return std::nullopt;
-        HttpCall call;
-        call.to = *address;
-        call.path = "/peer/rules";
-        call.headers["x-peer-key"] = m_settings.peersKey;
-        call.deadline = Deadline::after(monotonicClock()(), pullTimeout);
-        const CallResult result = callOnce(call);
-        if (!result.ok() || result.response->status != 200)
-            return std::nullopt;
-        return readRulesChange(result.response->body);
+        const auto answer = callPeer(peer, "GET", "/peer/rules", {});
+        return answer ? readRulesChange(*answer) : std::nullopt;
     }
 
     RulesPeers placeInDataCentre() const
@@ -361,10 +422,13 @@
         while (m_callers.running() > 0)
             std::this_thread::sleep_for(drainCheckInterval);
         m_callerServer->stop();
+        m_authority.stop();
         m_membership.leave();
         m_hostList.stop();
         m_bookingsDuty.stop();
         m_quarantineDuty.stop();
+        m_closingsDuty.stop();
+        m_limits.stop();
         m_rulesDuty.stop();
         m_operatorServer->stop();
         m_watcher.stop();
@@ -384,6 +448,8 @@
     CrashGuard m_crashes;
     QuarantineKeeper m_keeper;
     Quarantine m_quarantine;
+    LimitsDuty m_limits;
+    DemandCounters m_demand;
     HostContext m_context;
     CallerFrontend m_callers;
     OperatorFrontend m_operators;
@@ -391,6 +457,9 @@
     RulesDuty m_rulesDuty;
     EngineWatcher m_watcher;
     HostListDuty m_hostList;
+    ClosingBook m_closings;
+    PeriodicDuty m_closingsDuty;
+    AuthorityDuty m_authority;
     PeriodicDuty m_quarantineDuty;
     PeriodicDuty m_bookingsDuty;
     std::unique_ptr<HttpServer> m_operatorServer;
--- a/Programs/almondscaled/HostContext.h
+++ b/Programs/almondscaled/HostContext.h
@@ -3,8 +3,10 @@
 #include "AttemptIds.h"
 #include "Core/MonotonicTime.h"
 #include "CrashGuard.h"
+#include "DemandCounters.h"
 #include "EngineDirectory.h"
 #include "HostMetrics.h"
+#include "LimitsDuty.h"
 #include "PoolBudgets.h"
 #include "Quarantine.h"
 #include "RulesHolder.h"
@@ -22,6 +24,8 @@
     AttemptIds& ids;
     CrashGuard& crashes;
     Quarantine& quarantine;
+    LimitsDuty& limits;
+    DemandCounters& demand;
     Clock clock;
 };
 
--- a/Programs/almondscaled/HostListDuty.cpp
+++ b/Programs/almondscaled/HostListDuty.cpp
@@ -61,11 +61,18 @@
     if (!list)
         return;
     std::vector<SeedHost> seeds;
+    std::vector<HostId> listed;
     for (const ListedHost& host : list.value().hosts) {
+        if (!host.leaving)
+            listed.push_back(host.id);
         if (!host.leaving && host.id != m_settings.host)
             seeds.push_back({ host.id, host.controlAddress, host.dataCentre });
     }
     m_membership.setSeeds(std::move(seeds));
+    {
+        const std::lock_guard lock(m_mutex);
+        m_listedHosts = std::move(listed);
+    }
     m_listedLeaving.clear();
     for (const ListedBackend& backend : list.value().backends) {
         if (backend.leaving)
@@ -73,6 +80,12 @@
     }
 }
 
+std::vector<HostId> HostListDuty::listedHosts() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_listedHosts;
+}
+
 void HostListDuty::applyLeaving()
 {
     const std::string text = joined(m_listedLeaving);
--- a/Programs/almondscaled/HostListDuty.h
+++ b/Programs/almondscaled/HostListDuty.h
@@ -6,6 +6,9 @@
 #include "Platform/PlatformClient.h"
 #include "Settings/HostSettings.h"
 
+#include <mutex>
+#include <vector>
+
 namespace almondscale {
 
 // Reads the platform's lagging list: seeds the membership and stops new work to leaving engines.
@@ -18,6 +21,8 @@
 
     void start() { m_duty.start(); }
     void stop() { m_duty.stop(); }
+    // The hosts on the list that are not leaving, as last read.
+    std::vector<HostId> listedHosts() const;
 
 private:
     void step();
@@ -30,6 +35,8 @@
     EngineDirectory& m_engines;
     const HostSettings& m_settings;
     std::set<EngineId> m_listedLeaving;
+    mutable std::mutex m_mutex;
+    std::vector<HostId> m_listedHosts;
     std::string m_published;
     int m_step = 0;
     PeriodicDuty m_duty;
--- a/Programs/almondscaled/HostViews.cpp
+++ b/Programs/almondscaled/HostViews.cpp
@@ -22,18 +22,18 @@
         }
     }
 
-    const char* stateWord(EngineState state)
+    const char* stateWord(EngineAvailability state)
     {
         switch (state) {
-        case EngineState::Open:
+        case EngineAvailability::Open:
             return "open";
-        case EngineState::Closing:
+        case EngineAvailability::Closing:
             return "closing";
-        case EngineState::Leaving:
+        case EngineAvailability::Leaving:
             return "leaving";
-        case EngineState::Dead:
+        case EngineAvailability::Dead:
             return "dead";
-        case EngineState::Unknown:
+        case EngineAvailability::Unknown:
             break;
         }
         return "unknown";
--- a/Programs/almondscaled/OperatorFrontend.cpp
+++ b/Programs/almondscaled/OperatorFrontend.cpp
@@ -131,6 +131,8 @@
         return showRules();
     if (request.path == "/rules/history")
         return historyOfRules(request);
+    if (request.path == "/engines/order" && request.method == "POST")
+        return orderEngine(request);
     if (request.path == "/shutdown" && request.method == "POST") {
         m_hooks.shutDown();
         return json(JsonBuilder().text("state", "shutting_down").finish(), 202);
@@ -186,6 +188,20 @@
     return json(applyJson(result), applyStatus(result.outcome));
 }
 
+HttpResponse OperatorFrontend::orderEngine(const HttpRequest& request)
+{
+    const auto body = parseJson(request.body);
+    const auto kind = body ? parseOrderKind(jsonString(*body, "kind")) : std::nullopt;
+    if (!kind || jsonString(*body, "value").empty())
+        return errorResponse(ErrorKind::BadRequest, "Name an engine, a kind of order and a value.");
+    const EngineId engine(jsonString(*body, "engine"));
+    const std::error_code error = m_hooks.order(engine, *kind, jsonString(*body, "value"));
+    LogEvent("order_asked").with("engine", engine).with("kind", orderKindWord(*kind)).with("taken", !error);
+    if (error)
+        return errorResponse(errorKind(error));
+    return json(JsonBuilder().text("state", "ordered").finish(), 202);
+}
+
 HttpResponse OperatorFrontend::showRules() const
 {
     const auto change = m_hooks.rulesInForce();
--- a/Programs/almondscaled/OperatorFrontend.h
+++ b/Programs/almondscaled/OperatorFrontend.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Authority/EngineOrder.h"
+#include "Core/EngineId.h"
 #include "Http/HttpHandler.h"
 #include "Rules/RulesStore.h"
 
@@ -16,6 +18,8 @@
     std::function<Result<std::vector<RulesChange>>(std::size_t limit)> rulesHistory;
     std::function<std::string()> metrics;
     std::function<void()> shutDown;
+    // An order to an engine, if this host holds the lease of its pool.
+    std::function<std::error_code(const EngineId&, OrderKind, const std::string& value)> order;
     // Calls of peers by path, such as "/peer/rules"; nothing stands for a malformed call.
     std::map<std::string, std::function<std::optional<std::string>(const std::string& body)>> peerCalls;
     // Read-only views by path, such as "/status".
@@ -37,6 +41,7 @@
     HttpResponse answerPeer(const HttpRequest&) const;
     HttpResponse checkRules(const HttpRequest&) const;
     HttpResponse applyRules(const HttpRequest&);
+    HttpResponse orderEngine(const HttpRequest&);
     HttpResponse showRules() const;
     HttpResponse historyOfRules(const HttpRequest&) const;
 
--- a/Programs/almondscaled/Quarantine.cpp
+++ b/Programs/almondscaled/Quarantine.cpp
@@ -1,6 +1,5 @@
 #include "Quarantine.h"
 
-#include "Http/HttpClient.h"
 #include "Http/Json.h"
 #include "Http/JsonBuilder.h"
 
@@ -8,18 +7,14 @@
 
 namespace {
 
-    constexpr const char* path = "/peer/quarantine";
     constexpr const char* askAction = "ask";
     constexpr const char* finishAction = "finish";
-    constexpr auto callTimeout = std::chrono::milliseconds(500);
 
 } // namespace
 
-Quarantine::Quarantine(
-    QuarantineKeeper& keeper, HostId own, std::string peersKey, Clock clock, QuarantineHooks hooks)
+Quarantine::Quarantine(QuarantineKeeper& keeper, HostId own, Clock clock, QuarantineHooks hooks)
     : m_keeper(keeper)
     , m_own(std::move(own))
-    , m_peersKey(std::move(peersKey))
     , m_clock(std::move(clock))
     , m_hooks(std::move(hooks))
 {
@@ -29,7 +24,7 @@
 {
     if (m_hooks.keeper() == m_own)
         return m_keeper.ask(ticket);
-    const auto answer = send(ticket, askAction);
+    const auto answer = m_hooks.send(m_hooks.keeper(), encodeTicket(ticket, askAction, m_clock()));
     const auto json = answer ? parseJson(*answer) : std::nullopt;
     const std::string engine = json ? jsonString(*json, "engine") : std::string();
     if (engine.empty())
@@ -42,7 +37,7 @@
     if (m_hooks.keeper() == m_own)
         m_keeper.finish(ticket);
     else
-        send(ticket, finishAction);
+        m_hooks.send(m_hooks.keeper(), encodeTicket(ticket, finishAction, m_clock()));
 }
 
 std::optional<std::string> Quarantine::answerPeer(const std::string& body)
@@ -65,22 +60,4 @@
         m_keeper.tick();
 }
 
-std::optional<std::string> Quarantine::send(const QuarantineTicket& ticket, const char* action) const
-{
-    const auto address = m_hooks.address(m_hooks.keeper());
-    if (!address)
-        return std::nullopt;
-    HttpCall call;
-    call.to = *address;
-    call.method = "POST";
-    call.path = path;
-    call.headers["x-peer-key"] = m_peersKey;
-    call.body = encodeTicket(ticket, action, m_clock());
-    call.deadline = Deadline::after(m_clock(), callTimeout);
-    const CallResult result = callOnce(call);
-    if (!result.ok() || result.response->status != 200)
-        return std::nullopt;
-    return result.response->body;
-}
-
 } // namespace almondscale
--- a/Programs/almondscaled/Quarantine.h
+++ b/Programs/almondscaled/Quarantine.h
@@ -10,14 +10,14 @@
 struct QuarantineHooks {
     // The host that keeps the lanes now.
     std::function<HostId()> keeper;
-    // The operators' address of a live host.
-    std::function<std::optional<Address>(const HostId&)> address;
+    // Sends a ticket to a host and gives its answer, or nothing if there is none.
+    std::function<std::optional<std::string>(const HostId&, const std::string& ticket)> send;
 };
 
 // Lets suspects of this host run alone, through the keeper of the data centre.
 class Quarantine {
 public:
-    Quarantine(QuarantineKeeper&, HostId own, std::string peersKey, Clock, QuarantineHooks);
+    Quarantine(QuarantineKeeper&, HostId own, Clock, QuarantineHooks);
 
     // One question to the keeper; to be repeated while it gives nothing.
     std::optional<EngineId> ask(const QuarantineTicket&);
@@ -28,11 +28,8 @@
     void tick();
 
 private:
-    std::optional<std::string> send(const QuarantineTicket&, const char* action) const;
-
     QuarantineKeeper& m_keeper;
     HostId m_own;
-    std::string m_peersKey;
     Clock m_clock;
     QuarantineHooks m_hooks;
 };
--- a/Programs/almondscaled/ServiceProxy.cpp
+++ b/Programs/almondscaled/ServiceProxy.cpp
@@ -103,6 +103,11 @@
     const ServiceRule* service = findService(*rules, name);
     if (!service)
         return reply.send(errorResponse(ErrorKind::UnknownService));
+    const std::string organisation = request.header("x-organisation");
+    const auto retryAt
+        = m_context.limits.admit(Organisation(organisation.empty() ? "anonymous" : organisation));
+    if (retryAt)
+        return reply.send(errorResponse(ErrorKind::LimitExceeded, {}, *retryAt - m_context.clock()));
     if (isBooking(*service, request.method, path))
         book(request, *service, path, reply);
     else
--- a/Source/Routing/EngineState.h
+++ b/Source/Routing/EngineAvailability.h
@@ -3,7 +3,7 @@
 namespace almondscale {
 
 // Whether an engine may get new work. Only an open engine does.
-enum class EngineState {
+enum class EngineAvailability {
     Open,
     // An order is being prepared; running work is finished.
     Closing,
--- a/Source/Routing/EngineView.h
+++ b/Source/Routing/EngineView.h
@@ -5,8 +5,8 @@
 #include "Core/EngineId.h"
 #include "Core/EngineRole.h"
 #include "Core/ModelName.h"
+#include "Routing/EngineAvailability.h"
 #include "Routing/EngineSpeed.h"
-#include "Routing/EngineState.h"
 
 namespace almondscale {
 
@@ -17,7 +17,7 @@
     DataCentre dataCentre;
     EngineRole role = EngineRole::Mixed;
     Address address;
-    EngineState state = EngineState::Unknown;
+    EngineAvailability state = EngineAvailability::Unknown;
     // Whether this host can open connections to it.
     bool reachable = true;
     EngineSpeed speed;
--- a/Source/Routing/Router.cpp
+++ b/Source/Routing/Router.cpp
@@ -118,7 +118,7 @@
 
     static bool usable(const Engine& engine)
     {
-        return engine.view.state == EngineState::Open && engine.view.reachable;
+        return engine.view.state == EngineAvailability::Open && engine.view.reachable;
     }
 
     bool fits(const Engine& engine, Part part) const
--- a/Tests/Routing/RouterTest.cpp
+++ b/Tests/Routing/RouterTest.cpp
@@ -35,7 +35,7 @@
         view.model = model;
         view.dataCentre = dataCentre;
         view.role = role;
-        view.state = EngineState::Open;
+        view.state = EngineAvailability::Open;
         views.push_back(view);
         router.setEngines(views);
     }
@@ -118,8 +118,8 @@
 TEST_CASE_METHOD(RouterFixture, "Router, engines that are not open or are excluded, get nothing")
 {
     add("a");
-    const auto state
-        = GENERATE(EngineState::Closing, EngineState::Leaving, EngineState::Dead, EngineState::Unknown);
+    const auto state = GENERATE(EngineAvailability::Closing, EngineAvailability::Leaving,
+        EngineAvailability::Dead, EngineAvailability::Unknown);
     views[0].state = state;
     router.setEngines(views);
     CHECK(router.choose(request(), start).kind() == ErrorKind::NoEngine);
