--- a/Programs/almondscale-bench/Shift/PoolRun.cpp
+++ b/Programs/almondscale-bench/Shift/PoolRun.cpp
@@ -247,7 +247,10 @@
     const auto& speeds = m_setup.fleet.speeds;
     const auto chunk = role == EngineRole::Prefill ? speeds.prefillChunk : speeds.mixedChunk;
     const double chunkMs = millisecondsOf(speeds.stepBase + chunk.count() * speeds.perPrefillToken);
-    const double stepMs = millisecondsOf(speeds.stepBase + speeds.decodeSlots / 2 * speeds.perDecodeSlot);
+    // A full batch, and beside it a full chunk of prefill if the engine takes any.
+    const int chunkTokens = role == EngineRole::Mixed ? static_cast<int>(chunk.count()) : 0;
+    const double stepMs = millisecondsOf(
+        speeds.stepBase + speeds.decodeSlots * speeds.perDecodeSlot + chunkTokens * speeds.perPrefillToken);
     EngineSpeed speed;
     speed.prefillTokensPerSecond = 1000 * static_cast<double>(chunk.count()) / chunkMs;
     speed.decodeTokensPerSecond = 1000 / stepMs;
