--- a/Programs/almondscaled/CrashGuard.cpp
+++ b/Programs/almondscaled/CrashGuard.cpp
@@ -58,6 +58,13 @@
     return m_strikes.anySuspect(m_hooks.clock());
 }
 
+bool CrashGuard::runs(const EngineId& engine) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto first = m_running.lower_bound({ engine, 0 });
+    return first != m_running.end() && first->first.engine == engine;
+}
+
 void CrashGuard::started(const EngineRun& run, Fingerprint fingerprint)
 {
     const std::lock_guard lock(m_mutex);
@@ -98,7 +105,7 @@
         .with("boot", run.boot)
         .with("fingerprint", fingerprint)
         .with("alone", alone);
-    shareChanges(std::move(changes), now);
+    shareChanges(changes, now);
 }
 
 void CrashGuard::completedAlone(Fingerprint fingerprint)
@@ -110,7 +117,7 @@
         m_strikes.onCompletedAlone(fingerprint, now);
         changes = m_strikes.takeChanges();
     }
-    shareChanges(std::move(changes), now);
+    shareChanges(changes, now);
 }
 
 void CrashGuard::merge(const std::string& value)
@@ -123,7 +130,7 @@
     m_strikes.merge(*record, now);
 }
 
-void CrashGuard::shareChanges(std::vector<StrikeRecord> changes, MonotonicTime now)
+void CrashGuard::shareChanges(const std::vector<StrikeRecord>& changes, MonotonicTime now)
 {
     for (const StrikeRecord& record : changes) {
         // The room for shared records is small, so those of requests that are cleared make way.
