Test leases and orders through pauses, lapses, crashes and lost answers

A released lease was taken only at the next look at the row, up to the watch interval later; the successor now takes it at once.

--- a/Source/Authority/Lease.cpp
+++ b/Source/Authority/Lease.cpp
@@ -143,6 +143,8 @@
     if (read && isOwn(*read))
         return adoptOwnRow(now, row, *read);
     lose();
+    if (read && read->released)
+        m_nextAt = Deadline();
     if (sameVersion)
         return;
     m_seenAt = now;
--- /dev/null
+++ b/Tests/Authority/LeaseTest.cpp
@@ -0,0 +1,162 @@
+#include "Authority/Lease.h"
+
+#include "Support/FakeTable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+using almondscale::test::FakeTable;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const std::string rowKey = leaseRowKey(DataCentre("north"), ModelName("sorter"));
+
+// Two hosts that want one lease.
+struct LeaseFixture {
+    FakeTable fake;
+    LeaseSettings settings;
+    MonotonicTime now { seconds(1000) };
+    Lease a { rowKey, HostId("a"), Incarnation(1), settings };
+    Lease b { rowKey, HostId("b"), Incarnation(1), settings };
+
+    void call(Lease& lease)
+    {
+        if (const auto due = lease.nextCall(now))
+            lease.onAnswer(now, performCall(fake.table(), *due));
+    }
+
+    void pass(Nanoseconds time, std::initializer_list<Lease*> running)
+    {
+        for (const auto end = now + time; now < end; now += milliseconds(100)) {
+            for (auto* lease : running)
+                call(*lease);
+        }
+    }
+
+    void aHolds()
+    {
+        pass(settings.orderSettleTime + seconds(1), { &a });
+        REQUIRE(a.mayOrder(now));
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(LeaseFixture, "Lease, two hosts with a table that works, stays with the first")
+{
+    aHolds();
+    for (int i = 0; i < 600; ++i) {
+        pass(milliseconds(100), { &a, &b });
+        REQUIRE(a.mayOrder(now));
+        REQUIRE_FALSE(b.holds(now));
+    }
+    CHECK(a.fencing() == FencingNumber(1));
+}
+
+TEST_CASE_METHOD(LeaseFixture, "Lease, renewal answered late, counts from before it was sent")
+{
+    aHolds();
+    auto due = a.nextCall(now);
+    while (!due) {
+        now += milliseconds(100);
+        due = a.nextCall(now);
+    }
+    const auto sentAt = now;
+    now += seconds(5);
+    a.onAnswer(now, performCall(fake.table(), *due));
+    CHECK(a.validUntil() == Deadline::after(sentAt, settings.duration - settings.margin));
+    CHECK(a.holds(sentAt + settings.duration - settings.margin - milliseconds(1)));
+    CHECK_FALSE(a.holds(sentAt + settings.duration - settings.margin));
+}
+
+TEST_CASE_METHOD(LeaseFixture, "Lease, holder stops, goes to the next with a higher number and a wait")
+{
+    aHolds();
+    pass(settings.watchInterval, { &a, &b });
+    const auto stopped = now;
+    const auto end = a.validUntil().at();
+    while (!b.holds(now) && now < stopped + seconds(60))
+        pass(milliseconds(100), { &b });
+    REQUIRE(b.holds(now));
+    CHECK(now >= end);
+    CHECK(b.fencing() == FencingNumber(2));
+    CHECK_FALSE(b.mayOrder(now));
+    const auto acquired = now;
+    pass(settings.orderSettleTime, { &b });
+    CHECK(b.mayOrder(now));
+    CHECK(now - acquired >= settings.orderSettleTime);
+    // The former holder wakes.
+    CHECK_FALSE(a.holds(now));
+    pass(seconds(30), { &a, &b });
+    CHECK_FALSE(a.holds(now));
+    CHECK(b.fencing() == FencingNumber(2));
+}
+
+TEST_CASE_METHOD(
+    LeaseFixture, "Lease, table down for long, lapses and is renewed by the same holder after it")
+{
+    aHolds();
+    fake.down = true;
+    pass(settings.duration * 2, { &a, &b });
+    CHECK_FALSE(a.holds(now));
+    CHECK_FALSE(b.holds(now));
+    fake.down = false;
+    pass(settings.retryInterval + milliseconds(100), { &a });
+    CHECK(a.holds(now));
+    CHECK(a.fencing() == FencingNumber(1));
+}
+
+TEST_CASE_METHOD(LeaseFixture, "Lease, answer of the acquisition lost, is recognised and waits to order")
+{
+    fake.loseWriteAnswers = 1;
+    pass(seconds(1), { &a });
+    CHECK(a.holds(now));
+    CHECK_FALSE(a.mayOrder(now));
+    CHECK(a.fencing() == FencingNumber(1));
+}
+
+TEST_CASE_METHOD(
+    LeaseFixture, "Lease, acquisition that arrives after a second one was sent, waits to order too")
+{
+    call(a);
+    const auto first = a.nextCall(now);
+    REQUIRE(first);
+    TableAnswer lost;
+    a.onAnswer(now, lost);
+    // The row is still absent when it is read back, and the second write meets the first.
+    call(a);
+    const auto second = a.nextCall(now);
+    REQUIRE(second);
+    performCall(fake.table(), *first);
+    a.onAnswer(now, performCall(fake.table(), *second));
+    call(a);
+    pass(settings.renewInterval, { &a });
+    CHECK(a.holds(now));
+    CHECK_FALSE(a.mayOrder(now));
+}
+
+TEST_CASE_METHOD(LeaseFixture, "Lease, released by its holder, is taken at once and still waits to order")
+{
+    aHolds();
+    a.release();
+    CHECK_FALSE(a.holds(now));
+    call(a);
+    CHECK(a.releaseDone());
+    pass(settings.watchInterval, { &b });
+    CHECK(b.holds(now));
+    CHECK_FALSE(b.mayOrder(now));
+    CHECK(b.fencing() == FencingNumber(2));
+}
+
+TEST_CASE_METHOD(LeaseFixture, "Lease, host replaced under the same name, is not taken for its predecessor")
+{
+    aHolds();
+    Lease replaced(rowKey, HostId("a"), Incarnation(2), settings);
+    pass(seconds(5), { &replaced });
+    CHECK_FALSE(replaced.holds(now));
+    pass(settings.duration, { &replaced });
+    CHECK(replaced.holds(now));
+    CHECK(replaced.fencing() == FencingNumber(2));
+}
