--- a/Source/Membership/Membership.h
+++ b/Source/Membership/Membership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Result.h"
 #include "Core/RulesVersion.h"
 #include "Membership/ItemScope.h"
 #include "Membership/Member.h"
@@ -8,6 +9,7 @@
 #include "Membership/MembershipSettings.h"
 #include "Membership/SeedHost.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,7 +38,8 @@
     void setSeeds(std::vector<SeedHost>);
 
     // Shares an item with the peers. Errors: LimitExceeded beyond the bounds per item or per host, BadRequest
-    // for an empty key or value.
+    // for an empty key or value. Items for the own data centre are paced: in a large one the newest value of
+    // each key waits for its turn.
     std::error_code publish(const std::string& key, const std::string& value, ItemScope);
     // Removes an item of this host at all peers.
     void retract(const std::string& key);
@@ -50,6 +53,12 @@
     std::vector<Member> members() const;
     std::optional<Member> member(const HostId&) const;
 
+    // Asks a peer for what it holds under the topic. Ends in the answer, NotFound if the peer has none,
+    // PeerUnreachable, or LimitExceeded.
+    void ask(const HostId& peer, const std::string& topic, std::function<void(Result<std::string>)> done);
+    // Answers a peer's request; empty if there is nothing under its topic.
+    void answer(const PeerRequest&, const std::string& answer);
+
     // Tells the peers that this host leaves. Ticks must go on for a while to spread it.
     void leave();
 
--- a/Source/Routing/RouterOptions.h
+++ b/Source/Routing/RouterOptions.h
@@ -12,9 +12,11 @@
     DataCentre dataCentre;
     // An engine with more work in front than this gets none; the request waits
     // at the host, where a later one of higher priority can still pass it.
-    Nanoseconds longestEngineWait = std::chrono::milliseconds(400);
+    Nanoseconds longestEngineWait = std::chrono::seconds(1);
     // What another data centre must be better by, to be worth the way.
     Nanoseconds otherDataCentreCost = std::chrono::milliseconds(20);
+    // The share of a mixed engine's memory that whole requests leave free beside prefill engines.
+    double mixedReserveShare = 0.15;
     // A prefix is believed to be cached for this long after its last use.
     Nanoseconds prefixLifetime = std::chrono::seconds(60);
     // After a gap in the cache events, what was believed lasts this much longer.
