Let the in-memory table's hook replace itself

The address sanitizer found the fake calling a hook that had just been replaced by itself, in RulesStoreTest. The fake now calls a copy.

--- a/Tests/Support/FakeTable.h
+++ b/Tests/Support/FakeTable.h
@@ -114,8 +114,10 @@
 
     void announce(const char* call, const std::string& key) const
     {
-        if (beforeCall)
-            beforeCall(call, key);
+        // A copy, as the hook may replace itself.
+        const auto hook = beforeCall;
+        if (hook)
+            hook(call, key);
     }
 
     static bool take(int& left)
