Choose engines in a tenth of the time

Each choice sorted all sends of each engine twice and looked through all engines again for each of them. The sends that no report shows yet and the engines of each model are now kept apart.

Trials on a busy machine, 1,000 choices: 18 engines and 100 requests in flight 69 and 135 us before, 19 us now; 120 engines and 1,000 requests 835 and 1,241 us before, 104 us now.

--- a/Source/Routing/EngineLoad.cpp
+++ b/Source/Routing/EngineLoad.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <vector>
 
 namespace almondscale {
 
@@ -33,6 +32,7 @@
         m_finished.pop_front();
     if (restarted)
         m_finished.clear();
+    findUnreported();
     return restarted;
 }
 
@@ -44,7 +44,11 @@
     sent.decode = static_cast<double>(decode.count());
     sent.blocks = blocksFor(prefill + decode);
     sent.engineWasIdle = estimate(now, {}, true).prefillTokens <= 0;
-    m_sent[attempt] = sent;
+    const bool isNew = m_sent.insert_or_assign(attempt, sent).second;
+    if (isNew && !isReported(now) && (m_unreported.empty() || m_unreported.back()->at <= now))
+        m_unreported.push_back(&m_sent.at(attempt));
+    else
+        findUnreported();
 }
 
 void EngineLoad::onFirstToken(const AttemptId& attempt, MonotonicTime now)
@@ -66,15 +70,30 @@
         return;
     const auto& sent = found->second;
     m_finished.push_back({ sent.at, now, sent.blocks });
+    m_unreported.erase(std::remove(m_unreported.begin(), m_unreported.end(), &sent), m_unreported.end());
     m_sent.erase(found);
 }
 
 void EngineLoad::forgetBefore(MonotonicTime oldest)
 {
+    const auto before = m_sent.size();
     for (auto sent = m_sent.begin(); sent != m_sent.end();)
         sent = sent->second.at < oldest ? m_sent.erase(sent) : std::next(sent);
     while (!m_finished.empty() && m_finished.front().at < oldest)
         m_finished.pop_front();
+    if (m_sent.size() != before)
+        findUnreported();
+}
+
+void EngineLoad::findUnreported()
+{
+    m_unreported.clear();
+    for (const auto& [attempt, sent] : m_sent) {
+        if (!isReported(sent.at))
+            m_unreported.push_back(&sent);
+    }
+    std::sort(
+        m_unreported.begin(), m_unreported.end(), [](const Sent* a, const Sent* b) { return a->at < b->at; });
 }
 
 EngineEstimate EngineLoad::estimate(MonotonicTime now, const PeerInflow& peers, bool correctReports) const
@@ -92,11 +111,9 @@
     if (!correctReports)
         return estimate;
 
-    for (const auto& [attempt, sent] : m_sent) {
-        if (isReported(sent.at))
-            continue;
+    for (const Sent* sent : m_unreported) {
         estimate.requests += 1;
-        estimate.freeBlocks -= sent.blocks;
+        estimate.freeBlocks -= sent->blocks;
     }
     for (const auto& finished : m_finished) {
         // What was sent and finished since the report was never in it.
@@ -131,17 +148,11 @@
 // was sent a moment ago is not taken to be done because the report is old.
 double EngineLoad::backlog(double reported, double Sent::*part, double perSecond, MonotonicTime now) const
 {
-    std::vector<const Sent*> sends;
-    for (const auto& [attempt, sent] : m_sent) {
-        if (!isReported(sent.at))
-            sends.push_back(&sent);
-    }
-    std::sort(sends.begin(), sends.end(), [](const Sent* a, const Sent* b) { return a->at < b->at; });
     double work = reported;
     MonotonicTime at = m_report ? m_report->sampledAt : now;
-    if (!m_report && !sends.empty())
-        at = sends.front()->at;
-    for (const Sent* sent : sends) {
+    if (!m_report && !m_unreported.empty())
+        at = m_unreported.front()->at;
+    for (const Sent* sent : m_unreported) {
         const double elapsed = std::max(0.0, seconds(sent->at - at));
         work = std::max(0.0, work - perSecond * elapsed) + sent->*part;
         at = std::max(at, sent->at);
--- a/Source/Routing/EngineLoad.h
+++ b/Source/Routing/EngineLoad.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace almondscale {
 
@@ -24,6 +25,8 @@
 class EngineLoad {
 public:
     explicit EngineLoad(EngineSpeed configured);
+    EngineLoad(EngineLoad&&) = default;
+    EngineLoad& operator=(EngineLoad&&) = default;
 
     // Returns whether the engine has started again since the report before.
     bool onReport(const LoadReport&);
@@ -52,12 +55,15 @@
     };
 
     bool isReported(MonotonicTime sentAt) const;
+    void findUnreported();
     double backlog(double reported, double Sent::*part, double perSecond, MonotonicTime now) const;
     void learn(double& figure, double tokens, Nanoseconds time);
 
     EngineSpeed m_speed;
     std::optional<LoadReport> m_report;
     std::map<AttemptId, Sent> m_sent;
+    // Those of the sends that no report shows yet, in the order of time.
+    std::vector<const Sent*> m_unreported;
     std::deque<Finished> m_finished;
 };
 
--- a/Source/Routing/Router.cpp
+++ b/Source/Routing/Router.cpp
@@ -57,6 +57,18 @@
         PrefixHints hints;
     };
 
+    // The engines of one model that may get work.
+    struct Pool {
+        std::vector<Engine*> engines;
+        bool hasPrefillEngine = false;
+
+        void add(Engine& engine)
+        {
+            engines.push_back(&engine);
+            hasPrefillEngine = hasPrefillEngine || engine.view.role == EngineRole::Prefill;
+        }
+    };
+
     enum class Part {
         Whole,
         Prefill,
@@ -81,6 +93,11 @@
             next.emplace(view.id, std::move(known->second));
         }
         m_engines = std::move(next);
+        m_pools.clear();
+        for (auto& [id, engine] : m_engines) {
+            if (usable(engine))
+                m_pools[engine.view.model].add(engine);
+        }
     }
 
     Engine* find(const EngineId& id)
@@ -104,10 +121,8 @@
     {
         auto& rate = m_rates[model];
         rate.decay(now);
-        int engines = 0;
-        for (const auto& [id, other] : m_engines)
-            engines += other.view.model == model && usable(other) ? 1 : 0;
-        const double share = static_cast<double>(livePeers) / std::max(1, engines);
+        const auto engines = std::max<std::size_t>(1, m_pools[model].engines.size());
+        const double share = static_cast<double>(livePeers) / static_cast<double>(engines);
         PeerInflow inflow = rate.perSecond;
         inflow.prefillTokensPerSecond *= share;
         inflow.decodeTokensPerSecond *= share;
@@ -178,10 +193,9 @@
         std::vector<RouteCandidate> far;
         bool anyUsable = false;
         const auto inflow = peerInflow(request.model, now);
-        for (auto& [id, engine] : m_engines) {
-            if (engine.view.model != request.model || !usable(engine) || !fits(engine, part))
-                continue;
-            if (request.excluded.count(id) != 0)
+        for (Engine* member : m_pools[request.model].engines) {
+            Engine& engine = *member;
+            if (!fits(engine, part) || request.excluded.count(engine.view.id) != 0)
                 continue;
             anyUsable = true;
             const auto load = engine.load.estimate(now, inflow, m_options.correctReports);
@@ -224,11 +238,8 @@
 
     bool hasPrefillEngine(const ModelName& model) const
     {
-        for (const auto& [id, engine] : m_engines) {
-            if (engine.view.model == model && usable(engine) && engine.view.role == EngineRole::Prefill)
-                return true;
-        }
-        return false;
+        const auto pool = m_pools.find(model);
+        return pool != m_pools.end() && pool->second.hasPrefillEngine;
     }
 
     bool hasRoom(
@@ -312,6 +323,7 @@
     RoutePolicy m_policy;
     RandomSource m_random;
     std::map<EngineId, Engine> m_engines;
+    std::map<ModelName, Pool> m_pools;
     std::map<ModelName, SendRate> m_rates;
     std::map<ModelName, PrefixShares> m_shares;
 };
