Report how fast service-level budgets are spent

Hosts count requests against the objectives in buckets that merge across hosts and outlive a lost one; series per model are bounded, the rest count as other.

--- /dev/null
+++ b/Source/Report/BurnHistory.cpp
@@ -0,0 +1,55 @@
+#include "Report/BurnHistory.h"
+
+namespace almondscale {
+
+namespace {
+
+    std::int64_t bucketAt(WallTime time, std::chrono::seconds length)
+    {
+        return time.time_since_epoch() / length;
+    }
+
+    void dropBefore(BurnHistory::Buckets& buckets, std::int64_t first)
+    {
+        buckets.erase(buckets.begin(), buckets.lower_bound(first));
+    }
+
+} // namespace
+
+void BurnHistory::add(const BurnCounts& counts, WallTime time)
+{
+    m_fine[bucketAt(time, fineBurnBucket)] += counts;
+    m_coarse[bucketAt(time, coarseBurnBucket)] += counts;
+}
+
+void BurnHistory::merge(const BurnHistory& other)
+{
+    for (const auto& [bucket, counts] : other.m_fine)
+        m_fine[bucket] += counts;
+    for (const auto& [bucket, counts] : other.m_coarse)
+        m_coarse[bucket] += counts;
+}
+
+void BurnHistory::dropOld(WallTime now)
+{
+    dropBefore(m_fine, bucketAt(now, fineBurnBucket) - static_cast<std::int64_t>(fineBurnBuckets) + 1);
+    dropBefore(m_coarse, bucketAt(now, coarseBurnBucket) - static_cast<std::int64_t>(coarseBurnBuckets) + 1);
+}
+
+BurnCounts BurnHistory::sum(const BurnWindow& window, WallTime now) const
+{
+    const auto& buckets = window.bucket == fineBurnBucket ? m_fine : m_coarse;
+    const auto last = bucketAt(now, window.bucket);
+    const auto first = last - window.length / window.bucket + 1;
+    BurnCounts sum;
+    for (auto bucket = buckets.lower_bound(first); bucket != buckets.end() && bucket->first <= last; ++bucket)
+        sum += bucket->second;
+    return sum;
+}
+
+void BurnHistory::set(bool fine, std::int64_t bucket, const BurnCounts& counts)
+{
+    (fine ? m_fine : m_coarse)[bucket] = counts;
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Report/BurnRecorder.cpp
@@ -0,0 +1,145 @@
+#include "Report/BurnRecorder.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace almondscale {
+
+namespace {
+
+    const BurnWindow& recentWindow = burnWindows[1];
+
+    BurnCounts countsOf(const RequestOutcome& outcome, const ObjectiveRule& objective)
+    {
+        BurnCounts counts;
+        counts.total = 1;
+        counts.firstTokenLate = outcome.firstToken > objective.firstToken ? 1 : 0;
+        counts.tokenGapLate = outcome.tokenGap > objective.tokenGap ? 1 : 0;
+        counts.incomplete = outcome.completeInTime ? 0 : 1;
+        counts.good = counts.firstTokenLate + counts.tokenGapLate + counts.incomplete == 0 ? 1 : 0;
+        return counts;
+    }
+
+} // namespace
+
+class BurnRecorder::Impl {
+public:
+    Impl(const BurnOptions& options, BurnHooks hooks)
+        : m_options(options)
+        , m_hooks(std::move(hooks))
+    {
+    }
+
+    void onFinished(const RequestOutcome&);
+    BurnSummary summary(WallTime now);
+
+private:
+    struct Model {
+        std::map<Organisation, BurnSeries> own;
+        BurnSeries other;
+        bool hasOther = false;
+        // Requests, since the last renewal, of organisations without a series of their own.
+        std::map<Organisation, std::uint64_t> candidates;
+        WallTime renewCandidatesAt {};
+    };
+
+    BurnSeries& seriesFor(Model&, const Organisation&, WallTime now);
+    bool promote(Model&, const Organisation&, WallTime now);
+    void countCandidate(Model&, const Organisation&, WallTime now);
+
+    BurnOptions m_options;
+    BurnHooks m_hooks;
+    std::map<ModelName, Model> m_models;
+};
+
+void BurnRecorder::Impl::countCandidate(Model& model, const Organisation& organisation, WallTime now)
+{
+    if (now >= model.renewCandidatesAt) {
+        model.candidates.clear();
+        model.renewCandidatesAt = now + recentWindow.length;
+    }
+    const auto known = model.candidates.find(organisation);
+    if (known != model.candidates.end())
+        ++known->second;
+    else if (model.candidates.size() < m_options.candidatesPerModel)
+        model.candidates[organisation] = 1;
+}
+
+// Gives a busy organisation the place of the one with the fewest requests lately,
+// whose counts go to the others, so that the sum over a model stays right.
+bool BurnRecorder::Impl::promote(Model& model, const Organisation& organisation, WallTime now)
+{
+    constexpr std::uint64_t leastRequests = 16;
+    const auto candidate = model.candidates.find(organisation);
+    // Looking for the least is worth it only now and then.
+    if (candidate == model.candidates.end() || candidate->second % leastRequests != 0 || model.own.empty())
+        return false;
+    const auto least
+        = std::min_element(model.own.begin(), model.own.end(), [now](const auto& a, const auto& b) {
+              return a.second.history.sum(recentWindow, now).total
+                  < b.second.history.sum(recentWindow, now).total;
+          });
+    const auto leastTotal = static_cast<double>(least->second.history.sum(recentWindow, now).total);
+    if (static_cast<double>(candidate->second) < m_options.replaceFactor * leastTotal)
+        return false;
+    model.other.history.merge(least->second.history);
+    model.own.erase(least);
+    model.candidates.erase(candidate);
+    return true;
+}
+
+BurnSeries& BurnRecorder::Impl::seriesFor(Model& model, const Organisation& organisation, WallTime now)
+{
+    const auto known = model.own.find(organisation);
+    if (known != model.own.end())
+        return known->second;
+    if (model.own.size() < m_options.organisationsPerModel)
+        return model.own[organisation];
+    countCandidate(model, organisation, now);
+    if (promote(model, organisation, now))
+        return model.own[organisation];
+    model.hasOther = true;
+    return model.other;
+}
+
+void BurnRecorder::Impl::onFinished(const RequestOutcome& outcome)
+{
+    const auto objective = m_hooks.objective(outcome.model, outcome.organisation);
+    if (!objective)
+        return;
+    auto& model = m_models[outcome.model];
+    auto& series = seriesFor(model, outcome.organisation, outcome.finishedAt);
+    series.objective = *objective;
+    series.history.add(countsOf(outcome, *objective), outcome.finishedAt);
+    series.history.dropOld(outcome.finishedAt);
+}
+
+BurnSummary BurnRecorder::Impl::summary(WallTime now)
+{
+    BurnSummary summary { m_options.host, m_options.incarnation, now, {} };
+    for (auto& [name, model] : m_models) {
+        for (auto& [organisation, series] : model.own) {
+            series.history.dropOld(now);
+            summary.series[{ name, organisation }] = series;
+        }
+        if (!model.hasOther)
+            continue;
+        model.other.history.dropOld(now);
+        summary.series[{ name, Organisation(otherOrganisations) }] = model.other;
+    }
+    return summary;
+}
+
+BurnRecorder::BurnRecorder(const BurnOptions& options, BurnHooks hooks)
+    : m_impl(std::make_unique<Impl>(options, std::move(hooks)))
+{
+}
+
+BurnRecorder::~BurnRecorder() = default;
+
+void BurnRecorder::onFinished(const RequestOutcome& outcome) { m_impl->onFinished(outcome); }
+
+BurnSummary BurnRecorder::summary(WallTime now) { return m_impl->summary(now); }
+
+} // namespace almondscale
--- /dev/null
+++ b/Tests/Report/BurnReportTest.cpp
@@ -0,0 +1,222 @@
+#include "Report/BurnReport.h"
+
+#include "Core/RandomSource.h"
+#include "Report/BurnRecorder.h"
+#include "Report/ObjectiveLookup.h"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+using namespace almondscale;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int hosts = 3;
+
+// Hosts that record random requests, and the raw events beside them.
+struct Fixture {
+    std::vector<ObjectiveRule> rules {
+        { ModelName("sorter"), Organisation("*"), milliseconds(500), milliseconds(40), 0.9, 4 },
+        { ModelName("sorter"), Organisation("depot-1"), milliseconds(300), milliseconds(30), 0.99, 7 },
+    };
+    RandomSource random = seededRandom(11);
+    WallTime now { seconds(1700000000) };
+    std::vector<std::pair<int, RequestOutcome>> events;
+    std::vector<std::unique_ptr<BurnRecorder>> recorders;
+
+    Fixture() { addRecorders(50); }
+
+    void addRecorders(std::size_t organisations)
+    {
+        recorders.clear();
+        for (int i = 0; i < hosts; ++i)
+            recorders.push_back(makeRecorder(i, 1, organisations));
+    }
+
+    std::unique_ptr<BurnRecorder> makeRecorder(int host, std::uint64_t incarnation, std::size_t organisations)
+    {
+        BurnOptions options;
+        options.host = HostId("h" + std::to_string(host));
+        options.incarnation = Incarnation(incarnation);
+        options.organisationsPerModel = organisations;
+        BurnHooks hooks;
+        hooks.objective = [this](const ModelName& model, const Organisation& organisation) {
+            return findObjective(rules, model, organisation);
+        };
+        return std::make_unique<BurnRecorder>(options, hooks);
+    }
+
+    void record(int requests, std::uint64_t organisations, std::uint64_t mostSecondsBetween)
+    {
+        for (int i = 0; i < requests; ++i) {
+            now += seconds(static_cast<std::int64_t>(uniformBelow(random, mostSecondsBetween + 1)));
+            RequestOutcome outcome;
+            outcome.model = ModelName("sorter");
+            outcome.organisation
+                = Organisation("depot-" + std::to_string(uniformBelow(random, organisations)));
+            outcome.finishedAt = now;
+            outcome.completeInTime = uniformBelow(random, 20) != 0;
+            outcome.firstToken = milliseconds(static_cast<std::int64_t>(uniformBelow(random, 600)));
+            outcome.tokenGap = milliseconds(static_cast<std::int64_t>(uniformBelow(random, 45)));
+            const auto host = static_cast<int>(uniformBelow(random, hosts));
+            recorders[static_cast<std::size_t>(host)]->onFinished(outcome);
+            events.emplace_back(host, outcome);
+        }
+    }
+
+    // Counts the raw events one by one.
+    BurnCounts naive(const BurnWindow& window, const std::function<bool(const RequestOutcome&)>& wanted) const
+    {
+        BurnCounts counts;
+        const auto last = now.time_since_epoch() / window.bucket;
+        for (const auto& [host, event] : events) {
+            const auto bucket = event.finishedAt.time_since_epoch() / window.bucket;
+            if (!wanted(event) || bucket <= last - window.length / window.bucket)
+                continue;
+            const auto objective = *findObjective(rules, event.model, event.organisation);
+            const bool first = event.firstToken > objective.firstToken;
+            const bool gap = event.tokenGap > objective.tokenGap;
+            ++counts.total;
+            counts.firstTokenLate += first ? 1 : 0;
+            counts.tokenGapLate += gap ? 1 : 0;
+            counts.incomplete += event.completeInTime ? 0 : 1;
+            counts.good += !first && !gap && event.completeInTime ? 1 : 0;
+        }
+        return counts;
+    }
+
+    // Each summary goes through its text.
+    void publish(BurnReport& report, int host)
+    {
+        const auto text = writeBurnSummary(recorders[static_cast<std::size_t>(host)]->summary(now));
+        const auto summary = readBurnSummary(text);
+        REQUIRE(summary);
+        report.merge(*summary);
+    }
+
+    void publishAll(BurnReport& report)
+    {
+        for (int host = 0; host < hosts; ++host)
+            publish(report, host);
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "BurnReport, random requests over two days, agrees with a count of the raw events")
+{
+    for (int round = 0; round < 8; ++round) {
+        record(1500, 6, 30);
+        BurnReport report;
+        publishAll(report);
+        const auto rows = report.rows(now);
+        CHECK(rows.size() == 6);
+        for (const auto& row : rows) {
+            CAPTURE(round, row.key.organisation.text());
+            for (std::size_t i = 0; i < burnWindows.size(); ++i) {
+                const auto expected = naive(burnWindows[i],
+                    [&](const RequestOutcome& event) { return event.organisation == row.key.organisation; });
+                CHECK(row.windows[i] == expected);
+            }
+            CHECK(row.objective.line == (row.key.organisation.text() == "depot-1" ? 7 : 4));
+        }
+    }
+}
+
+TEST_CASE_METHOD(Fixture, "BurnReport, a host that is lost and replaced, keeps the last counts of both")
+{
+    record(300, 2, 1);
+    BurnReport report;
+    publishAll(report);
+    recorders[0] = makeRecorder(0, 2, 50);
+    record(300, 2, 1);
+    publishAll(report);
+    BurnCounts sum;
+    for (const auto& row : report.rows(now))
+        sum += row.windows[1];
+    CHECK(sum == naive(burnWindows[1], [](const RequestOutcome&) { return true; }));
+    CHECK(report.summaries().size() == 4);
+}
+
+TEST_CASE_METHOD(Fixture, "BurnReport, the same and an older summary again, changes nothing")
+{
+    record(100, 2, 1);
+    BurnReport report;
+    const auto old = recorders[0]->summary(now);
+    record(100, 2, 1);
+    publishAll(report);
+    const auto before = report.renderJson(now);
+    publishAll(report);
+    report.merge(old);
+    CHECK(report.renderJson(now) == before);
+}
+
+TEST_CASE_METHOD(Fixture, "BurnReport, far more organisations than series, keeps the sum and its bound")
+{
+    addRecorders(10);
+    record(20000, 14000, 0);
+    BurnReport report;
+    publishAll(report);
+    const auto summary = recorders[0]->summary(now);
+    CHECK(summary.series.size() <= 11);
+    BurnCounts sum;
+    for (const auto& row : report.rows(now))
+        sum += row.windows[0];
+    CHECK(sum == naive(burnWindows[0], [](const RequestOutcome&) { return true; }));
+}
+
+TEST_CASE_METHOD(Fixture, "BurnRecorder, an organisation that becomes busy, gets a series of its own")
+{
+    addRecorders(10);
+    record(3000, 200, 0);
+    RequestOutcome busy;
+    busy.model = ModelName("sorter");
+    busy.organisation = Organisation("newcomer");
+    busy.finishedAt = now;
+    for (int i = 0; i < 500; ++i)
+        recorders[0]->onFinished(busy);
+    const auto summary = recorders[0]->summary(now);
+    CHECK(summary.series.count({ ModelName("sorter"), Organisation("newcomer") }) == 1);
+    CHECK(summary.series.size() <= 11);
+}
+
+TEST_CASE("BurnRow, a tenth bad against a target of nine tenths, burns at one with nothing left")
+{
+    BurnRow row;
+    row.objective.target = 0.9;
+    for (auto& window : row.windows) {
+        window.total = 100;
+        window.good = 90;
+    }
+    CHECK(row.burnRate(0) == Approx(1));
+    CHECK(row.budgetLeft() == Approx(0).margin(1e-9));
+}
+
+TEST_CASE_METHOD(Fixture, "BurnReport, drawn and written, names every row and window")
+{
+    record(500, 3, 5);
+    BurnReport report;
+    publishAll(report);
+    const auto svg = report.renderSvg(now);
+    const auto table = report.renderTable(now);
+    const auto json = report.renderJson(now);
+    for (const char* name : { "depot-0", "depot-1", "depot-2" }) {
+        CHECK(svg.find(std::string(">sorter / ") + name + "<") != std::string::npos);
+        CHECK(table.find(name) != std::string::npos);
+        CHECK(json.find(std::string("\"organisation\":\"") + name) != std::string::npos);
+    }
+    for (const auto& window : burnWindows)
+        CHECK(table.find(std::string("BURN ") + window.name) != std::string::npos);
+}
+
+TEST_CASE("BurnSummary, a text that is cut or wrong, is refused")
+{
+    for (const char* text : { "", "host \"a\" 1", "series", "host \"a\" 1 5\nf 1 2 3 4 5 6\n",
+             "host \"a\" 1 5\nseries \"m\" \"o\" \"m\" \"*\" 1 2 0.9\n", "host \"a\" 1 5\nx\n" }) {
+        CAPTURE(text);
+        CHECK_FALSE(readBurnSummary(text));
+    }
+}
