--- a/Programs/almondscale-bench/main.cpp
+++ b/Programs/almondscale-bench/main.cpp
@@ -1,7 +1,10 @@
 #include "CompareCommand.h"
 #include "ControlCommand.h"
+#include "RoutingCommand.h"
 #include "ShiftCommand.h"
 
+#include "Load/LoadCommand.h"
+
 #include <cstring>
 #include <iostream>
 
@@ -19,6 +22,9 @@
     { "compare", "all role policies on the same arrivals, against the clairvoyant bound",
         almondscale::runCompareCommand },
     { "control", "cost and delays of the control traffic between hosts", almondscale::runControlCommand },
+    { "load", "HTTP load on running hosts, with every answer checked in full", almondscale::runLoadCommand },
+    { "routing", "routing policies on the same arrivals at hosts with late load reports",
+        almondscale::runRoutingCommand },
     { "shift", "goodput and role changes of one policy under a moving mix", almondscale::runShiftCommand },
 };
 
--- a/Programs/almondscaled/EngineDirectory.cpp
+++ b/Programs/almondscaled/EngineDirectory.cpp
@@ -77,21 +77,18 @@
     publish();
 }
 
-void EngineDirectory::setClosing(const std::set<EngineId>& closing)
-{
-    const std::lock_guard lock(m_mutex);
-    if (closing == m_closing)
-        return;
-    m_closing = closing;
-    publish();
-}
+void EngineDirectory::setClosing(const std::set<EngineId>& closing) { replace(m_closing, closing); }
+
+void EngineDirectory::setLeaving(const std::set<EngineId>& leaving) { replace(m_leaving, leaving); }
+
+void EngineDirectory::setReserved(const std::set<EngineId>& reserved) { replace(m_reserved, reserved); }
 
-void EngineDirectory::setLeaving(const std::set<EngineId>& leaving)
+void EngineDirectory::replace(std::set<EngineId>& set, const std::set<EngineId>& by)
 {
     const std::lock_guard lock(m_mutex);
-    if (leaving == m_leaving)
+    if (set == by)
         return;
-    m_leaving = leaving;
+    set = by;
     publish();
 }
 
@@ -135,15 +132,15 @@
     return found->second;
 }
 
-EngineState EngineDirectory::stateOf(const EngineRecord& record)
+EngineAvailability EngineDirectory::availabilityOf(const EngineRecord& record)
 {
     if (record.leaving)
-        return EngineState::Leaving;
-    if (record.closing)
-        return EngineState::Closing;
+        return EngineAvailability::Leaving;
+    if (record.closing || record.reserved)
+        return EngineAvailability::Closing;
     if (record.reachable)
-        return EngineState::Open;
-    return record.boot == 0 ? EngineState::Unknown : EngineState::Dead;
+        return EngineAvailability::Open;
+    return record.boot == 0 ? EngineAvailability::Unknown : EngineAvailability::Dead;
 }
 
 void EngineDirectory::publish()
@@ -152,8 +149,9 @@
     for (auto& [id, record] : m_engines) {
         record.closing = m_closing.count(id) > 0;
         record.leaving = m_leaving.count(id) > 0;
+        record.reserved = m_reserved.count(id) > 0;
         record.view.reachable = record.reachable;
-        record.view.state = stateOf(record);
+        record.view.state = availabilityOf(record);
         views[record.view.model].push_back(record.view);
     }
     for (const auto& [model, pool] : m_pools)
--- a/Programs/almondscaled/HostContext.h
+++ b/Programs/almondscaled/HostContext.h
@@ -2,15 +2,16 @@
 
 #include "AttemptIds.h"
 #include "Core/MonotonicTime.h"
+#include "CrashGuard.h"
+#include "DemandCounters.h"
 #include "EngineDirectory.h"
 #include "HostMetrics.h"
+#include "LimitsDuty.h"
 #include "PoolBudgets.h"
+#include "Quarantine.h"
 #include "RulesHolder.h"
 #include "Settings/HostSettings.h"
 
-#include <atomic>
-#include <mutex>
-
 namespace almondscale {
 
 // What the threads that serve requests share.
@@ -21,6 +22,10 @@
     HostMetrics& metrics;
     PoolBudgets& budgets;
     AttemptIds& ids;
+    CrashGuard& crashes;
+    Quarantine& quarantine;
+    LimitsDuty& limits;
+    DemandCounters& demand;
     Clock clock;
 };
 
