--- a/Source/Roles/RoleSettings.h
+++ b/Source/Roles/RoleSettings.h
@@ -31,7 +31,7 @@
     // The least cost of a change while it lasts, as a share of the rate of requests.
     double leastCostShare = 0.05;
     // A gain smaller than this share of the rate of requests counts as none.
-    double noticeableShare = 0.02;
+    double noticeableShare = 0.08;
 };
 
 } // namespace almondscale
