--- a/Programs/almondscaled/CompletionRun.cpp
+++ b/Programs/almondscaled/CompletionRun.cpp
@@ -271,6 +271,7 @@
     case EngineAcceptance::Accepted:
         return readAnswer(decode->view.address);
     case EngineAcceptance::NotRun:
+        noteIfGone(choice.decode);
         return failed(AttemptFailure::RefusedNotRun, choice.decode);
     case EngineAcceptance::NotKnown:
     case EngineAcceptance::Unknown:
@@ -293,8 +294,10 @@
     EngineStream stream;
     const EngineAcceptance acceptance
         = stream.start(engine, attempt, Deadline::after(m_context.clock(), acceptTimeout));
-    if (acceptance == EngineAcceptance::NotRun)
+    if (acceptance == EngineAcceptance::NotRun) {
+        noteIfGone(m_engine);
         return failed(AttemptFailure::RefusedNotRun, m_engine);
+    }
     if (acceptance != EngineAcceptance::Accepted) {
         noteIfCrashed(engine);
         return failed(AttemptFailure::NoAnswer, m_engine);
@@ -447,11 +450,24 @@
             continue;
         const EngineExactState state
             = engineState(engine, Deadline::after(m_context.clock(), inquiryTimeout));
+        if (state.refused)
+            m_context.engines.onRefused(run.engine);
         if (state.refused || (state.reached && state.boot != run.boot))
             m_context.crashes.crashed(run, m_fingerprint, m_alone);
     }
 }
 
+// Without this each request that came before the next poll would spend a retry on the same engine.
+void CompletionRun::noteIfGone(const EngineId& id)
+{
+    const auto engine = m_context.engines.engine(id);
+    if (!engine)
+        return;
+    const auto state = engineState(engine->view.address, Deadline::after(m_context.clock(), inquiryTimeout));
+    if (state.refused)
+        m_context.engines.onRefused(id);
+}
+
 CompletionRun::Ending CompletionRun::failed(AttemptFailure failure, const EngineId& engine)
 {
     m_failure = failure;
--- a/Programs/almondscaled/CompletionRun.h
+++ b/Programs/almondscaled/CompletionRun.h
@@ -58,6 +58,7 @@
     Inquiry inquire(const Address& engine) const;
     // Tells the guard if the engine's life ended while it ran the attempt.
     void noteIfCrashed(const Address& engine);
+    void noteIfGone(const EngineId&);
     Ending failed(AttemptFailure, const EngineId&);
     // Waits while only the budget forbids a further attempt; ends the request if none may be made.
     bool mayRetry();
--- a/Programs/almondscaled/EngineDirectory.cpp
+++ b/Programs/almondscaled/EngineDirectory.cpp
@@ -77,6 +77,16 @@
     publish();
 }
 
+void EngineDirectory::onRefused(const EngineId& engine)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end() || !found->second.reachable)
+        return;
+    found->second.reachable = false;
+    publish();
+}
+
 void EngineDirectory::setClosing(const std::set<EngineId>& closing) { replace(m_closing, closing); }
 
 void EngineDirectory::setLeaving(const std::set<EngineId>& leaving) { replace(m_leaving, leaving); }
--- a/Programs/almondscaled/EngineDirectory.h
+++ b/Programs/almondscaled/EngineDirectory.h
@@ -34,6 +34,8 @@
     void setRules(const RuleSet&);
     void onReport(const EngineId&, const LoadReport&, EngineRole);
     void onPollFailed(const EngineId&);
+    // The engine's address refuses connections: it gets no new work until it reports again.
+    void onRefused(const EngineId&);
     // Replaces the set of engines that an order is being prepared for.
     void setClosing(const std::set<EngineId>&);
     // Replaces the set of engines that are being withdrawn.
--- a/Tests/Failures/FailureFleet.h
+++ b/Tests/Failures/FailureFleet.h
@@ -52,6 +52,8 @@
     // Waits until the hosts answer a completion in full; false if one never does.
     bool answering(const std::vector<std::size_t>& hosts);
 
+    // Where the logs are.
+    const std::filesystem::path& folder() const { return m_folder; }
     // Sets faults of a stand-in by their JSON.
     static void setFaults(const Node&, const std::string& json);
     // Load on some of the hosts by the text of a mix; without hosts, on all of them.
