--- a/Programs/almondscale-bench/main.cpp
+++ b/Programs/almondscale-bench/main.cpp
@@ -1,5 +1,6 @@
 #include "CompareCommand.h"
 #include "ControlCommand.h"
+#include "RoutingCommand.h"
 #include "ShiftCommand.h"
 
 #include "Load/LoadCommand.h"
@@ -22,6 +23,8 @@
         almondscale::runCompareCommand },
     { "control", "cost and delays of the control traffic between hosts", almondscale::runControlCommand },
     { "load", "HTTP load on running hosts, with every answer checked in full", almondscale::runLoadCommand },
+    { "routing", "routing policies on the same arrivals at hosts with late load reports",
+        almondscale::runRoutingCommand },
     { "shift", "goodput and role changes of one policy under a moving mix", almondscale::runShiftCommand },
 };
 
