--- a/Programs/almondscale-bench/Load/LoadOptions.cpp
+++ b/Programs/almondscale-bench/Load/LoadOptions.cpp
@@ -21,6 +21,7 @@
 
     constexpr option longOptions[] = {
         { "url", required_argument, nullptr, 'u' },
+        { "metrics", required_argument, nullptr, 'c' },
         { "direct-engine", required_argument, nullptr, 'e' },
         { "service", required_argument, nullptr, 's' },
         { "service-name", required_argument, nullptr, 'b' },
@@ -81,8 +82,8 @@
         while (std::getline(list, entry, ',')) {
             if (entry.compare(0, scheme.size(), scheme) == 0)
                 entry.erase(0, scheme.size());
-            if (!entry.empty() && entry.back() == '/')
-                entry.pop_back();
+            // A path, such as /metrics, is known.
+            entry.erase(std::min(entry.find('/'), entry.size()));
             const std::optional<Address> address = parseAddress(entry);
             if (!address)
                 return complain("'" + entry + "' must be http://IP:PORT");
@@ -115,6 +116,8 @@
         switch (letter) {
         case 'u':
             return readAddresses(text, options.hosts);
+        case 'c':
+            return readAddresses(text, options.metrics);
         case 'e':
             return readAddresses(text, options.directEngines);
         case 's':
@@ -192,6 +195,7 @@
            "  --model NAME             the model to ask for, 'model' by default\n"
            "  --service URL,...        the services that run the bookings, whose /runs is read at the end\n"
            "  --service-name NAME      the name of the service in the rules, 'booking' by default\n"
+           "  --metrics URL,...        the hosts' operator addresses, where their processor time is read\n"
            "  --direct-engine URL,...  engines of the model that are called directly for comparison\n"
            "  --probes N               pairs of calls through a host and direct, 300 by default\n"
            "  --rate R                 calls a second over all hosts, 20 by default\n"
--- a/Programs/almondscale-bench/Load/LoadOptions.h
+++ b/Programs/almondscale-bench/Load/LoadOptions.h
@@ -14,6 +14,8 @@
 // The options of the load experiment.
 struct LoadOptions {
     std::vector<Address> hosts;
+    // Where the hosts tell their processor time.
+    std::vector<Address> metrics;
     std::vector<Address> directEngines;
     // Where the runs of the bookings are counted.
     std::vector<Address> services;
--- a/Programs/almondscale-bench/Load/LoadRun.cpp
+++ b/Programs/almondscale-bench/Load/LoadRun.cpp
@@ -21,6 +21,7 @@
     constexpr Nanoseconds progressPoll = std::chrono::milliseconds(50);
     constexpr Nanoseconds callTimeout = std::chrono::seconds(10);
     constexpr int statusOk = 200;
+    constexpr Nanoseconds idleInterval = std::chrono::seconds(1);
     constexpr double median = 0.5;
     constexpr double tail = 0.99;
 
@@ -117,20 +118,38 @@
         return text.str();
     }
 
-    std::string costText(
-        const LoadOptions& options, const std::optional<Nanoseconds>& before, std::int64_t sent)
+    // The processor time that the hosts use in a second without calls.
+    std::optional<Nanoseconds> idleUse(const std::vector<Address>& metrics)
+    {
+        const std::optional<Nanoseconds> before = processorTime(metrics);
+        if (!before)
+            return std::nullopt;
+        std::this_thread::sleep_for(idleInterval);
+        const std::optional<Nanoseconds> after = processorTime(metrics);
+        if (!after)
+            return std::nullopt;
+        return *after - *before;
+    }
+
+    // What the calls cost on top of what the hosts use without them.
+    std::string processorText(Nanoseconds idle, Nanoseconds used, Nanoseconds length, std::int64_t sent)
+    {
+        const double seconds = std::chrono::duration<double>(length).count();
+        const auto background = std::chrono::duration_cast<Nanoseconds>(idle * seconds);
+        std::ostringstream text;
+        text << "host_cpu_us_per_request="
+             << microseconds(used - background) / std::max<std::int64_t>(sent, 1)
+             << " hosts_idle_cpu_us_per_second=" << microseconds(idle);
+        return text.str();
+    }
+
+    std::string probeCost(const LoadOptions& options)
     {
-        const std::optional<Nanoseconds> after = processorTime(options.hosts);
-        std::string text = "host_cpu_us_per_request=";
-        if (before && after && sent > 0)
-            text += std::to_string(microseconds(*after - *before) / sent);
-        else
-            text += "unknown";
         if (options.directEngines.empty() || options.probes == 0)
-            return text;
-        const ProbeTimes times
-            = probe(options.hosts, options.directEngines, options.calls, options.probes, options.seed);
-        return text + " " + probeText(times);
+            return {};
+        return " "
+            + probeText(
+                probe(options.hosts, options.directEngines, options.calls, options.probes, options.seed));
     }
 
 } // namespace
@@ -162,12 +181,20 @@
     size.length = options.length;
     size.hosts = options.hosts.size();
     size.seed = options.seed;
-    const std::optional<Nanoseconds> before = processorTime(options.hosts);
+    const bool metered = !options.metrics.empty();
+    const std::optional<Nanoseconds> idle = metered ? idleUse(options.metrics) : std::nullopt;
+    const std::optional<Nanoseconds> before = processorTime(options.metrics);
+    const MonotonicTime start = monotonicClock()();
     Callers callers(options, planCalls(options.mix, size));
     callers.run();
+    const std::optional<Nanoseconds> after = processorTime(options.metrics);
     LoadResult result;
     result.tally = callers.tally();
-    result.cost = costText(options, before, result.tally.sent());
+    if (idle && before && after)
+        result.cost = processorText(*idle, *after - *before, monotonicClock()() - start, result.tally.sent());
+    else
+        result.cost = "host_cpu_us_per_request=unknown";
+    result.cost += probeCost(options);
     std::map<std::string, std::int64_t> runs;
     result.bookingsCounted = readRuns(options.services, runs);
     result.bookings = callers.audit().judge(runs);
