Report burn from the daemon, and route by prefix affinity

The daemon uses prefix affinity, the router's estimate of prefill, and tries the first 16 requests that wait.

--- a/Programs/almondscale/Command.cpp
+++ b/Programs/almondscale/Command.cpp
@@ -44,6 +44,11 @@
         { "leases", "", "List the leases of the host's data centre.",
             "Shows the holder and the fencing number of each pool, and the last order of this host.", true,
             showLeases },
+        { "report burn", "", "Report how fast service-level budgets are spent.",
+            "Prints good and total requests, burn rate and budget left per model and organisation.\n"
+            "  --json       print JSON\n"
+            "  --svg FILE   write a picture",
+            true, reportBurn },
         { "shutdown", "", "End one host gracefully.",
             "The host tells the balancer, finishes its requests and ends with status 0.", true, shutDown },
     };
--- a/Programs/almondscale/ToolOptions.cpp
+++ b/Programs/almondscale/ToolOptions.cpp
@@ -26,9 +26,7 @@
         { "author", required_argument, nullptr, ValueOption },
         { "base", required_argument, nullptr, ValueOption },
         { "change", required_argument, nullptr, ValueOption },
-        { "window", required_argument, nullptr, ValueOption },
         { "svg", required_argument, nullptr, ValueOption },
-        { "key", required_argument, nullptr, ValueOption },
         { nullptr, 0, nullptr, 0 },
     };
 
--- a/Programs/almondscale/ViewCommands.cpp
+++ b/Programs/almondscale/ViewCommands.cpp
@@ -4,6 +4,7 @@
 #include "Http/JsonBuilder.h"
 #include "TextTable.h"
 
+#include <fstream>
 #include <iostream>
 
 namespace almondscale {
@@ -86,6 +87,26 @@
     return ExitStatus::Success;
 }
 
+ExitStatus reportBurn(const ToolOptions& options, const HostConnection& host)
+{
+    const auto picture = options.values.find("svg");
+    const std::string format = picture != options.values.end() ? "svg" : options.json ? "json" : "table";
+    const CallResult result = host.get("/report/burn?format=" + format);
+    if (!result.ok() || result.response->status != 200)
+        return reportFailure(result);
+    if (picture == options.values.end()) {
+        std::cout << result.response->body << (options.json ? "\n" : "");
+        return ExitStatus::Success;
+    }
+    std::ofstream file(picture->second);
+    file << result.response->body;
+    if (!file) {
+        std::cerr << picture->second << ": cannot be written; name a file in a folder that can be\n";
+        return ExitStatus::WrongUse;
+    }
+    return ExitStatus::Success;
+}
+
 ExitStatus shutDown(const ToolOptions&, const HostConnection& host)
 {
     const CallResult result = host.post("/shutdown", "");
--- a/Programs/almondscale/ViewCommands.h
+++ b/Programs/almondscale/ViewCommands.h
@@ -10,6 +10,7 @@
 ExitStatus showEngines(const ToolOptions&, const HostConnection&);
 ExitStatus showLeases(const ToolOptions&, const HostConnection&);
 ExitStatus orderEngine(const ToolOptions&, const HostConnection&);
+ExitStatus reportBurn(const ToolOptions&, const HostConnection&);
 ExitStatus shutDown(const ToolOptions&, const HostConnection&);
 
 } // namespace almondscale
--- a/Programs/almondscaled/CompletionRun.cpp
+++ b/Programs/almondscaled/CompletionRun.cpp
@@ -360,13 +360,16 @@
     const bool isFirst = m_assembler.delivered() == 0;
     const AnswerProgress progress = m_assembler.accept(streamItem(item));
     if (isFirst && !progress.tokens.empty()) {
-        m_context.metrics.firstToken(m_call.model, m_context.clock() - m_arrivedAt);
+        m_firstTokenAt = m_context.clock();
+        m_context.metrics.firstToken(m_call.model, m_firstTokenAt - m_arrivedAt);
         m_pool.onFirstToken(m_attempt, m_choice);
     }
     for (const std::string& token : progress.tokens) {
         if (!m_writer.token(token))
             return Ending::CallerGone;
     }
+    if (!progress.tokens.empty())
+        m_lastTokenAt = m_context.clock();
     if (progress.state == AnswerState::Complete)
         return Ending::Complete;
     if (progress.state == AnswerState::Conflict)
@@ -530,6 +533,7 @@
         m_writer.fail(kind, {}, retryAfter);
     const MonotonicTime now = m_context.clock();
     m_context.metrics.requestEnded(m_call.model, kind);
+    recordOutcome(kind, now);
     m_context.metrics.tokensSent(m_call.model, m_writer.tokens().count());
     LogEvent("request", LogLevel::Info)
         .with("id", m_id)
@@ -543,4 +547,20 @@
             "duration_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - m_arrivedAt).count());
 }
 
+void CompletionRun::recordOutcome(ErrorKind kind, MonotonicTime now)
+{
+    RequestOutcome outcome;
+    outcome.model = m_call.model;
+    outcome.organisation = m_call.organisation;
+    outcome.finishedAt = std::chrono::time_point_cast<std::chrono::seconds>(std::chrono::system_clock::now());
+    outcome.completeInTime = kind == ErrorKind::None && !m_call.deadline.passed(now);
+    const std::int64_t tokens = m_writer.tokens().count();
+    if (tokens > 0) {
+        outcome.firstToken = m_firstTokenAt - m_arrivedAt;
+        const Nanoseconds span = m_lastTokenAt - m_firstTokenAt;
+        outcome.tokenGap = tokens > 1 ? span / (tokens - 1) : Nanoseconds(0);
+    }
+    m_context.burn.record(outcome);
+}
+
 } // namespace almondscale
--- a/Programs/almondscaled/CompletionRun.h
+++ b/Programs/almondscaled/CompletionRun.h
@@ -65,11 +65,15 @@
     bool giveUpAtDeadline(MonotonicTime now) const;
     Deadline nextLook(const SilenceDetector&, MonotonicTime now) const;
     void end(ErrorKind, Nanoseconds retryAfter = {});
+    void recordOutcome(ErrorKind, MonotonicTime now);
 
     HostContext& m_context;
     const CompletionCall& m_call;
     ModelPool& m_pool;
     MonotonicTime m_arrivedAt;
+    // Hold once the first token has gone to the caller.
+    MonotonicTime m_firstTokenAt {};
+    MonotonicTime m_lastTokenAt {};
     std::string m_id;
     CompletionWriter m_writer;
     ReplyWriter& m_reply;
--- a/Programs/almondscaled/Host.cpp
+++ b/Programs/almondscaled/Host.cpp
@@ -1,6 +1,7 @@
 #include "Host.h"
 
 #include "AuthorityDuty.h"
+#include "BurnDuty.h"
 #include "CallerFrontend.h"
 #include "ClosingBook.h"
 #include "Core/LogEvent.h"
@@ -90,8 +91,9 @@
         , m_quarantine(m_keeper, settings.host, monotonicClock(), quarantineHooks())
         , m_limits(settings.host, m_rules, monotonicClock(), limitsHooks())
         , m_demand(monotonicClock()())
+        , m_burn(settings.host, m_incarnation, m_rules, burnHooks())
         , m_context { m_settings, m_rules, m_engines, m_metrics, m_budgets, m_ids, m_crashes, m_quarantine,
-            m_limits, m_demand, monotonicClock() }
+            m_limits, m_demand, m_burn, monotonicClock() }
         , m_callers(m_context, m_incarnation, m_platform.table(), holderLive())
         , m_operators(
               operatorHooks(), [this] { return operatorKeys(); }, [this] { return peerKeys(); })
@@ -121,6 +123,7 @@
         m_quarantineDuty.start();
         m_closingsDuty.start();
         m_limits.start();
+        m_burn.start();
         m_authority.start();
         m_operatorServer = std::make_unique<HttpServer>(
             m_settings.operatorsListen,
@@ -189,6 +192,16 @@
         hooks.peerCalls["/peer/limits"] = [this](const std::string& body) {
             return m_limits.onMessages(body) ? std::optional(std::string("{}")) : std::nullopt;
         };
+        hooks.peerCalls["/peer/burn"]
+            = [this](const std::string&) { return std::optional(m_burn.ownSummary()); };
+        hooks.views["/report/burn"] = [this](const HttpRequest& request) {
+            const std::string format = request.queryParameter("format");
+            HttpResponse response;
+            response.body = m_burn.render(format);
+            if (format == "svg")
+                response.contentType = "image/svg+xml";
+            return response;
+        };
         hooks.order = [this](const EngineId& engine, OrderKind kind, const std::string& value) {
             return m_authority.order(engine, kind, value);
         };
@@ -253,6 +266,21 @@
         return hooks;
     }
 
+    BurnDutyHooks burnHooks()
+    {
+        BurnDutyHooks hooks;
+        hooks.livePeers = [this] {
+            std::vector<HostId> peers;
+            for (const Member& member : m_membership.members()) {
+                if (member.live() && member.host != m_settings.host)
+                    peers.push_back(member.host);
+            }
+            return peers;
+        };
+        hooks.pullSummary = [this](const HostId& peer) { return callPeer(peer, "GET", "/peer/burn", {}); };
+        return hooks;
+    }
+
     LimitsHooks limitsHooks()
     {
         LimitsHooks hooks;
@@ -429,6 +457,7 @@
         m_quarantineDuty.stop();
         m_closingsDuty.stop();
         m_limits.stop();
+        m_burn.stop();
         m_rulesDuty.stop();
         m_operatorServer->stop();
         m_watcher.stop();
@@ -450,6 +479,7 @@
     Quarantine m_quarantine;
     LimitsDuty m_limits;
     DemandCounters m_demand;
+    BurnDuty m_burn;
     HostContext m_context;
     CallerFrontend m_callers;
     OperatorFrontend m_operators;
--- a/Programs/almondscaled/HostContext.h
+++ b/Programs/almondscaled/HostContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "AttemptIds.h"
+#include "BurnDuty.h"
 #include "Core/MonotonicTime.h"
 #include "CrashGuard.h"
 #include "DemandCounters.h"
@@ -26,6 +27,7 @@
     Quarantine& quarantine;
     LimitsDuty& limits;
     DemandCounters& demand;
+    BurnDuty& burn;
     Clock clock;
 };
 
--- a/Programs/almondscaled/ModelPool.cpp
+++ b/Programs/almondscaled/ModelPool.cpp
@@ -16,15 +16,15 @@
         Admittance admittance;
     };
 
-    // The part of an engine that a request takes while it decodes.
-    constexpr int slotsPerEngine = 32;
+    // A request may wait for its own engines only, so those behind it are tried as well.
+    constexpr std::size_t requestsTried = 16;
 
 } // namespace
 
 class ModelPool::Impl {
 public:
     Impl(const RouterOptions& routing, const AdmissionOptions& admission)
-        : m_router(routing, prefixOrTwoChoices(), systemRandom())
+        : m_router(routing, prefixAffinity(), systemRandom())
         , m_queue(admission)
         , m_clock(monotonicClock())
     {
@@ -108,7 +108,7 @@
         waiting.deadline = request.route.deadline;
         waiting.bytes = request.bytes;
         waiting.serviceTime = *unloaded;
-        waiting.work = *unloaded / slotsPerEngine;
+        waiting.work = m_router.engineWork(request.route).value_or(*unloaded);
         return m_queue.submit(waiting, now);
     }
 
@@ -117,11 +117,11 @@
         const RouteRequest& route = request.route;
         if (!choice.movesCache()) {
             m_router.onSent(
-                request.attempt, choice.prefill, route.promptTokens, route.outputTokens, route.prefix, now);
+                request.attempt, choice.prefill, choice.prefillTokens, route.outputTokens, route.prefix, now);
             return;
         }
         m_router.onSent(
-            request.attempt, choice.prefill, route.promptTokens, TokenCount(0), route.prefix, now);
+            request.attempt, choice.prefill, choice.prefillTokens, TokenCount(0), route.prefix, now);
         m_router.onSent(request.attempt, choice.decode, TokenCount(0), route.outputTokens, route.prefix, now);
     }
 
@@ -129,28 +129,45 @@
     {
         for (const AdmissionRefusal& refusal : m_queue.sweep(now))
             decide(refusal.id, refused(refusal.kind, refusal.retryAt));
-        while (const auto next = m_queue.next(now)) {
-            const auto found = m_waiters.find(next->id);
+        while (sendOne(now)) { }
+    }
+
+    // Sends or refuses one of the first requests that wait; false if none of them can go now.
+    bool sendOne(MonotonicTime now)
+    {
+        for (const WaitingRequest& waiting : m_queue.upcoming(requestsTried)) {
+            const auto found = m_waiters.find(waiting.id);
             if (found == m_waiters.end()) {
-                m_queue.remove(next->id);
-                continue;
+                m_queue.remove(waiting.id);
+                return true;
             }
             const PoolRequest& request = found->second->request;
             const auto choice = m_router.choose(request.route, now);
             if (choice.kind() == ErrorKind::QueueFull)
-                return;
-            if (!choice) {
-                const MonotonicTime retryAt = m_queue.retryAt(request.route.priority, now);
-                m_queue.remove(next->id);
-                decide(next->id, refused(choice.kind(), retryAt));
                 continue;
-            }
-            m_queue.take(next->id, now);
-            noteSent(request, choice.value(), now);
-            Admittance admittance;
-            admittance.choice = choice.value();
-            decide(next->id, admittance);
+            if (choice)
+                send(request, choice.value(), now);
+            else
+                refuse(request, choice.kind(), now);
+            return true;
         }
+        return false;
+    }
+
+    void send(const PoolRequest& request, const RouteChoice& choice, MonotonicTime now)
+    {
+        m_queue.take(request.id, now);
+        noteSent(request, choice, now);
+        Admittance admittance;
+        admittance.choice = choice;
+        decide(request.id, admittance);
+    }
+
+    void refuse(const PoolRequest& request, ErrorKind kind, MonotonicTime now)
+    {
+        const MonotonicTime retryAt = m_queue.retryAt(request.route.priority, now);
+        m_queue.remove(request.id);
+        decide(request.id, refused(kind, retryAt));
     }
 
     void decide(const RequestId& id, const Admittance& admittance)
