Print clashing lines through one function

Cause: two loops did the same, and the linter followed the library's placeholder for a missing member. Change: printLines takes a member that may be absent.

--- a/Programs/almondscale/RulesCommands.cpp
+++ b/Programs/almondscale/RulesCommands.cpp
@@ -63,6 +63,14 @@
         return json ? jsonInteger(*json, "version") : 0;
     }
 
+    void printLines(const char* label, const JsonValue* lines)
+    {
+        if (!lines || !lines->IsArray())
+            return;
+        for (const JsonValue& line : lines->GetArray())
+            std::cerr << label << (line.IsString() ? line.GetString() : "") << "\n";
+    }
+
     void printClashes(const std::string& file, const JsonValue& answer)
     {
         const JsonValue* winner = jsonMember(answer, "winner");
@@ -75,10 +83,8 @@
         for (const JsonValue& clash : clashes->GetArray()) {
             std::cerr << file << ":" << jsonInteger(clash, "your_line") << ": clashes with line "
                       << jsonInteger(clash, "winner_line") << " of the version in force:\n";
-            for (const JsonValue& line : clash["winner_lines"].GetArray())
-                std::cerr << "  in force: " << line.GetString() << "\n";
-            for (const JsonValue& line : clash["your_lines"].GetArray())
-                std::cerr << "  yours:    " << line.GetString() << "\n";
+            printLines("  in force: ", jsonMember(clash, "winner_lines"));
+            printLines("  yours:    ", jsonMember(clash, "your_lines"));
         }
         std::cerr << "show the rules in force with 'almondscale rules show', put your change into them, "
                      "apply again\n";
