--- a/Programs/almondscaled/AuthorityDuty.cpp
+++ b/Programs/almondscaled/AuthorityDuty.cpp
@@ -20,9 +20,11 @@
 
 } // namespace
 
-AuthorityDuty::AuthorityDuty(const PoolAuthorityParts& parts, const DemandCounters& demand)
+AuthorityDuty::AuthorityDuty(
+    const PoolAuthorityParts& parts, const DemandCounters& demand, std::function<bool()> isCandidate)
     : m_parts(parts)
     , m_demand(demand)
+    , m_isCandidate(std::move(isCandidate))
     , m_duty(stepInterval, [this] { step(); })
 {
 }
@@ -45,7 +47,13 @@
     const auto rules = m_parts.rules.get();
     if (!rules)
         return;
+    const bool candidate = m_isCandidate();
     const std::lock_guard lock(m_mutex);
+    if (!candidate) {
+        // Leases held so far are given up in order.
+        m_pools.clear();
+        return;
+    }
     for (const ModelRule& rule : rules->models) {
         if (m_pools.count(rule.model) > 0 || !hasEngines(*rules, rule.model, m_parts.settings.dataCentre))
             continue;
@@ -63,11 +71,13 @@
 
 void AuthorityDuty::shareDemand()
 {
-    const std::lock_guard lock(m_mutex);
-    for (const auto& [model, pool] : m_pools) {
-        const DemandReport report = m_demand.report(model, m_parts.clock());
+    const auto rules = m_parts.rules.get();
+    if (!rules)
+        return;
+    for (const ModelRule& rule : rules->models) {
+        const DemandReport report = m_demand.report(rule.model, m_parts.clock());
         m_parts.membership.publish(
-            demandPrefix + model.text(), writeDemandReport(report), ItemScope::DataCentre);
+            demandPrefix + rule.model.text(), writeDemandReport(report), ItemScope::DataCentre);
     }
 }
 
--- a/Programs/almondscaled/Host.cpp
+++ b/Programs/almondscaled/Host.cpp
@@ -36,6 +36,8 @@
     constexpr auto closingInterval = std::chrono::milliseconds(50);
     constexpr auto quarantineInterval = std::chrono::milliseconds(100);
     constexpr auto closingsInterval = std::chrono::seconds(1);
+    // Hosts of a data centre that compete for its leases.
+    constexpr std::size_t leaseCandidates = 3;
     constexpr unsigned operatorThreads = 32;
 
     // Rises with each start of a process, whatever host it replaces.
@@ -105,7 +107,7 @@
         , m_closingsDuty(closingInterval, [this] { m_closings.tick(); })
         , m_authority({ m_settings, m_incarnation, m_platform.table(), m_rules, m_engines, m_membership,
                           m_closings, monotonicClock() },
-              m_demand)
+              m_demand, [this] { return placeInDataCentre().rank < leaseCandidates; })
         , m_quarantineDuty(quarantineInterval, [this] { m_quarantine.tick(); })
         , m_bookingsDuty(closingsInterval, [this] { m_callers.retryClosings(); })
     {
