Find every crash of an engine, and let those that shared it through

Cause: an engine that goes down accepts connections for a moment and closes them; that was neither a refusal nor an answer, so the crash was missed and the request went to the next engine unsuspected. Other hosts learnt of strikes and kept engines only by heartbeat. Requests that had shared the engine waited for a retry budget that only new requests refill, and one that found all engines down or kept free was refused at once. Change: an engine whose stream ended is asked until it answers or refuses, and counts as crashed if it does neither; strikes and kept engines are pushed to all hosts, which confirm; suspects are bounded by the quarantine lane, not the budget; a request that finds no engine waits up to 3 s for one.

--- a/Programs/almondscaled/CompletionRun.cpp
+++ b/Programs/almondscaled/CompletionRun.cpp
@@ -18,6 +18,8 @@
     constexpr auto callerCheckInterval = std::chrono::milliseconds(250);
     constexpr auto inquiryTimeout = std::chrono::milliseconds(500);
     constexpr auto acceptTimeout = std::chrono::seconds(5);
+    constexpr auto noEnginePatience = std::chrono::seconds(3);
+    constexpr auto engineStateTimeout = std::chrono::seconds(2);
     constexpr auto verdictInterval = std::chrono::milliseconds(25);
     constexpr auto engineRetryInterval = std::chrono::milliseconds(50);
 
@@ -114,7 +116,14 @@
 
 std::optional<RouteChoice> CompletionRun::admit()
 {
-    const Admittance admittance = m_pool.admit(poolRequest());
+    Admittance admittance = m_pool.admit(poolRequest());
+    // Engines that are down, closing or kept free are often back within moments.
+    const Deadline patience = Deadline::after(m_context.clock(), noEnginePatience);
+    while (admittance.refusal == ErrorKind::NoEngine && !patience.passed(m_context.clock())
+        && !m_call.deadline.passed(m_context.clock()) && !m_reply.callerGone()) {
+        std::this_thread::sleep_for(engineRetryInterval);
+        admittance = m_pool.admit(poolRequest());
+    }
     if (admittance.refusal != ErrorKind::None) {
         end(admittance.refusal, std::max(Nanoseconds(0), admittance.retryAt - m_context.clock()));
         return std::nullopt;
@@ -451,12 +460,26 @@
         const auto record = m_context.engines.engine(run.engine);
         if (!record || record->view.address != engine)
             continue;
-        const EngineStateReply reply
-            = askEngineState(engine, Deadline::after(m_context.clock(), inquiryTimeout));
+        const EngineStateReply reply = awaitEngineState(engine);
+        // An engine that cannot be asked counts as crashed: a wrong suspicion costs time, a missed crash
+        // costs further engines.
+        if (!reply.state || reply.state->boot != run.boot)
+            m_context.crashes.crashed(run, m_fingerprint, m_alone);
         if (reply.refused)
             m_context.engines.onRefused(run.engine);
-        if (reply.refused || (reply.state && reply.state->boot != run.boot))
-            m_context.crashes.crashed(run, m_fingerprint, m_alone);
+    }
+}
+
+// A crashing engine may still accept connections and close them for a moment.
+EngineStateReply CompletionRun::awaitEngineState(const Address& engine) const
+{
+    const Deadline deadline = Deadline::after(m_context.clock(), engineStateTimeout);
+    while (true) {
+        const EngineStateReply reply
+            = askEngineState(engine, Deadline::after(m_context.clock(), inquiryTimeout));
+        if (reply.refused || reply.state || deadline.passed(m_context.clock()))
+            return reply;
+        std::this_thread::sleep_for(engineRetryInterval);
     }
 }
 
@@ -499,8 +522,10 @@
         attempt.earlierMayHaveRun = m_mayHaveRun;
         attempt.deadline = m_call.deadline;
         attempt.completionAt = now;
-        const RetryDecision decision
-            = decideRetry(attempt, [&] { return m_context.budgets.tryRetry(m_call.model.text(), now); });
+        // Suspects run one by one in the quarantine lane, which bounds them instead of the budget.
+        const bool suspect = m_context.crashes.verdict(m_fingerprint) != StrikeVerdict::Normal;
+        const RetryDecision decision = decideRetry(
+            attempt, [&] { return suspect || m_context.budgets.tryRetry(m_call.model.text(), now); });
         if (decision.retry)
             return true;
         const bool budgetOnly = decision.error == ErrorKind::RetryBudgetSpent;
--- a/Programs/almondscaled/CompletionRun.h
+++ b/Programs/almondscaled/CompletionRun.h
@@ -6,6 +6,7 @@
 #include "Dispatch/AttemptFailure.h"
 #include "Dispatch/Fingerprint.h"
 #include "Dispatch/SilenceDetector.h"
+#include "EngineStateReply.h"
 #include "EngineStream.h"
 #include "HostContext.h"
 
@@ -58,6 +59,7 @@
     Inquiry inquire(const Address& engine) const;
     // Tells the guard if the engine's life ended while it ran the attempt.
     void noteIfCrashed(const Address& engine);
+    EngineStateReply awaitEngineState(const Address& engine) const;
     void noteIfGone(const EngineId&);
     Ending failed(AttemptFailure, const EngineId&);
     // Waits while only the budget forbids a further attempt; ends the request if none may be made.
--- a/Programs/almondscaled/CrashGuard.cpp
+++ b/Programs/almondscaled/CrashGuard.cpp
@@ -132,13 +132,18 @@
 
 void CrashGuard::shareChanges(const std::vector<StrikeRecord>& changes, MonotonicTime now)
 {
+    std::vector<PushedItem> pushed;
+    pushed.reserve(changes.size());
     for (const StrikeRecord& record : changes) {
+        const PushedItem item { itemKey(record.fingerprint), encodeStrike(record, now) };
+        pushed.push_back(item);
         // The room for shared records is small, so those of requests that are cleared make way.
         if (isCleared(record))
-            m_hooks.retract(itemKey(record.fingerprint));
+            m_hooks.retract(item.key);
         else
-            m_hooks.publish(itemKey(record.fingerprint), encodeStrike(record, now));
+            m_hooks.publish(item.key, item.value);
     }
+    m_hooks.push(pushed);
 }
 
 std::string encodeStrike(const StrikeRecord& record, MonotonicTime now)
--- a/Programs/almondscaled/CrashGuard.h
+++ b/Programs/almondscaled/CrashGuard.h
@@ -2,6 +2,7 @@
 
 #include "Core/MonotonicTime.h"
 #include "Dispatch/CrashStrikes.h"
+#include "PeerPush.h"
 
 #include <functional>
 #include <map>
@@ -19,6 +20,8 @@
     // Shares a strike record with all hosts, and takes it back.
     std::function<void(const std::string& key, const std::string& value)> publish;
     std::function<void(const std::string& key)> retract;
+    // Tells the other hosts at once and waits until they know.
+    std::function<void(const std::vector<PushedItem>&)> push;
 };
 
 // Knows which requests run on which engines and which of them crash engines; safe for use by many threads.
--- a/Programs/almondscaled/Host.cpp
+++ b/Programs/almondscaled/Host.cpp
@@ -17,6 +17,7 @@
 #include "LimitsDuty.h"
 #include "Membership/MembershipService.h"
 #include "OperatorFrontend.h"
+#include "PeerPush.h"
 #include "PeriodicDuty.h"
 #include "Platform/PlatformClient.h"
 #include "RulesDuty.h"
@@ -87,9 +88,14 @@
         , m_platform(settings.platform, settings.platformTimeout)
         , m_store(m_platform.table())
         , m_engines(routerOptions(settings), admissionOptions(settings))
+        , m_push(settings.host, pushHooks())
         , m_crashes(crashHooks())
         , m_keeper(m_engines, m_crashes, settings.dataCentre, monotonicClock(),
-              [this](const std::string& key, const std::string& value) { share(key, value); })
+              [this](const std::string& key, const std::string& value) {
+                  share(key, value);
+                  reserveEngines();
+                  m_push.push({ { key, value } });
+              })
         , m_quarantine(m_keeper, settings.host, monotonicClock(), quarantineHooks())
         , m_limits(settings.host, m_rules, monotonicClock(), limitsHooks())
         , m_demand(monotonicClock()())
@@ -204,6 +210,7 @@
                 response.contentType = "image/svg+xml";
             return response;
         };
+        hooks.peerCalls["/peer/items"] = [this](const std::string& body) { return m_push.onPush(body); };
         hooks.order = [this](const EngineId& engine, OrderKind kind, const std::string& value) {
             return m_authority.order(engine, kind, value);
         };
@@ -229,6 +236,7 @@
             if (!member.live())
                 m_rulesDuty.onPeerGone(member.host);
             countPeers();
+            reserveEngines();
         };
         observers.itemChanged = [this](const SharedItem& item) { takeItem(item); };
         observers.rulesChanged = [this](const Member& member) {
@@ -265,6 +273,7 @@
         hooks.clock = monotonicClock();
         hooks.publish = [this](const std::string& key, const std::string& value) { share(key, value); };
         hooks.retract = [this](const std::string& key) { m_membership.retract(key); };
+        hooks.push = [this](const std::vector<PushedItem>& items) { m_push.push(items); };
         return hooks;
     }
 
@@ -340,6 +349,35 @@
         return hooks;
     }
 
+    PeerPushHooks pushHooks()
+    {
+        PeerPushHooks hooks;
+        hooks.peers = [this] {
+            std::vector<HostId> peers;
+            for (const Member& member : m_membership.members()) {
+                if (member.live() && member.host != m_settings.host)
+                    peers.push_back(member.host);
+            }
+            return peers;
+        };
+        hooks.send = [this](const HostId& host, const std::string& text) {
+            return callPeer(host, "POST", "/peer/items", text).has_value();
+        };
+        hooks.take = [this](const HostId& host, const PushedItem& item) { takePushed(host, item); };
+        return hooks;
+    }
+
+    void takePushed(const HostId& host, const PushedItem& item)
+    {
+        if (item.key.rfind(CrashGuard::itemPrefix, 0) == 0)
+            return m_crashes.merge(item.value);
+        {
+            const std::lock_guard lock(m_pushedMutex);
+            m_pushedReservations[{ host, item.key }] = item.value;
+        }
+        reserveEngines();
+    }
+
     // Shares a text with all hosts; an empty text takes it back.
     void share(const std::string& key, const std::string& value)
     {
@@ -358,11 +396,23 @@
             reserveEngines();
     }
 
+    // What was pushed goes before what a heartbeat brought, as it is at least as new.
     void reserveEngines()
     {
+        std::map<std::pair<HostId, std::string>, std::string> reservations;
+        for (const SharedItem& item : m_membership.items(QuarantineKeeper::itemPrefix))
+            reservations[{ item.host, item.key }] = item.value;
+        {
+            const std::lock_guard lock(m_pushedMutex);
+            for (const auto& [source, value] : m_pushedReservations) {
+                const auto member = m_membership.member(source.first);
+                if (member && member->live())
+                    reservations[source] = value;
+            }
+        }
         std::set<EngineId> reserved;
-        for (const SharedItem& item : m_membership.items(QuarantineKeeper::itemPrefix)) {
-            std::istringstream words(item.value);
+        for (const auto& [source, value] : reservations) {
+            std::istringstream words(value);
             for (std::string word; words >> word;)
                 reserved.insert(EngineId(word));
         }
@@ -476,6 +526,7 @@
     EngineDirectory m_engines;
     HostMetrics m_metrics;
     PoolBudgets m_budgets;
+    PeerPush m_push;
     CrashGuard m_crashes;
     QuarantineKeeper m_keeper;
     Quarantine m_quarantine;
@@ -496,6 +547,9 @@
     PeriodicDuty m_bookingsDuty;
     std::unique_ptr<HttpServer> m_operatorServer;
     std::unique_ptr<HttpServer> m_callerServer;
+    std::mutex m_pushedMutex;
+    // The engines that hosts keep free, by host and item, as they pushed it.
+    std::map<std::pair<HostId, std::string>, std::string> m_pushedReservations;
     std::mutex m_mutex;
     std::condition_variable m_endAsked;
     bool m_ending = false;
