--- a/Programs/almondscaled/CompletionRun.cpp
+++ b/Programs/almondscaled/CompletionRun.cpp
@@ -475,8 +475,7 @@
 {
     const Deadline deadline = Deadline::after(m_context.clock(), engineStateTimeout);
     while (true) {
-        const EngineStateReply reply
-            = askEngineState(engine, Deadline::after(m_context.clock(), inquiryTimeout));
+        EngineStateReply reply = askEngineState(engine, Deadline::after(m_context.clock(), inquiryTimeout));
         if (reply.refused || reply.state || deadline.passed(m_context.clock()))
             return reply;
         std::this_thread::sleep_for(engineRetryInterval);
