Take what a host knows of its peers out of the class that wires it

Cause: Host held the peers' calls and ranks beside the wiring (571 lines), the list's reader counted ranks again, and the words for a member's state stood twice. Change: Peers has them all; Host is 483 lines.

--- a/Programs/almondscaled/Host.cpp
+++ b/Programs/almondscaled/Host.cpp
@@ -11,13 +11,13 @@
 #include "HostListDuty.h"
 #include "HostViews.h"
 #include "Http/ErrorResponse.h"
-#include "Http/HttpClient.h"
 #include "Http/HttpServer.h"
 #include "Http/JsonBuilder.h"
 #include "LimitsDuty.h"
 #include "Membership/MembershipService.h"
 #include "OperatorFrontend.h"
 #include "PeerPush.h"
+#include "Peers.h"
 #include "PeriodicDuty.h"
 #include "Platform/PlatformClient.h"
 #include "RulesDuty.h"
@@ -29,10 +29,6 @@
 namespace almondscale {
 
 namespace {
-
-    // The shared item by which a host tells where its operators' port is.
-    constexpr const char* operatorsItem = "operators";
-    constexpr auto pullTimeout = std::chrono::milliseconds(500);
     constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
     constexpr auto closingInterval = std::chrono::milliseconds(50);
     constexpr auto quarantineInterval = std::chrono::milliseconds(100);
@@ -88,6 +84,7 @@
         , m_platform(settings.platform, settings.platformTimeout)
         , m_store(m_platform.table())
         , m_engines(routerOptions(settings), admissionOptions(settings))
+        , m_peers(m_membership, m_settings)
         , m_push(settings.host, pushHooks())
         , m_crashes(crashHooks())
         , m_keeper(m_engines, m_crashes, settings.dataCentre, monotonicClock(),
@@ -108,12 +105,12 @@
         , m_membership(membershipSettings(settings, m_incarnation), observers())
         , m_rulesDuty(m_platform.table(), rulesHooks())
         , m_watcher(m_engines, settings.dataCentre, settings.reportInterval)
-        , m_hostList(m_platform, m_membership, m_engines, settings)
+        , m_hostList(m_platform, m_membership, m_engines, m_settings, m_peers)
         , m_closings(m_membership, m_engines, m_crashes, monotonicClock())
         , m_closingsDuty(closingInterval, [this] { m_closings.tick(); })
         , m_authority({ m_settings, m_incarnation, m_platform.table(), m_rules, m_engines, m_membership,
                           m_closings, monotonicClock() },
-              m_demand, [this] { return placeInDataCentre().rank < leaseCandidates; })
+              m_demand, [this] { return m_peers.placeInDataCentre().rank < leaseCandidates; })
         , m_quarantineDuty(quarantineInterval, [this] { m_quarantine.tick(); })
         , m_bookingsDuty(closingsInterval, [this] { m_callers.retryClosings(); })
     {
@@ -123,7 +120,7 @@
     {
         if (const std::error_code error = m_membership.start())
             throw std::system_error(error, "peers' port");
-        m_membership.publish(operatorsItem, m_settings.operatorsListen.text(), ItemScope::Everywhere);
+        m_membership.publish(Peers::addressItem, m_settings.operatorsListen.text(), ItemScope::Everywhere);
         m_rulesDuty.start();
         m_watcher.start();
         m_hostList.start();
@@ -258,7 +255,7 @@
     {
         RulesDutyHooks hooks;
         hooks.pullFromPeer = [this](const HostId& peer) { return pullRules(peer); };
-        hooks.peers = [this] { return placeInDataCentre(); };
+        hooks.peers = [this] { return m_peers.placeInDataCentre(); };
         hooks.adopted = [this](const std::shared_ptr<const RuleSet>& rules) {
             m_engines.setRules(*rules);
             m_rules.set(rules);
@@ -280,71 +277,28 @@
     BurnDutyHooks burnHooks()
     {
         BurnDutyHooks hooks;
-        hooks.livePeers = [this] {
-            std::vector<HostId> peers;
-            for (const Member& member : m_membership.members()) {
-                if (member.live() && member.host != m_settings.host)
-                    peers.push_back(member.host);
-            }
-            return peers;
-        };
-        hooks.pullSummary = [this](const HostId& peer) { return callPeer(peer, "GET", "/peer/burn", {}); };
+        hooks.livePeers = [this] { return m_peers.live(); };
+        hooks.pullSummary
+            = [this](const HostId& peer) { return m_peers.call(peer, "GET", "/peer/burn", {}); };
         return hooks;
     }
 
     LimitsHooks limitsHooks()
     {
         LimitsHooks hooks;
-        hooks.peers = [this] { return limitPeers(); };
+        hooks.peers = [this] { return m_peers.sharingLimits(m_hostList.listedHosts()); };
         hooks.send = [this](const HostId& host, const std::string& messages) {
-            return callPeer(host, "POST", "/peer/limits", messages).has_value();
+            return m_peers.call(host, "POST", "/peer/limits", messages).has_value();
         };
         return hooks;
     }
 
-    // A host that is cut off keeps its share for as long as the platform lists it.
-    std::vector<LimitPeer> limitPeers() const
-    {
-        std::map<HostId, bool> reachable;
-        for (const HostId& host : m_hostList.listedHosts())
-            reachable[host] = false;
-        for (const Member& member : m_membership.members()) {
-            if (member.live() || member.state == MemberState::Unreachable)
-                reachable[member.host] = member.live();
-        }
-        std::vector<LimitPeer> peers;
-        peers.reserve(reachable.size());
-        for (const auto& [host, live] : reachable)
-            peers.push_back({ host, live });
-        return peers;
-    }
-
-    // The body of a peer's answer on its operators' port; nothing if it could not be had.
-    std::optional<std::string> callPeer(
-        const HostId& host, const char* method, const char* path, const std::string& body) const
-    {
-        const auto address = operatorsAddress(host);
-        if (!address)
-            return std::nullopt;
-        HttpCall call;
-        call.to = *address;
-        call.method = method;
-        call.path = path;
-        call.headers["x-peer-key"] = m_settings.peersKey;
-        call.body = body;
-        call.deadline = Deadline::after(monotonicClock()(), pullTimeout);
-        const CallResult result = callOnce(call);
-        if (!result.ok() || result.response->status != 200)
-            return std::nullopt;
-        return result.response->body;
-    }
-
     QuarantineHooks quarantineHooks()
     {
         QuarantineHooks hooks;
-        hooks.keeper = [this] { return firstHostOfDataCentre(); };
+        hooks.keeper = [this] { return m_peers.firstOfDataCentre(); };
         hooks.send = [this](const HostId& host, const std::string& ticket) {
-            return callPeer(host, "POST", "/peer/quarantine", ticket);
+            return m_peers.call(host, "POST", "/peer/quarantine", ticket);
         };
         return hooks;
     }
@@ -352,16 +306,9 @@
     PeerPushHooks pushHooks()
     {
         PeerPushHooks hooks;
-        hooks.peers = [this] {
-            std::vector<HostId> peers;
-            for (const Member& member : m_membership.members()) {
-                if (member.live() && member.host != m_settings.host)
-                    peers.push_back(member.host);
-            }
-            return peers;
-        };
+        hooks.peers = [this] { return m_peers.live(); };
         hooks.send = [this](const HostId& host, const std::string& text) {
-            return callPeer(host, "POST", "/peer/items", text).has_value();
+            return m_peers.call(host, "POST", "/peer/items", text).has_value();
         };
         hooks.take = [this](const HostId& host, const PushedItem& item) { takePushed(host, item); };
         return hooks;
@@ -419,49 +366,13 @@
         m_engines.setReserved(reserved);
     }
 
-    std::optional<Address> operatorsAddress(const HostId& host) const
-    {
-        for (const SharedItem& item : m_membership.items(operatorsItem)) {
-            if (item.host == host)
-                return parseAddress(item.value);
-        }
-        return std::nullopt;
-    }
-
-    // The host of this data centre that all its hosts name without asking each other.
-    HostId firstHostOfDataCentre() const
-    {
-        HostId first = m_settings.host;
-        for (const Member& member : m_membership.members()) {
-            const bool peer = member.live() && member.dataCentre == m_settings.dataCentre;
-            if (peer && member.host < first)
-                first = member.host;
-        }
-        return first;
-    }
-
     std::optional<RulesChange> pullRules(const HostId& peer) const
     {
-        const auto answer = callPeer(peer, "GET", "/peer/rules", {});
+        const auto answer = m_peers.call(peer, "GET", "/peer/rules", {});
         return answer ? readRulesChange(*answer) : std::nullopt;
     }
 
-    RulesPeers placeInDataCentre() const
-    {
-        RulesPeers peers;
-        peers.hosts = 0;
-        for (const Member& member : m_membership.members()) {
-            if (!member.live() || member.dataCentre != m_settings.dataCentre)
-                continue;
-            ++peers.hosts;
-            if (member.host < m_settings.host)
-                ++peers.rank;
-        }
-        peers.hosts = std::max<std::size_t>(1, peers.hosts);
-        return peers;
-    }
-
-    void countPeers() { m_engines.setLivePeers(static_cast<int>(placeInDataCentre().hosts) - 1); }
+    void countPeers() { m_engines.setLivePeers(static_cast<int>(m_peers.placeInDataCentre().hosts) - 1); }
 
     std::string metricsText()
     {
@@ -526,6 +437,7 @@
     EngineDirectory m_engines;
     HostMetrics m_metrics;
     PoolBudgets m_budgets;
+    Peers m_peers;
     PeerPush m_push;
     CrashGuard m_crashes;
     QuarantineKeeper m_keeper;
--- a/Programs/almondscaled/HostListDuty.cpp
+++ b/Programs/almondscaled/HostListDuty.cpp
@@ -27,11 +27,12 @@
 } // namespace
 
 HostListDuty::HostListDuty(const PlatformClient& platform, MembershipService& membership,
-    EngineDirectory& engines, const HostSettings& settings)
+    EngineDirectory& engines, const HostSettings& settings, const Peers& peers)
     : m_platform(platform)
     , m_membership(membership)
     , m_engines(engines)
     , m_settings(settings)
+    , m_peers(peers)
     , m_duty(stepInterval, [this] { step(); })
 {
 }
@@ -43,16 +44,7 @@
     applyLeaving();
 }
 
-bool HostListDuty::readsOften() const
-{
-    std::size_t lower = 0;
-    for (const Member& member : m_membership.members()) {
-        const bool peer = member.live() && member.dataCentre == m_settings.dataCentre;
-        if (peer && member.host < m_settings.host)
-            ++lower;
-    }
-    return lower < frequentReaders;
-}
+bool HostListDuty::readsOften() const { return m_peers.placeInDataCentre().rank < frequentReaders; }
 
 void HostListDuty::readList()
 {
--- a/Programs/almondscaled/HostListDuty.h
+++ b/Programs/almondscaled/HostListDuty.h
@@ -2,6 +2,7 @@
 
 #include "EngineDirectory.h"
 #include "Membership/MembershipService.h"
+#include "Peers.h"
 #include "PeriodicDuty.h"
 #include "Platform/PlatformClient.h"
 #include "Settings/HostSettings.h"
@@ -17,7 +18,8 @@
 // the platform's reads do not grow with the hosts.
 class HostListDuty {
 public:
-    HostListDuty(const PlatformClient&, MembershipService&, EngineDirectory&, const HostSettings&);
+    HostListDuty(
+        const PlatformClient&, MembershipService&, EngineDirectory&, const HostSettings&, const Peers&);
 
     void start() { m_duty.start(); }
     void stop() { m_duty.stop(); }
@@ -34,6 +36,7 @@
     MembershipService& m_membership;
     EngineDirectory& m_engines;
     const HostSettings& m_settings;
+    const Peers& m_peers;
     std::set<EngineId> m_listedLeaving;
     mutable std::mutex m_mutex;
     std::vector<HostId> m_listedHosts;
--- a/Programs/almondscaled/HostViews.cpp
+++ b/Programs/almondscaled/HostViews.cpp
@@ -6,22 +6,6 @@
 
 namespace {
 
-    const char* stateWord(MemberState state)
-    {
-        switch (state) {
-        case MemberState::Alive:
-            return "alive";
-        case MemberState::Suspect:
-            return "suspect";
-        case MemberState::Dead:
-            return "dead";
-        case MemberState::Left:
-            return "left";
-        default:
-            return "unknown";
-        }
-    }
-
     const char* stateWord(EngineAvailability state)
     {
         switch (state) {
@@ -50,7 +34,7 @@
             .text("id", member.host.text())
             .text("data_centre", member.dataCentre.text())
             .text("address", member.address.text())
-            .text("state", stateWord(member.state))
+            .text("state", memberStateWord(member.state))
             .integer("incarnation", static_cast<std::int64_t>(member.incarnation.count()))
             .integer("rules_version", static_cast<std::int64_t>(member.rules.count()))
             .endObject();
