--- a/CMake/AlmondscaleTargets.cmake
+++ b/CMake/AlmondscaleTargets.cmake
@@ -27,6 +27,14 @@
         "${PROJECT_BINARY_DIR}/include/${name}/${name}" SYMBOLIC)
 endfunction()
 
+# Adds the static library AlmondscaleNAME with the parts of one program.
+function(almondscale_part name)
+    cmake_parse_arguments(arg "" "" "SOURCES;DEPENDS" ${ARGN})
+    add_library(Almondscale${name} STATIC ${arg_SOURCES})
+    target_include_directories(Almondscale${name} PUBLIC "${CMAKE_CURRENT_SOURCE_DIR}")
+    target_link_libraries(Almondscale${name} PUBLIC ${arg_DEPENDS} PRIVATE AlmondscaleFlags)
+endfunction()
+
 # Adds the program NAME from SOURCES.
 function(almondscale_program name)
     cmake_parse_arguments(arg "" "" "SOURCES;DEPENDS" ${ARGN})
