Give orders to engines in the whole-path tests

Cause: orders had been searched as a state machine and given by hand, never by a test with real processes.

--- a/Tests/Failures/FailureFleet.cpp
+++ b/Tests/Failures/FailureFleet.cpp
@@ -157,6 +157,39 @@
     throw std::runtime_error(node.name + " does not start; its logs are in " + m_folder.string());
 }
 
+std::optional<std::size_t> FailureFleet::orderEngine(
+    std::size_t engine, const std::string& kind, const std::string& value)
+{
+    const std::string body = JsonBuilder()
+                                 .text("engine", m_engines.at(engine).name)
+                                 .text("kind", kind)
+                                 .text("value", value)
+                                 .finish();
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+        HttpCall order;
+        order.to = m_hosts[i].operators;
+        order.method = "POST";
+        order.path = "/engines/order";
+        order.headers["x-operator-key"] = operatorsKey;
+        order.body = body;
+        order.deadline = Deadline::after(monotonicClock()(), std::chrono::seconds(1));
+        const CallResult result = callOnce(order);
+        if (result.ok() && result.response->status == 202)
+            return i;
+    }
+    return std::nullopt;
+}
+
+std::string FailureFleet::engineState(const Node& engine)
+{
+    HttpCall ask;
+    ask.to = engine.address;
+    ask.path = "/state";
+    ask.deadline = Deadline::after(monotonicClock()(), std::chrono::seconds(10));
+    const CallResult result = callOnce(ask);
+    return result.ok() ? result.response->body : std::string();
+}
+
 void FailureFleet::applyRules()
 {
     std::ofstream rules(file("rules"));
--- a/Tests/Failures/FailureFleet.h
+++ b/Tests/Failures/FailureFleet.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,12 @@
     // Waits until the hosts answer a completion in full; false if one never does.
     bool answering(const std::vector<std::size_t>& hosts);
 
+    // Asks every host to give the order; the host that holds the lease and has taken it, if any.
+    std::optional<std::size_t> orderEngine(
+        std::size_t engine, const std::string& kind, const std::string& value);
+    // What an engine says of itself, as JSON.
+    static std::string engineState(const Node&);
+
     // Where the logs are.
     const std::filesystem::path& folder() const { return m_folder; }
     // Sets faults of a stand-in by their JSON.
