--- a/Programs/StandIns/HttpExchange.cpp
+++ b/Programs/StandIns/HttpExchange.cpp
@@ -1,5 +1,6 @@
 #include "StandIns/HttpExchange.h"
 
+#include "Http/LowerCase.h"
 #include "StandIns/ConnectionBook.h"
 #include "StandIns/PeerName.h"
 
@@ -19,13 +20,6 @@
     // A caller that takes no bytes for this long is given up.
     constexpr int writeTimeoutMs = 10000;
 
-    std::string lowerCase(std::string text)
-    {
-        std::transform(
-            text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
-        return text;
-    }
-
     bool sendAll(int socket, const std::string& bytes)
     {
         std::size_t sent = 0;
--- a/Programs/almondscaled/CompletionCall.cpp
+++ b/Programs/almondscaled/CompletionCall.cpp
@@ -1,5 +1,6 @@
 #include "CompletionCall.h"
 
+#include "CallerOrganisation.h"
 #include "Http/Json.h"
 
 #include <charconv>
@@ -77,11 +78,10 @@
 
     const auto priority = headerNumber(request, "x-priority", 0, -100, 100);
     const auto deadlineMs = headerNumber(request, "x-deadline-ms", 0, 1, longestDeadlineMs);
-    const std::string organisation = request.header("x-organisation");
-    if (!priority || !deadlineMs || organisation.size() > longestOrganisation)
+    call.organisation = callerOrganisation(request);
+    if (!priority || !deadlineMs || call.organisation.text().size() > longestOrganisation)
         return ErrorKind::BadRequest;
     call.priority = Priority(static_cast<int>(*priority));
-    call.organisation = Organisation(organisation.empty() ? "anonymous" : organisation);
     const Nanoseconds delay = *deadlineMs > 0 ? std::chrono::milliseconds(*deadlineMs) : defaultDeadline;
     call.deadline = Deadline::after(now, delay);
     return call;
--- a/Programs/almondscaled/CompletionRun.cpp
+++ b/Programs/almondscaled/CompletionRun.cpp
@@ -95,7 +95,7 @@
     case StrikeVerdict::Suspect:
         return chooseAlone();
     case StrikeVerdict::Deciding:
-        end(m_mayHaveRun ? ErrorKind::DeadlinePassed : ErrorKind::DeadlineUnreachable);
+        end(lateKind());
         return std::nullopt;
     case StrikeVerdict::Normal:
         break;
@@ -150,9 +150,7 @@
         const bool late = m_call.deadline.passed(m_context.clock());
         if (late || verdict == StrikeVerdict::Refused || m_reply.callerGone()) {
             m_context.quarantine.finish(ticket());
-            const ErrorKind lateKind
-                = m_mayHaveRun ? ErrorKind::DeadlinePassed : ErrorKind::DeadlineUnreachable;
-            end(verdict == StrikeVerdict::Refused ? ErrorKind::CrashingRequest : lateKind);
+            end(verdict == StrikeVerdict::Refused ? ErrorKind::CrashingRequest : lateKind());
             return std::nullopt;
         }
         std::this_thread::sleep_for(verdictInterval);
@@ -235,7 +233,7 @@
             return choice.value();
         const MonotonicTime now = m_context.clock();
         if (choice.kind() == ErrorKind::DeadlineUnreachable || m_call.deadline.passed(now)) {
-            end(m_mayHaveRun ? ErrorKind::DeadlinePassed : ErrorKind::DeadlineUnreachable);
+            end(lateKind());
             return std::nullopt;
         }
         // An engine that failed this request may be the only one left.
@@ -408,8 +406,7 @@
     case SilenceAction::Restart:
         break;
     }
-    return failed(
-        m_assembler.delivered() > 0 ? AttemptFailure::Truncated : AttemptFailure::NoAnswer, m_engine);
+    return failedWithin();
 }
 
 CompletionRun::Ending CompletionRun::onLost(const Address& engine, SilenceDetector& silence)
@@ -420,8 +417,7 @@
     if (known && resume(engine, silence))
         return Ending::Complete;
     noteIfCrashed(engine);
-    return failed(
-        m_assembler.delivered() > 0 ? AttemptFailure::Truncated : AttemptFailure::NoAnswer, m_engine);
+    return failedWithin();
 }
 
 bool CompletionRun::resume(const Address& engine, SilenceDetector& silence)
@@ -511,6 +507,17 @@
     return Ending::Failed;
 }
 
+CompletionRun::Ending CompletionRun::failedWithin()
+{
+    const bool begun = m_assembler.delivered() > 0;
+    return failed(begun ? AttemptFailure::Truncated : AttemptFailure::NoAnswer, m_engine);
+}
+
+ErrorKind CompletionRun::lateKind() const
+{
+    return m_mayHaveRun ? ErrorKind::DeadlinePassed : ErrorKind::DeadlineUnreachable;
+}
+
 bool CompletionRun::mayRetry()
 {
     while (true) {
--- a/Programs/almondscaled/CompletionRun.h
+++ b/Programs/almondscaled/CompletionRun.h
@@ -62,6 +62,10 @@
     EngineStateReply awaitEngineState(const Address& engine) const;
     void noteIfGone(const EngineId&);
     Ending failed(AttemptFailure, const EngineId&);
+    // The connection to the current engine was lost before the end of the answer.
+    Ending failedWithin();
+    // What a request that is out of time is answered.
+    ErrorKind lateKind() const;
     // Waits while only the budget forbids a further attempt; ends the request if none may be made.
     bool mayRetry();
     bool giveUpAtDeadline(MonotonicTime now) const;
--- a/Programs/almondscaled/Host.cpp
+++ b/Programs/almondscaled/Host.cpp
@@ -6,6 +6,7 @@
 #include "ClosingBook.h"
 #include "Core/LogEvent.h"
 #include "DemandCounters.h"
+#include "EngineIdList.h"
 #include "EngineWatcher.h"
 #include "HostContext.h"
 #include "HostListDuty.h"
@@ -23,7 +24,6 @@
 #include "RulesDuty.h"
 
 #include <condition_variable>
-#include <sstream>
 #include <thread>
 
 namespace almondscale {
@@ -358,11 +358,8 @@
             }
         }
         std::set<EngineId> reserved;
-        for (const auto& [source, value] : reservations) {
-            std::istringstream words(value);
-            for (std::string word; words >> word;)
-                reserved.insert(EngineId(word));
-        }
+        for (const auto& [source, value] : reservations)
+            readEngineIds(value, reserved);
         m_engines.setReserved(reserved);
     }
 
--- a/Programs/almondscaled/HostListDuty.cpp
+++ b/Programs/almondscaled/HostListDuty.cpp
@@ -1,8 +1,7 @@
 #include "HostListDuty.h"
 
 #include "Core/LogEvent.h"
-
-#include <sstream>
+#include "EngineIdList.h"
 
 namespace almondscale {
 
@@ -16,14 +15,6 @@
     constexpr int frequentSteps = 1;
     constexpr int rareSteps = 20;
 
-    std::string joined(const std::set<EngineId>& engines)
-    {
-        std::string text;
-        for (const EngineId& engine : engines)
-            text += (text.empty() ? "" : " ") + engine.text();
-        return text;
-    }
-
 } // namespace
 
 HostListDuty::HostListDuty(const PlatformClient& platform, MembershipService& membership,
@@ -80,7 +71,7 @@
 
 void HostListDuty::applyLeaving()
 {
-    const std::string text = joined(m_listedLeaving);
+    const std::string text = writeEngineIds(m_listedLeaving);
     if (text != m_published) {
         m_published = text;
         LogEvent("backends_leaving").with("engines", text);
@@ -90,11 +81,8 @@
             m_membership.publish(leavingItem, text, ItemScope::Everywhere);
     }
     std::set<EngineId> leaving = m_listedLeaving;
-    for (const SharedItem& item : m_membership.items(leavingItem)) {
-        std::istringstream words(item.value);
-        for (std::string word; words >> word;)
-            leaving.insert(EngineId(word));
-    }
+    for (const SharedItem& item : m_membership.items(leavingItem))
+        readEngineIds(item.value, leaving);
     m_engines.setLeaving(leaving);
 }
 
--- a/Programs/almondscaled/PoolAuthority.cpp
+++ b/Programs/almondscaled/PoolAuthority.cpp
@@ -5,6 +5,8 @@
 #include "EngineStateReply.h"
 #include "Http/JsonBuilder.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace almondscale {
@@ -42,8 +44,9 @@
 PoolAuthority::PoolAuthority(const ModelName& model, PoolAuthorityParts parts)
     : m_model(model)
     , m_parts(std::move(parts))
-    , m_lease(leaseRowKey(m_parts.settings.dataCentre, model), m_parts.settings.host, m_parts.incarnation,
-          leaseSettings(m_parts.settings))
+    , m_lease(Lease(leaseRowKey(m_parts.settings.dataCentre, model), m_parts.settings.host,
+                  m_parts.incarnation, leaseSettings(m_parts.settings)),
+          m_parts.table, m_parts.clock)
     , m_leaseDuty(leaseStep, [this] { driveLease(); })
     , m_orderDuty(orderStep, [this] { driveOrders(); })
 {
@@ -71,47 +74,29 @@
         driveOrders();
     m_leaseDuty.stop();
     m_lease.release();
-    while (!m_lease.releaseDone()) {
-        const auto call = m_lease.nextCall(m_parts.clock());
-        if (!call)
-            return;
-        m_lease.onAnswer(m_parts.clock(), performCall(m_parts.table, *call));
-    }
+    // A lease that cannot be given up now runs out by itself.
+    while (!m_lease.lease().releaseDone() && m_lease.step()) { }
 }
 
 void PoolAuthority::driveLease()
 {
-    std::optional<TableCall> call;
-    bool held = false;
-    {
-        const std::lock_guard lock(m_mutex);
-        held = m_lease.holds(m_parts.clock());
-        call = m_lease.nextCall(m_parts.clock());
-    }
-    if (!call)
+    const bool held = m_lease.lease().holds(m_parts.clock());
+    if (!m_lease.step())
         return;
-    const TableAnswer answer = performCall(m_parts.table, *call);
-    const std::lock_guard lock(m_mutex);
-    m_lease.onAnswer(m_parts.clock(), answer);
-    const bool holds = m_lease.holds(m_parts.clock());
+    const Lease lease = m_lease.lease();
+    const bool holds = lease.holds(m_parts.clock());
     if (holds != held)
         LogEvent(holds ? "lease_taken" : "lease_lost")
             .with("model", m_model)
-            .with("fencing", m_lease.fencing());
-}
-
-Lease PoolAuthority::leaseNow() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_lease;
+            .with("fencing", lease.fencing());
 }
 
 void PoolAuthority::driveOrders()
 {
-    const Lease lease = leaseNow();
+    const Lease lease = m_lease.lease();
     const MonotonicTime now = m_parts.clock();
     if (m_runner) {
-        while (m_runner->step(leaseNow())) { }
+        while (m_runner->step(m_lease.lease())) { }
         if (m_runner->end() == OrderEnd::None)
             return;
         LogEvent("order_ended").with("engine", m_ordered).with("end", orderEndWord(m_runner->end()));
@@ -134,7 +119,7 @@
 bool PoolAuthority::order(const EngineId& engine, OrderKind kind, const std::string& value)
 {
     const std::lock_guard lock(m_mutex);
-    if (m_requested || !m_lease.mayOrder(m_parts.clock()))
+    if (m_requested || !m_lease.lease().mayOrder(m_parts.clock()))
         return false;
     m_requested = RequestedOrder { engine, kind, value };
     return true;
@@ -150,15 +135,7 @@
 {
     if (!m_policy) {
         RoleHooks hooks;
-        hooks.rules = [this] {
-            std::vector<RoleRule> bounds;
-            const auto rules = m_parts.rules.get();
-            for (const RoleRule& rule : rules ? rules->roles : std::vector<RoleRule> {}) {
-                if (rule.model == m_model)
-                    bounds.push_back(rule);
-            }
-            return bounds;
-        };
+        hooks.rules = [this] { return roleBounds(); };
         m_policy = std::make_unique<RolePolicy>(roleSettings(), std::move(hooks));
     }
     for (const SharedItem& item : m_parts.membership.items(demandPrefix + m_model.text())) {
@@ -180,6 +157,17 @@
     }
 }
 
+std::vector<RoleRule> PoolAuthority::roleBounds() const
+{
+    std::vector<RoleRule> bounds;
+    const auto rules = m_parts.rules.get();
+    if (!rules)
+        return bounds;
+    std::copy_if(rules->roles.begin(), rules->roles.end(), std::back_inserter(bounds),
+        [this](const RoleRule& rule) { return rule.model == m_model; });
+    return bounds;
+}
+
 void PoolAuthority::begin(const EngineId& engine, OrderKind kind, const std::string& value)
 {
     m_ordered = engine;
@@ -238,13 +226,14 @@
 std::string PoolAuthority::json() const
 {
     const std::lock_guard lock(m_mutex);
+    const Lease lease = m_lease.lease();
     const MonotonicTime now = m_parts.clock();
     JsonBuilder json;
     json.text("data_centre", m_parts.settings.dataCentre.text()).text("model", m_model.text());
-    const auto& seen = m_lease.lastSeen();
+    const auto& seen = lease.lastSeen();
     json.text("holder", seen && !seen->released ? seen->holder.text() : std::string());
     json.integer("fencing", seen ? static_cast<std::int64_t>(seen->fencing.count()) : 0);
-    json.flag("held_here", m_lease.holds(now)).flag("may_order", m_lease.mayOrder(now));
+    json.flag("held_here", lease.holds(now)).flag("may_order", lease.mayOrder(now));
     json.text("last_order", m_lastOrder);
     return json.finish();
 }
--- a/Programs/almondscaled/PoolAuthority.h
+++ b/Programs/almondscaled/PoolAuthority.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Authority/Lease.h"
+#include "Authority/LeaseRunner.h"
 #include "Authority/OrderRunner.h"
 #include "ClosingBook.h"
 #include "EngineDirectory.h"
@@ -16,6 +16,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace almondscale {
 
@@ -62,13 +63,13 @@
     void begin(const EngineId&, OrderKind, const std::string& value);
     std::vector<EngineStatus> engineStatuses() const;
     EngineOrderPort port();
-    Lease leaseNow() const;
+    std::vector<RoleRule> roleBounds() const;
     std::optional<RequestedOrder> takeRequested();
 
     ModelName m_model;
     PoolAuthorityParts m_parts;
     mutable std::mutex m_mutex;
-    Lease m_lease;
+    LeaseRunner m_lease;
     std::unique_ptr<RolePolicy> m_policy;
     EngineOrderSender m_sender;
     std::unique_ptr<OrderRunner> m_runner;
--- a/Programs/almondscaled/QuarantineKeeper.cpp
+++ b/Programs/almondscaled/QuarantineKeeper.cpp
@@ -1,5 +1,6 @@
 #include "QuarantineKeeper.h"
 
+#include "EngineIdList.h"
 #include "Http/Json.h"
 #include "Http/JsonBuilder.h"
 
@@ -51,7 +52,7 @@
             m_lanes[engine.view.model];
         for (auto& [model, lane] : m_lanes) {
             lane.lane.keepEngines(openEngines(model), anySuspect, m_clock());
-            const std::string kept = keptEngines(lane);
+            const std::string kept = writeEngineIds(lane.lane.keptEngines());
             if (kept != lane.published)
                 changed[itemPrefix + model.text()] = kept;
             lane.published = kept;
@@ -63,14 +64,6 @@
         m_publish(key, value);
 }
 
-std::string QuarantineKeeper::keptEngines(const Lane& lane)
-{
-    std::string text;
-    for (const EngineId& engine : lane.lane.keptEngines())
-        text += (text.empty() ? "" : " ") + engine.text();
-    return text;
-}
-
 void QuarantineKeeper::grantAll(Lane& lane)
 {
     const auto verdict = [this](Fingerprint fingerprint) { return m_guard.verdict(fingerprint); };
--- a/Programs/almondscaled/QuarantineKeeper.h
+++ b/Programs/almondscaled/QuarantineKeeper.h
@@ -47,7 +47,6 @@
     };
 
     void grantAll(Lane&);
-    static std::string keptEngines(const Lane&);
     std::vector<EngineId> openEngines(const ModelName&) const;
 
     EngineDirectory& m_engines;
--- a/Programs/almondscaled/ServiceProxy.cpp
+++ b/Programs/almondscaled/ServiceProxy.cpp
@@ -1,5 +1,6 @@
 #include "ServiceProxy.h"
 
+#include "CallerOrganisation.h"
 #include "Core/LogEvent.h"
 #include "Http/ErrorResponse.h"
 #include "Http/HttpClient.h"
@@ -103,9 +104,7 @@
     const ServiceRule* service = findService(*rules, name);
     if (!service)
         return reply.send(errorResponse(ErrorKind::UnknownService));
-    const std::string organisation = request.header("x-organisation");
-    const auto retryAt
-        = m_context.limits.admit(Organisation(organisation.empty() ? "anonymous" : organisation));
+    const auto retryAt = m_context.limits.admit(callerOrganisation(request));
     if (retryAt)
         return reply.send(errorResponse(ErrorKind::LimitExceeded, {}, *retryAt - m_context.clock()));
     if (isBooking(*service, request.method, path))
@@ -191,8 +190,7 @@
     const HttpRequest& request, const ServiceRule& service, const std::string& path)
 {
     BookingRequest booking;
-    const std::string organisation = request.header("x-organisation");
-    booking.organisation = Organisation(organisation.empty() ? "anonymous" : organisation);
+    booking.organisation = callerOrganisation(request);
     booking.service = service.service;
     const std::string key = request.header("idempotency-key");
     // A call without a key gets one that no other call has, so it is never repeated.
--- a/Source/Http/ClientCall.cpp
+++ b/Source/Http/ClientCall.cpp
@@ -1,5 +1,7 @@
 #include "Http/ClientCall.h"
 
+#include "Http/LowerCase.h"
+
 #include <cxxtools/http/replyheader.h>
 
 #include <algorithm>
@@ -13,13 +15,6 @@
     // Any other text is taken for a call that may have been sent.
     constexpr const char* connectFailure = "while trying to connect to host";
 
-    std::string lowerCase(std::string text)
-    {
-        std::transform(text.begin(), text.end(), text.begin(),
-            [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        return text;
-    }
-
 } // namespace
 
 cxxtools::http::Request libraryRequest(const HttpCall& call)
--- a/Source/Http/HandlerResponder.cpp
+++ b/Source/Http/HandlerResponder.cpp
@@ -3,6 +3,7 @@
 #include "Core/LogEvent.h"
 #include "Http/ErrorResponse.h"
 #include "Http/HandlerService.h"
+#include "Http/LowerCase.h"
 
 #include <algorithm>
 #include <poll.h>
@@ -13,13 +14,6 @@
 
     using Socket = cxxtools::net::TcpSocket;
 
-    std::string lowerCase(std::string text)
-    {
-        std::transform(text.begin(), text.end(), text.begin(),
-            [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        return text;
-    }
-
     std::string headerText(const HttpResponse& response, const char* framing)
     {
         std::string text = "HTTP/1.1 " + std::to_string(response.status) + " -\r\n";
