--- a/CMake/AlmondscaleOptions.cmake
+++ b/CMake/AlmondscaleOptions.cmake
@@ -11,7 +11,7 @@
 
 find_package(Threads REQUIRED)
 find_package(OpenSSL REQUIRED COMPONENTS Crypto)
-find_package(Catch2 2 REQUIRED)
+find_package(Boost 1.81 REQUIRED)
 find_package(prometheus-cpp CONFIG REQUIRED)
 find_library(CXXTOOLS_LIBRARY cxxtools REQUIRED)
 find_library(CXXTOOLS_HTTP_LIBRARY cxxtools-http REQUIRED)
--- a/CMake/AlmondscaleTargets.cmake
+++ b/CMake/AlmondscaleTargets.cmake
@@ -1,5 +1,3 @@
-include(Catch)
-
 # Adds the static library almondscale::NAME from SOURCES. It may include only
 # the headers of the libraries listed in DEPENDS, so that the dependency arrows
 # between the folders of Source/ are checked by the build.
--- /dev/null
+++ b/Programs/almondscale-host/Host.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "platform/NodeSettings.h"
+
+#include <memory>
+
+namespace almondscale {
+
+// One entry host on the platform: everything that its process does, on one loop.
+class Host {
+public:
+    explicit Host(platform::NodeSettings);
+    ~Host();
+
+    // Serves until it is told to stop; the exit status of the process.
+    int run();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Programs/almondscale-host/main.cpp
@@ -0,0 +1,89 @@
+#include "Core/LogEvent.h"
+#include "Host.h"
+
+#include <getopt.h>
+
+#include <array>
+#include <csignal>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace almondscale;
+
+namespace {
+
+struct Options {
+    std::string settings = platform::settingsPath();
+    bool check = false;
+    bool help = false;
+    bool wrong = false;
+};
+
+Options readOptions(int argc, char** argv)
+{
+    static const std::array<option, 4> known { { { "settings", required_argument, nullptr, 's' },
+        { "check", no_argument, nullptr, 'c' }, { "help", no_argument, nullptr, 'h' }, {} } };
+    Options options;
+    for (int found = 0; (found = getopt_long(argc, argv, "s:ch", known.data(), nullptr)) != -1;) {
+        switch (found) {
+        case 's':
+            options.settings = optarg;
+            break;
+        case 'c':
+            options.check = true;
+            break;
+        case 'h':
+            options.help = true;
+            break;
+        default:
+            options.wrong = true;
+        }
+    }
+    return options;
+}
+
+int serve(const Options& options)
+{
+    std::ifstream file(options.settings);
+    if (!file) {
+        std::cerr << "almondscale-host: the settings file \"" << options.settings
+                  << "\" does not open; name it with --settings FILE\n";
+        return 2;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    const auto read = platform::readNodeSettings(text.str(), options.settings);
+    for (const auto& error : read.errors)
+        std::cerr << error << '\n';
+    if (!read.errors.empty())
+        return 2;
+    if (options.check) {
+        std::cout << options.settings << ": valid\n";
+        return 0;
+    }
+    configureLog(LogLevel::Info);
+    return Host(read.settings).run();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto options = readOptions(argc, argv);
+    if (options.help || options.wrong) {
+        std::cout << "Usage: almondscale-host [--settings FILE] [--check]\n"
+                     "Runs an entry host on the platform. The file is the platform's settings file.\n"
+                     "  --check   only checks the file\n"
+                     "Version " ALMONDSCALE_VERSION "\n";
+        return options.wrong ? 2 : 0;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        return serve(options);
+    } catch (const std::exception& failure) {
+        std::cerr << "almondscale-host: " << failure.what() << '\n';
+        return 1;
+    }
+}
--- a/Source/Dispatch/RetryBudget.h
+++ b/Source/Dispatch/RetryBudget.h
@@ -29,6 +29,8 @@
     void onRequest(MonotonicTime now);
     // Whether a further attempt may be made now; if so it is counted.
     bool tryRetry(MonotonicTime now);
+    // Follows the number of hosts that share a bound.
+    void setLeastRetries(int count) { m_options.leastRetries = count; }
 
 private:
     void forgetBefore(MonotonicTime);
--- /dev/null
+++ b/Source/Forwarding/BackendConnection.cpp
@@ -0,0 +1,268 @@
+#include "Forwarding/BackendConnection.h"
+
+#include "Forwarding/BootClock.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <charconv>
+#include <optional>
+
+namespace almondscale {
+
+namespace {
+
+    namespace http = boost::beast::http;
+
+    // A peer that acknowledges no byte for this long is taken as gone: several
+    // retransmissions of the kernel on links of a few milliseconds.
+    constexpr int unacknowledgedMs = 1500;
+    constexpr std::size_t pieceBytes = 16 << 10;
+    constexpr std::uint32_t mostHeaderBytes = 64 << 10;
+    // An idle connection is used until so long before the server closes it.
+    constexpr Nanoseconds keepAliveMargin = std::chrono::milliseconds(700);
+    // Idle time of a connection whose server names none.
+    constexpr Nanoseconds defaultKeepAlive = std::chrono::seconds(4);
+
+    std::error_code brokenCode(const boost::system::error_code& error)
+    {
+        return error ? std::error_code(error) : std::error_code();
+    }
+
+    std::string serialized(const HttpRequestHead& head, std::size_t bodySize)
+    {
+        std::string text = head.method + ' ' + head.target + " HTTP/1.1\r\n";
+        for (const auto& field : head.fields.all())
+            text += field.first + ": " + field.second + "\r\n";
+        if (bodySize > 0 || head.method == "POST" || head.method == "PUT")
+            text += "Content-Length: " + std::to_string(bodySize) + "\r\n";
+        return text + "\r\n";
+    }
+
+    std::optional<int> keepAliveSeconds(const std::string& value)
+    {
+        const auto at = value.find("timeout=");
+        if (at == std::string::npos)
+            return std::nullopt;
+        int seconds = 0;
+        const auto* begin = value.data() + at + 8;
+        const auto read = std::from_chars(begin, value.data() + value.size(), seconds);
+        if (read.ec != std::errc())
+            return std::nullopt;
+        return seconds;
+    }
+
+} // namespace
+
+class BackendConnection::Impl {
+public:
+    Impl(const boost::asio::any_io_executor& executor, Address address)
+        : m_address(std::move(address))
+        , m_socket(executor)
+        , m_timer(executor)
+    {
+    }
+
+    // Closes the socket when the deadline passes before the operation ends.
+    class Guard {
+    public:
+        Guard(std::shared_ptr<Impl> impl, Deadline deadline)
+            : m_impl(std::move(impl))
+        {
+            m_impl->arm(deadline);
+        }
+        ~Guard() { m_impl->m_timer.cancel(); }
+        Guard(const Guard&) = delete;
+        Guard& operator=(const Guard&) = delete;
+
+    private:
+        std::shared_ptr<Impl> m_impl;
+    };
+
+    void arm(Deadline deadline)
+    {
+        m_timer.expires_after(deadline.remaining(bootTime()));
+        m_timer.async_wait([self = m_self.lock()](const boost::system::error_code& error) {
+            if (!error)
+                self->close();
+        });
+    }
+
+    void close()
+    {
+        m_closed = true;
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+    }
+
+    std::error_code failure(const boost::system::error_code& error) const
+    {
+        if (m_closed)
+            return std::make_error_code(std::errc::operation_canceled);
+        return brokenCode(error);
+    }
+
+    Address m_address;
+    tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::buffer_body>> m_parser;
+    std::array<char, pieceBytes> m_piece {};
+    bool m_closed = false;
+    bool m_sent = false;
+    bool m_whole = false;
+    bool m_keep = false;
+    MonotonicTime m_keptUntil {};
+    std::weak_ptr<Impl> m_self;
+};
+
+BackendConnection::BackendConnection(const boost::asio::any_io_executor& executor, Address address)
+    : m_impl(std::make_shared<Impl>(executor, std::move(address)))
+{
+    m_impl->m_self = m_impl;
+}
+
+BackendConnection::~BackendConnection() { m_impl->close(); }
+
+const Address& BackendConnection::address() const { return m_impl->m_address; }
+
+awaitable<std::error_code> BackendConnection::connect(Deadline deadline)
+{
+    const auto impl = m_impl;
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address_v4(impl->m_address.ip, error);
+    if (error)
+        co_return brokenCode(error);
+    const Impl::Guard guard(impl, deadline);
+    impl->m_socket.open(tcp::v4(), error);
+    if (error)
+        co_return impl->failure(error);
+    std::tie(error) = co_await impl->m_socket.async_connect(tcp::endpoint(ip, impl->m_address.port), noThrow);
+    if (error)
+        co_return impl->failure(error);
+    impl->m_socket.set_option(tcp::no_delay(true), error);
+    const int milliseconds = unacknowledgedMs;
+    if (setsockopt(
+            impl->m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds)
+        != 0)
+        co_return std::error_code(errno, std::generic_category());
+    co_return std::error_code();
+}
+
+awaitable<std::error_code> BackendConnection::send(
+    const HttpRequestHead& head, const std::string& body, Deadline deadline)
+{
+    const auto impl = m_impl;
+    const Impl::Guard guard(impl, deadline);
+    impl->m_whole = false;
+    impl->m_keep = false;
+    impl->m_parser.reset();
+    const std::string text = serialized(head, body.size());
+    const std::array<boost::asio::const_buffer, 2> buffers { boost::asio::buffer(text),
+        boost::asio::buffer(body) };
+    impl->m_sent = true;
+    const auto [error, size] = co_await boost::asio::async_write(impl->m_socket, buffers, noThrow);
+    co_return error ? impl->failure(error) : std::error_code();
+}
+
+awaitable<Result<HttpResponseHead>> BackendConnection::readHead(bool headRequest, Deadline deadline)
+{
+    const auto impl = m_impl;
+    const Impl::Guard guard(impl, deadline);
+    impl->m_whole = false;
+    impl->m_keep = false;
+    for (;;) {
+        auto& parser = impl->m_parser.emplace();
+        parser.header_limit(mostHeaderBytes);
+        parser.body_limit(boost::none);
+        parser.skip(headRequest);
+        const auto [error, size]
+            = co_await http::async_read_header(impl->m_socket, impl->m_buffer, parser, noThrow);
+        if (error)
+            co_return impl->failure(error);
+        if (parser.get().result_int() >= 200)
+            break;
+    }
+    const auto& message = impl->m_parser->get();
+    HttpResponseHead head;
+    head.status = static_cast<int>(message.result_int());
+    for (const auto& field : message)
+        head.fields.add(std::string(field.name_string()), std::string(field.value()));
+    impl->m_keep = message.keep_alive();
+    Nanoseconds keepAlive = defaultKeepAlive;
+    if (const auto* value = head.fields.find("Keep-Alive")) {
+        if (const auto seconds = keepAliveSeconds(*value))
+            keepAlive = std::chrono::seconds(*seconds);
+    }
+    impl->m_keptUntil = bootTime() + keepAlive - keepAliveMargin;
+    impl->m_whole = impl->m_parser->is_done();
+    co_return head;
+}
+
+awaitable<Result<BodyPiece>> BackendConnection::readBody(Deadline deadline)
+{
+    const auto impl = m_impl;
+    const Impl::Guard guard(impl, deadline);
+    auto& parser = *impl->m_parser;
+    BodyPiece piece;
+    while (!parser.is_done() && piece.bytes.empty()) {
+        auto& body = parser.get().body();
+        body.data = impl->m_piece.data();
+        body.size = impl->m_piece.size();
+        body.more = true;
+        auto [error, size] = co_await http::async_read_some(impl->m_socket, impl->m_buffer, parser, noThrow);
+        if (error && error != http::error::need_buffer)
+            co_return impl->failure(error);
+        piece.bytes.assign(impl->m_piece.data(), impl->m_piece.size() - body.size);
+    }
+    piece.last = parser.is_done();
+    impl->m_whole = piece.last;
+    co_return piece;
+}
+
+awaitable<Result<std::string>> BackendConnection::readWholeBody(std::size_t most, Deadline deadline)
+{
+    std::string body;
+    for (;;) {
+        auto piece = co_await readBody(deadline);
+        if (!piece)
+            co_return piece.error();
+        body += piece.value().bytes;
+        if (body.size() > most)
+            co_return std::make_error_code(std::errc::message_size);
+        if (piece.value().last)
+            co_return body;
+    }
+}
+
+bool BackendConnection::sentAnything() const { return m_impl->m_sent; }
+
+bool BackendConnection::reusable() const
+{
+    // Bytes after a whole answer belong to no request and spoil the connection.
+    return m_impl->m_whole && m_impl->m_keep && !m_impl->m_closed && m_impl->m_buffer.size() == 0;
+}
+
+Deadline BackendConnection::keptUntil() const { return Deadline(m_impl->m_keptUntil); }
+
+bool BackendConnection::stillIdle()
+{
+    if (m_impl->m_closed)
+        return false;
+    char byte = 0;
+    const auto size = recv(m_impl->m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void BackendConnection::close() { m_impl->close(); }
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Forwarding/ConnectionPool.cpp
@@ -0,0 +1,54 @@
+#include "Forwarding/ConnectionPool.h"
+
+#include "Forwarding/BootClock.h"
+
+#include <algorithm>
+
+namespace almondscale {
+
+ConnectionPool::ConnectionPool(const boost::asio::any_io_executor& executor)
+    : m_executor(executor)
+{
+}
+
+std::unique_ptr<BackendConnection> ConnectionPool::take(const Address& address)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end())
+        return nullptr;
+    auto& idle = found->second;
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (!connection->keptUntil().passed(bootTime()) && connection->stillIdle())
+            return connection;
+    }
+    return nullptr;
+}
+
+std::unique_ptr<BackendConnection> ConnectionPool::make(const Address& address)
+{
+    return std::make_unique<BackendConnection>(m_executor, address);
+}
+
+void ConnectionPool::giveBack(std::unique_ptr<BackendConnection> connection)
+{
+    if (connection->reusable())
+        m_idle[connection->address()].push_back(std::move(connection));
+}
+
+void ConnectionPool::sweep()
+{
+    const auto now = bootTime();
+    for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+        auto& idle = entry->second;
+        idle.erase(std::remove_if(idle.begin(), idle.end(),
+                       [&](const auto& connection) { return connection->keptUntil().passed(now); }),
+            idle.end());
+        entry = idle.empty() ? m_idle.erase(entry) : std::next(entry);
+    }
+}
+
+void ConnectionPool::forget(const Address& address) { m_idle.erase(address); }
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Forwarding/ConnectionPool.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Forwarding/BackendConnection.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace almondscale {
+
+// Idle connections, by the address of their server. The one used last is taken
+// first, so that few stay open.
+class ConnectionPool {
+public:
+    explicit ConnectionPool(const boost::asio::any_io_executor&);
+
+    // An idle connection that is still open, or null.
+    std::unique_ptr<BackendConnection> take(const Address&);
+    std::unique_ptr<BackendConnection> make(const Address&);
+    // Keeps the connection for the next request if its server does.
+    void giveBack(std::unique_ptr<BackendConnection>);
+    // Closes the idle connections that their servers are about to close.
+    void sweep();
+    // Closes the idle connections of a server that is gone.
+    void forget(const Address&);
+
+private:
+    boost::asio::any_io_executor m_executor;
+    std::map<Address, std::vector<std::unique_ptr<BackendConnection>>> m_idle;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Forwarding/HttpCaller.cpp
@@ -0,0 +1,35 @@
+#include "Forwarding/HttpCaller.h"
+
+namespace almondscale {
+
+namespace {
+
+    // The largest answer of the store, a page of rows, is 1 MB before its encoding.
+    constexpr std::size_t mostBodyBytes = 16 << 20;
+
+} // namespace
+
+awaitable<Result<HttpReply>> callHttp(
+    ConnectionPool& pool, Address address, HttpRequestHead head, std::string body, Deadline deadline)
+{
+    auto connection = pool.take(address);
+    if (!connection) {
+        connection = pool.make(address);
+        const auto error = co_await connection->connect(deadline);
+        if (error)
+            co_return error;
+    }
+    const auto error = co_await connection->send(head, body, deadline);
+    if (error)
+        co_return error;
+    auto reply = co_await connection->readHead(head.method == "HEAD", deadline);
+    if (!reply)
+        co_return reply.error();
+    auto read = co_await connection->readWholeBody(mostBodyBytes, deadline);
+    if (!read)
+        co_return read.error();
+    pool.giveBack(std::move(connection));
+    co_return HttpReply { std::move(reply.value()), std::move(read.value()) };
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Forwarding/HttpListener.cpp
@@ -0,0 +1,74 @@
+#include "Forwarding/HttpListener.h"
+
+#include "Core/LogEvent.h"
+#include "Forwarding/Signal.h"
+#include "Forwarding/Spawn.h"
+
+namespace almondscale {
+
+namespace {
+
+    // Pause after an accept that failed for want of descriptors.
+    constexpr Nanoseconds acceptPause = std::chrono::milliseconds(20);
+
+} // namespace
+
+class HttpListener::Impl : public std::enable_shared_from_this<HttpListener::Impl> {
+public:
+    Impl(const boost::asio::any_io_executor& executor, OnConnection onConnection)
+        : m_acceptor(executor)
+        , m_onConnection(std::move(onConnection))
+    {
+    }
+
+    std::error_code start(const Address& address)
+    {
+        boost::system::error_code error;
+        const auto ip = boost::asio::ip::make_address_v4(address.ip, error);
+        if (!error)
+            m_acceptor.open(tcp::v4(), error);
+        if (!error)
+            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        if (!error)
+            m_acceptor.bind(tcp::endpoint(ip, address.port), error);
+        if (!error)
+            m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+        if (error)
+            return error;
+        spawn(m_acceptor.get_executor(), accept(shared_from_this()));
+        return {};
+    }
+
+    static awaitable<void> accept(std::shared_ptr<Impl> self)
+    {
+        while (self->m_acceptor.is_open()) {
+            auto [error, socket] = co_await self->m_acceptor.async_accept(noThrow);
+            if (!error) {
+                self->m_onConnection(std::move(socket));
+                continue;
+            }
+            if (!self->m_acceptor.is_open())
+                break;
+            LogEvent("accept_failed", LogLevel::Warning).with("error", error.message());
+            co_await sleepFor(acceptPause);
+        }
+    }
+
+    tcp::acceptor m_acceptor;
+    OnConnection m_onConnection;
+};
+
+HttpListener::HttpListener(const boost::asio::any_io_executor& executor, OnConnection onConnection)
+    : m_impl(std::make_shared<Impl>(executor, std::move(onConnection)))
+{
+}
+
+std::error_code HttpListener::start(const Address& address) { return m_impl->start(address); }
+
+void HttpListener::stop()
+{
+    boost::system::error_code ignored;
+    m_impl->m_acceptor.close(ignored);
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Forwarding/HttpListener.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Core/Address.h"
+#include "Forwarding/Asio.h"
+
+#include <functional>
+#include <memory>
+
+namespace almondscale {
+
+// Accepts connections at one address and hands each to a hook.
+class HttpListener {
+public:
+    using OnConnection = std::function<void(tcp::socket)>;
+
+    HttpListener(const boost::asio::any_io_executor&, OnConnection);
+
+    // Listens and accepts until stop().
+    std::error_code start(const Address&);
+    void stop();
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Forwarding/ServingContext.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "Core/RandomSource.h"
+#include "Forwarding/ConnectionPool.h"
+#include "Serving/DemandMeter.h"
+#include "Serving/Placement.h"
+#include "Serving/RetryGate.h"
+#include "Serving/RouteTable.h"
+#include "Serving/ServingWire.h"
+
+namespace almondscale {
+
+// What all requests of one host share; it outlives them.
+struct ServingContext {
+    boost::asio::any_io_executor executor;
+    const ServingWire& wire;
+    RouteTable& routes;
+    BackendTable& backends;
+    Placement& placement;
+    RetryGate& retries;
+    DemandMeter& demand;
+    ConnectionPool& pool;
+    RandomSource random;
+    // The host is shutting down: connections of callers end with their next answer.
+    bool stopping = false;
+    int openRequests = 0;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Serving/Backend.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Core/MonotonicTime.h"
+#include "Serving/BackendLoad.h"
+#include "Serving/BackendRecord.h"
+
+#include <cstdint>
+#include <unordered_map>
+
+namespace almondscale {
+
+// One backend server with what this host knows of its work and its condition.
+struct Backend {
+    BackendRecord record;
+    // Open work of this host, and of its peers as last heard.
+    BackendLoad own;
+    BackendLoad peers;
+
+    // Broken connections without an answer between them.
+    int breaksInRow = 0;
+    // No new work before this, after it broke or refused.
+    MonotonicTime avoidUntil {};
+    // Share of the recent attempts that it failed, 0 to 1.
+    double failureShare = 0;
+    // Measured time over expected time of recent attempts, 1 for an ordinary server.
+    double slowness = 1;
+    // Prompt parts sent to it for prefill, and when last.
+    std::unordered_map<std::uint64_t, MonotonicTime> parts;
+
+    BackendLoad load() const
+    {
+        BackendLoad sum = own;
+        return sum += peers;
+    }
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Serving/BackendChange.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "Serving/BackendRecord.h"
+
+#include <optional>
+
+namespace almondscale {
+
+// A registration that was written or removed.
+struct BackendChange {
+    BackendId id;
+    // Nothing if the entry was removed or cannot be read.
+    std::optional<BackendRecord> record;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Serving/BackendDirectory.cpp
@@ -0,0 +1,114 @@
+#include "Serving/BackendDirectory.h"
+
+#include <set>
+
+namespace almondscale {
+
+namespace {
+
+    // Servers register again within two seconds of the store's return; a little
+    // more for the reading of it.
+    constexpr Nanoseconds returnTime = std::chrono::milliseconds(2300);
+
+} // namespace
+
+BackendDirectory::BackendDirectory(BackendTable& table)
+    : m_table(table)
+{
+}
+
+void BackendDirectory::onSnapshot(
+    const std::vector<BackendChange>& entries, RowVersion version, MonotonicTime now)
+{
+    if (version < m_version)
+        return;
+    std::set<BackendId> listed;
+    std::vector<BackendId> gone;
+    for (const auto& entry : entries) {
+        if (entry.record)
+            listed.insert(entry.id);
+    }
+    for (const auto& known : m_records) {
+        if (listed.count(known.first) == 0)
+            gone.push_back(known.first);
+    }
+    onChanges(entries, version, now);
+    for (const auto& id : gone)
+        remove(id, now);
+    m_known = true;
+}
+
+void BackendDirectory::onChanges(
+    const std::vector<BackendChange>& changes, RowVersion version, MonotonicTime now)
+{
+    if (m_failing) {
+        m_failing = false;
+        m_backAt = now;
+    }
+    if (version < m_version)
+        return;
+    m_version = version;
+    for (const auto& change : changes) {
+        if (change.record)
+            put(*change.record);
+        else
+            remove(change.id, now);
+    }
+}
+
+void BackendDirectory::onReadFailed(MonotonicTime now)
+{
+    m_failing = true;
+    m_backAt = now;
+}
+
+void BackendDirectory::sweep(MonotonicTime now)
+{
+    std::vector<BackendId> over;
+    for (const auto& entry : m_lapsed) {
+        if (entry.second <= now)
+            over.push_back(entry.first);
+    }
+    for (const auto& id : over)
+        drop(id);
+}
+
+void BackendDirectory::put(const BackendRecord& record)
+{
+    m_lapsed.erase(record.id);
+    for (auto known = m_records.begin(); known != m_records.end(); ++known) {
+        if (known->first == record.id || known->second.address != record.address)
+            continue;
+        // The address was given to another server, so this one has ended.
+        drop(BackendId(known->first));
+        break;
+    }
+    m_records[record.id] = record;
+    m_table.put(record);
+}
+
+void BackendDirectory::remove(const BackendId& id, MonotonicTime now)
+{
+    if (m_records.count(id) == 0)
+        return;
+    const bool storeWasAway = m_backAt != MonotonicTime() && now - m_backAt < returnTime;
+    if (storeWasAway)
+        m_lapsed.emplace(id, m_backAt + returnTime);
+    else
+        drop(id);
+}
+
+void BackendDirectory::drop(const BackendId& id)
+{
+    m_lapsed.erase(id);
+    const auto found = m_records.find(id);
+    if (found == m_records.end())
+        return;
+    const auto record = found->second;
+    m_records.erase(found);
+    m_table.remove(id);
+    if (onGone)
+        onGone(record);
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Serving/BackendDirectory.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "Core/RowVersion.h"
+#include "Serving/BackendChange.h"
+#include "Serving/BackendTable.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace almondscale {
+
+// Follows the registrations of backend servers and keeps the table of them
+// current. Entries that vanish while the store was away are kept in use until
+// living servers had time to register again.
+class BackendDirectory {
+public:
+    explicit BackendDirectory(BackendTable&);
+
+    // The version after which changes are wanted; 0 until a whole reading came.
+    RowVersion version() const { return m_version; }
+    bool known() const { return m_known; }
+    const std::map<BackendId, BackendRecord>& records() const { return m_records; }
+
+    // All registrations as of a version; older than what is known is ignored.
+    void onSnapshot(const std::vector<BackendChange>&, RowVersion, MonotonicTime now);
+    void onChanges(const std::vector<BackendChange>&, RowVersion, MonotonicTime now);
+    // The store did not answer, or turned this host away.
+    void onReadFailed(MonotonicTime now);
+    // Drops the entries whose time to come back is over.
+    void sweep(MonotonicTime now);
+
+    // Told of each server that is dropped or whose address another server has now.
+    std::function<void(const BackendRecord&)> onGone;
+
+private:
+    void put(const BackendRecord&);
+    void remove(const BackendId&, MonotonicTime now);
+    void drop(const BackendId&);
+
+    BackendTable& m_table;
+    std::map<BackendId, BackendRecord> m_records;
+    // Entries that vanished around an absence of the store, and until when they are kept.
+    std::map<BackendId, MonotonicTime> m_lapsed;
+    RowVersion m_version;
+    bool m_known = false;
+    bool m_failing = false;
+    MonotonicTime m_backAt {};
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Serving/BackendReply.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "Serving/HttpHeads.h"
+
+#include <optional>
+#include <string>
+
+namespace almondscale {
+
+// The head of a backend server's response, decoded.
+struct BackendReply {
+    HttpResponseHead head;
+    // The server says that the request did not run and will not.
+    bool notRun = false;
+    // Another server has the address now.
+    bool wrongBackend = false;
+    // The request that it answers, if it says so.
+    std::string requestId;
+    // The response proves which server made it.
+    bool proven = false;
+
+    bool success() const { return head.status >= 200 && head.status < 300; }
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Serving/BackendTable.cpp
@@ -0,0 +1,171 @@
+#include "Serving/BackendTable.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace almondscale {
+
+namespace {
+
+    // Weight of the newest attempt in the averages: about the last ten attempts count.
+    constexpr double newestWeight = 0.1;
+    // A server that broke is left alone for this long, doubled with each further break.
+    constexpr Nanoseconds firstAvoidance = std::chrono::milliseconds(300);
+    constexpr int mostDoublings = 4;
+    // A refusal says that the server is full now; it drains a request in about this time.
+    constexpr Nanoseconds refusalAvoidance = std::chrono::milliseconds(50);
+    // Bounds of one measurement, so that a single stall does not shut a server out.
+    constexpr double leastSlowness = 0.5;
+    constexpr double mostSlowness = 12;
+
+    double mixed(double average, double newest)
+    {
+        return average * (1 - newestWeight) + newest * newestWeight;
+    }
+
+} // namespace
+
+void BackendTable::put(const BackendRecord& record)
+{
+    auto& backend = m_backends[record.id];
+    const bool same = backend.record.address == record.address
+        && (record.startedAtMs == 0 || backend.record.startedAtMs == 0
+            || backend.record.startedAtMs == record.startedAtMs);
+    if (!same) {
+        const auto own = backend.own;
+        const auto peers = backend.peers;
+        backend = Backend();
+        backend.own = own;
+        backend.peers = peers;
+    }
+    backend.record = record;
+}
+
+void BackendTable::remove(const BackendId& id) { m_backends.erase(id); }
+
+const Backend* BackendTable::find(const BackendId& id) const
+{
+    const auto found = m_backends.find(id);
+    return found == m_backends.end() ? nullptr : &found->second;
+}
+
+std::vector<const Backend*> BackendTable::usable(const ServiceName& service, MonotonicTime now) const
+{
+    std::vector<const Backend*> sound;
+    std::vector<const Backend*> avoided;
+    for (const auto& entry : m_backends) {
+        const auto& backend = entry.second;
+        if (backend.record.service != service || backend.record.draining)
+            continue;
+        (backend.avoidUntil > now ? avoided : sound).push_back(&backend);
+    }
+    return sound.empty() ? avoided : sound;
+}
+
+void BackendTable::open(const BackendId& id, const BackendLoad& load)
+{
+    const auto found = m_backends.find(id);
+    if (found != m_backends.end())
+        found->second.own += load;
+}
+
+void BackendTable::close(const BackendId& id, const BackendLoad& load)
+{
+    const auto found = m_backends.find(id);
+    if (found != m_backends.end())
+        found->second.own -= load;
+}
+
+void BackendTable::noteOutcome(const BackendId& id, BackendOutcome outcome, MonotonicTime now)
+{
+    const auto found = m_backends.find(id);
+    if (found == m_backends.end())
+        return;
+    auto& backend = found->second;
+    switch (outcome) {
+    case BackendOutcome::Answered:
+        backend.breaksInRow = 0;
+        backend.avoidUntil = {};
+        backend.failureShare = mixed(backend.failureShare, 0);
+        return;
+    case BackendOutcome::Refused:
+        backend.failureShare = mixed(backend.failureShare, 1);
+        backend.avoidUntil = std::max(backend.avoidUntil, now + refusalAvoidance);
+        return;
+    case BackendOutcome::Failed:
+        backend.breaksInRow = 0;
+        backend.failureShare = mixed(backend.failureShare, 1);
+        return;
+    case BackendOutcome::Broken:
+        backend.failureShare = mixed(backend.failureShare, 1);
+        backend.avoidUntil = now + firstAvoidance * (1 << std::min(backend.breaksInRow, mostDoublings));
+        ++backend.breaksInRow;
+        return;
+    case BackendOutcome::Abandoned:
+        return;
+    }
+}
+
+void BackendTable::noteSpeed(const BackendId& id, Nanoseconds taken, Nanoseconds expected)
+{
+    const auto found = m_backends.find(id);
+    if (found == m_backends.end() || expected.count() <= 0)
+        return;
+    const double ratio = static_cast<double>(taken.count()) / static_cast<double>(expected.count());
+    found->second.slowness = mixed(found->second.slowness, std::clamp(ratio, leastSlowness, mostSlowness));
+}
+
+void BackendTable::notePart(const BackendId& id, std::uint64_t part, MonotonicTime now)
+{
+    const auto found = m_backends.find(id);
+    if (found != m_backends.end() && part != 0)
+        found->second.parts[part] = now;
+}
+
+BackendTable::Loads BackendTable::ownLoads() const
+{
+    Loads loads;
+    for (const auto& entry : m_backends) {
+        const auto& own = entry.second.own;
+        if (own.requests != 0 || std::abs(own.prefillMs) > 0.5)
+            loads[entry.first] = own;
+    }
+    return loads;
+}
+
+void BackendTable::setPeerLoads(const HostId& host, Loads loads, MonotonicTime now)
+{
+    auto& peer = m_peers[host];
+    addPeer(peer.loads, -1);
+    peer.loads = std::move(loads);
+    peer.heardAt = now;
+    addPeer(peer.loads, 1);
+}
+
+void BackendTable::forgetPeersBefore(MonotonicTime oldest)
+{
+    for (auto peer = m_peers.begin(); peer != m_peers.end();) {
+        if (peer->second.heardAt >= oldest) {
+            ++peer;
+            continue;
+        }
+        addPeer(peer->second.loads, -1);
+        peer = m_peers.erase(peer);
+    }
+}
+
+void BackendTable::addPeer(const Loads& loads, int sign)
+{
+    for (const auto& entry : loads) {
+        const auto found = m_backends.find(entry.first);
+        if (found == m_backends.end())
+            continue;
+        if (sign > 0)
+            found->second.peers += entry.second;
+        else
+            found->second.peers -= entry.second;
+    }
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Serving/BackendTable.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Core/HostId.h"
+#include "Serving/Backend.h"
+#include "Serving/BackendOutcome.h"
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace almondscale {
+
+// The backend servers that registered, with the work that this host and its
+// peers have open at each. Not thread-safe.
+class BackendTable {
+public:
+    using Loads = std::unordered_map<BackendId, BackendLoad>;
+
+    // A server that started anew under its id or address begins without history.
+    void put(const BackendRecord&);
+    void remove(const BackendId&);
+
+    const Backend* find(const BackendId&) const;
+    const std::map<BackendId, Backend>& all() const { return m_backends; }
+    // The servers of the service that may get new work now, avoided ones last resort only.
+    std::vector<const Backend*> usable(const ServiceName&, MonotonicTime now) const;
+
+    void open(const BackendId&, const BackendLoad&);
+    void close(const BackendId&, const BackendLoad&);
+    void noteOutcome(const BackendId&, BackendOutcome, MonotonicTime now);
+    // What an attempt took against what was expected of an ordinary server.
+    void noteSpeed(const BackendId&, Nanoseconds taken, Nanoseconds expected);
+    void notePart(const BackendId&, std::uint64_t part, MonotonicTime now);
+
+    // What this host tells its peers.
+    Loads ownLoads() const;
+    // Replaces what a peer told before.
+    void setPeerLoads(const HostId&, Loads, MonotonicTime now);
+    // Forgets peers that have been silent.
+    void forgetPeersBefore(MonotonicTime);
+    std::size_t livePeers() const { return m_peers.size(); }
+
+private:
+    struct Peer {
+        Loads loads;
+        MonotonicTime heardAt {};
+    };
+
+    void addPeer(const Loads&, int sign);
+
+    std::map<BackendId, Backend> m_backends;
+    std::map<HostId, Peer> m_peers;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Serving/EventCutter.cpp
@@ -0,0 +1,47 @@
+#include "Serving/EventCutter.h"
+
+#include <algorithm>
+#include <array>
+
+namespace almondscale {
+
+namespace {
+
+    // The end of the last whole event in the text, or 0.
+    std::size_t lastEventEnd(const std::string& text)
+    {
+        static constexpr std::array<const char*, 3> blankLines { "\n\n", "\r\n\r\n", "\r\r" };
+        std::size_t end = 0;
+        for (const std::string blank : blankLines) {
+            const auto found = text.rfind(blank);
+            if (found != std::string::npos)
+                end = std::max(end, found + blank.size());
+        }
+        return end;
+    }
+
+} // namespace
+
+std::string EventCutter::take(const char* data, std::size_t size)
+{
+    m_rest.append(data, size);
+    const auto end = lastEventEnd(m_rest);
+    std::string events = m_rest.substr(0, end);
+    m_rest.erase(0, end);
+    noteIds(events);
+    return events;
+}
+
+void EventCutter::noteIds(const std::string& events)
+{
+    auto line = events.rfind("id:");
+    while (line != std::string::npos && line > 0 && events[line - 1] != '\n' && events[line - 1] != '\r')
+        line = events.rfind("id:", line - 1);
+    if (line == std::string::npos)
+        return;
+    const auto begin = events.find_first_not_of(' ', line + 3);
+    const auto end = events.find_first_of("\r\n", begin);
+    m_lastId = events.substr(begin, end - begin);
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Serving/Manifest.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Core/ByteCount.h"
+#include "Serving/EngineSpec.h"
+#include "Serving/Route.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace almondscale {
+
+// What all backend servers of one service have in common.
+struct ServiceSpec {
+    ServiceName name;
+    // Connections that one server accepts from all hosts together.
+    int maxConnections = 0;
+    // Set for services whose servers are engines.
+    std::optional<EngineSpec> engine;
+};
+
+// Bounds for what a caller sends.
+struct CallerLimits {
+    ByteCount maxHeader { 16 << 10 };
+    ByteCount maxBody { 4 << 20 };
+    Nanoseconds headerTimeout = std::chrono::seconds(3);
+    Nanoseconds idleTimeout = std::chrono::seconds(15);
+};
+
+// The operators' configuration, as a whole.
+struct Manifest {
+    std::int64_t version = 0;
+    std::vector<Route> routes;
+    std::map<ServiceName, ServiceSpec> services;
+    CallerLimits limits;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Serving/Placement.cpp
@@ -0,0 +1,141 @@
+#include "Serving/Placement.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace almondscale {
+
+namespace {
+
+    // Milliseconds that one further running request adds to each token of an engine.
+    constexpr double stepMsPerRequest = 0.12;
+    // Milliseconds of an ordinary request at a plain service, to weigh its queue
+    // against the way to another data centre.
+    constexpr double plainRequestMs = 30;
+    // A server that fails a part of its requests costs this much for each failure.
+    constexpr double failureMs = 400;
+
+    std::uint64_t mixBits(std::uint64_t x)
+    {
+        x ^= x >> 33;
+        x *= 0xff51afd7ed558ccdULL;
+        x ^= x >> 33;
+        x *= 0xc4ceb9fe1a85ec53ULL;
+        return x ^ (x >> 33);
+    }
+
+    // Ranks servers for a part; all hosts compute the same rank.
+    std::uint64_t homeRank(std::uint64_t part, const BackendId& id)
+    {
+        std::uint64_t hash = 0xcbf29ce484222325ULL;
+        for (const unsigned char c : id.text())
+            hash = (hash ^ c) * 0x100000001b3ULL;
+        return mixBits(hash ^ mixBits(part));
+    }
+
+    bool hasRole(const Backend& backend, EngineRole role)
+    {
+        return backend.record.role && *backend.record.role == role;
+    }
+
+} // namespace
+
+Placement::Placement(const BackendTable& backends, DataCentre dataCentre, PlacementOptions options)
+    : m_backends(backends)
+    , m_dataCentre(std::move(dataCentre))
+    , m_options(options)
+{
+}
+
+std::optional<PlacementChoice> Placement::choosePrefill(
+    const ServiceName& service, const PromptShape& prompt, const Excluded& excluded, MonotonicTime now) const
+{
+    std::vector<const Backend*> candidates;
+    const Backend* home = nullptr;
+    std::uint64_t homeScore = 0;
+    for (const auto* backend : m_backends.usable(service, now)) {
+        if (!hasRole(*backend, EngineRole::Prefill) || excluded.count(backend->record.id) > 0)
+            continue;
+        candidates.push_back(backend);
+        const auto score = homeRank(prompt.sharedKey, backend->record.id);
+        if (!home || score > homeScore) {
+            home = backend;
+            homeScore = score;
+        }
+    }
+    std::optional<PlacementChoice> best;
+    double bestCost = 0;
+    for (const auto* backend : candidates) {
+        const auto part = backend->parts.find(prompt.sharedKey);
+        const bool kept = part != backend->parts.end() && now - part->second < m_options.partLifetime;
+        const bool cached = prompt.sharedKey != 0 && (kept || backend == home);
+        const double work = m_options.speed.prefillMs(prompt.prompt, cached ? prompt.shared : TokenCount(0));
+        const double reread = cached || prompt.sharedKey == 0
+            ? 0
+            : (m_options.rereadFactor - 1) * m_options.speed.prefillMs(prompt.shared, TokenCount(0));
+        const double wait = std::max(0.0, backend->load().prefillMs);
+        const double expected = (wait + work) * backend->slowness + failureMs * backend->failureShare;
+        const double away = backend->record.dataCentre == m_dataCentre ? 0 : m_options.otherDataCentreMs;
+        const double cost = expected + reread + away;
+        if (!best || cost < bestCost) {
+            best = PlacementChoice { backend->record.id, expected, work };
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+std::optional<PlacementChoice> Placement::chooseDecode(const ServiceName& service, const EngineSpec& spec,
+    const PromptShape& prompt, const DataCentre& prefilledIn, const Excluded& excluded,
+    MonotonicTime now) const
+{
+    std::optional<PlacementChoice> best;
+    double bestCost = 0;
+    for (const auto* backend : m_backends.usable(service, now)) {
+        if (!hasRole(*backend, EngineRole::Decode) || excluded.count(backend->record.id) > 0)
+            continue;
+        const auto load = backend->load();
+        const double memory = static_cast<double>(std::max<std::int64_t>(1, spec.memory.count()));
+        const double filled = (load.contextTokens + static_cast<double>(prompt.prompt.count())) / memory;
+        const double running = std::max(0, load.requests) + 1;
+        // A full engine makes the request wait for another to end, most of an answer's time.
+        double cost = running * stepMsPerRequest * 10 * backend->slowness;
+        cost += failureMs * backend->failureShare;
+        if (filled > m_options.memoryShare)
+            cost += 1000 * (filled - m_options.memoryShare);
+        if (running > spec.slots)
+            cost += 100 * (running - spec.slots);
+        if (backend->record.dataCentre != prefilledIn)
+            cost += m_options.otherDataCentreMs;
+        if (!best || cost < bestCost) {
+            best = PlacementChoice { backend->record.id, cost, cost };
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+std::optional<PlacementChoice> Placement::choosePlain(
+    const ServiceName& service, const Excluded& excluded, MonotonicTime now) const
+{
+    std::optional<PlacementChoice> best;
+    for (const auto* backend : m_backends.usable(service, now)) {
+        if (excluded.count(backend->record.id) > 0)
+            continue;
+        const int slots = std::max(1, backend->record.slots);
+        const int ahead = std::max(0, backend->load().requests);
+        // Requests within the slots run side by side; those beyond wait for one to end.
+        const double queued = static_cast<double>(std::max(0, ahead + 1 - slots)) / slots;
+        const double crowding = static_cast<double>(ahead) / slots;
+        double cost = plainRequestMs * backend->slowness * (1 + queued + 0.25 * crowding);
+        cost += failureMs * backend->failureShare;
+        if (backend->record.dataCentre != m_dataCentre)
+            cost += m_options.otherDataCentreMs;
+        if (!best || cost < best->expectedMs)
+            best = PlacementChoice { backend->record.id, cost, plainRequestMs };
+    }
+    return best;
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Serving/Placement.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Core/DataCentre.h"
+#include "Serving/BackendTable.h"
+#include "Serving/EngineSpec.h"
+#include "Serving/EngineSpeedModel.h"
+#include "Serving/PromptShape.h"
+
+#include <optional>
+#include <set>
+
+namespace almondscale {
+
+// Weights of the choice of a backend server.
+struct PlacementOptions {
+    EngineSpeedModel speed;
+    // A shared part that is prefilled a second time is charged this many times its
+    // own cost, since it also pushes other parts out of the engine's memory.
+    double rereadFactor = 1.5;
+    // A part is believed to be cached for this long after it was last sent there.
+    Nanoseconds partLifetime = std::chrono::seconds(30);
+    // What another data centre must be better by, in milliseconds: the way there
+    // and back and the longer transfer of a KV cache.
+    double otherDataCentreMs = 6;
+    // Part of an engine's memory that running requests may fill.
+    double memoryShare = 0.92;
+};
+
+// A chosen server and what is expected of it.
+struct PlacementChoice {
+    BackendId backend;
+    // Milliseconds until the work is done there.
+    double expectedMs = 0;
+    // Milliseconds of work at an ordinary server.
+    double workMs = 0;
+};
+
+// Chooses backend servers by expected completion. It answers a load of long
+// prompts whose shared parts do not fit into one engine's memory: each part has
+// a home among the prefill engines, and leaves it only when waiting there would
+// take longer than reading the part again elsewhere.
+class Placement {
+public:
+    using Excluded = std::set<BackendId>;
+
+    Placement(const BackendTable&, DataCentre, PlacementOptions = {});
+
+    std::optional<PlacementChoice> choosePrefill(
+        const ServiceName&, const PromptShape&, const Excluded&, MonotonicTime now) const;
+    // The engine that decodes after a prefill in the data centre.
+    std::optional<PlacementChoice> chooseDecode(const ServiceName&, const EngineSpec&, const PromptShape&,
+        const DataCentre& prefilledIn, const Excluded&, MonotonicTime now) const;
+    // A server of a plain service.
+    std::optional<PlacementChoice> choosePlain(const ServiceName&, const Excluded&, MonotonicTime now) const;
+
+    const PlacementOptions& options() const { return m_options; }
+
+private:
+    const BackendTable& m_backends;
+    DataCentre m_dataCentre;
+    PlacementOptions m_options;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Serving/RetryGate.cpp
@@ -0,0 +1,50 @@
+#include "Serving/RetryGate.h"
+
+#include <algorithm>
+
+namespace almondscale {
+
+namespace {
+
+    // Part of the bound that the hosts use, so that windows which fall badly and
+    // hosts that have just left do not exceed it.
+    constexpr double usedPart = 0.7;
+
+} // namespace
+
+RetryGate::RetryGate(RetryBounds bounds, int hosts)
+    : m_bounds(bounds)
+    , m_hosts(std::max(1, hosts))
+{
+}
+
+void RetryGate::setHosts(int hosts)
+{
+    if (hosts == m_hosts || hosts < 1)
+        return;
+    m_hosts = hosts;
+    for (auto& entry : m_budgets)
+        entry.second.setLeastRetries(static_cast<int>(usedPart * m_bounds.least / m_hosts));
+}
+
+void RetryGate::onRequest(const ServiceName& service, MonotonicTime now) { budget(service).onRequest(now); }
+
+bool RetryGate::tryRetry(const ServiceName& service, MonotonicTime now)
+{
+    return budget(service).tryRetry(now);
+}
+
+RetryBudget& RetryGate::budget(const ServiceName& service)
+{
+    const auto found = m_budgets.find(service);
+    if (found != m_budgets.end())
+        return found->second;
+    RetryBudgetOptions options;
+    options.window = m_bounds.window;
+    options.share = m_bounds.ratio * usedPart;
+    options.earned = m_bounds.ratio * usedPart;
+    options.leastRetries = static_cast<int>(usedPart * m_bounds.least / m_hosts);
+    return m_budgets.emplace(service, RetryBudget(options)).first->second;
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Serving/RetryGate.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Core/ServiceName.h"
+#include "Dispatch/RetryBudget.h"
+
+#include <map>
+
+namespace almondscale {
+
+// What all hosts together may send beyond the first attempt of each request.
+struct RetryBounds {
+    // Part of the requests in a window.
+    double ratio = 0.2;
+    // Further attempts in a window whatever the number of requests.
+    int least = 0;
+    Nanoseconds window = std::chrono::seconds(10);
+};
+
+// Keeps this host's share of the further attempts at each service: its part of
+// the requests, and an equal part of what is allowed without them. No message
+// is needed, and hosts that are cut off stay within the bound together.
+class RetryGate {
+public:
+    RetryGate(RetryBounds, int hosts);
+
+    // Hosts come and go; the shares follow.
+    void setHosts(int);
+    void onRequest(const ServiceName&, MonotonicTime now);
+    bool tryRetry(const ServiceName&, MonotonicTime now);
+
+private:
+    RetryBudget& budget(const ServiceName&);
+
+    RetryBounds m_bounds;
+    int m_hosts;
+    std::map<ServiceName, RetryBudget> m_budgets;
+};
+
+} // namespace almondscale
