Order seven of nine engines to prefill before the traffic, under a lease in the store

Change: RoleSplit decides how many engines decode and which changes; OrderDuty competes for one lease row and gives the orders with the engine's count of accepted orders and a fencing number.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -7,6 +7,7 @@
 #include "Forwarding/Signal.h"
 #include "Forwarding/Spawn.h"
 #include "ManifestDuty.h"
+#include "OrderDuty.h"
 #include "ReadyServer.h"
 #include "RegistryDuty.h"
 #include "platform/RequestWire.h"
@@ -42,6 +43,7 @@
         , m_store(m_pool, m_settings.store)
         , m_manifestDuty(m_store, m_routes)
         , m_registryDuty(m_store, m_directory)
+        , m_orderDuty(m_store, m_pool, m_routes, m_backends, m_demand, m_settings.host, m_settings.lease)
         , m_context { m_loop.get_executor(), m_wire, m_routes, m_backends, m_placement, m_retries, m_demand,
             m_pool, systemRandom() }
         , m_readyServer(m_loop.get_executor(), { [this] { return ready(); }, [this] { return metrics(); } })
@@ -65,6 +67,7 @@
         LogEvent("start").with("host", m_settings.host).with("data_centre", m_settings.dataCentre);
         start(m_manifestDuty.run());
         start(m_registryDuty.run());
+        start(m_orderDuty.run());
         start(sweep());
         boost::asio::signal_set signals(m_loop, SIGTERM, SIGINT);
         signals.async_wait([this](const boost::system::error_code& error, int) {
@@ -118,6 +121,7 @@
         LogEvent("shutdown").with("open_requests", m_context.openRequests);
         const auto startedAt = bootTime();
         m_context.stopping = true;
+        m_orderDuty.release();
         const auto last = Deadline::after(startedAt, m_settings.shutdownTime - shutdownMargin);
         while (!Deadline::after(startedAt, balancerTime).passed(bootTime()))
             co_await sleepFor(shutdownPoll);
@@ -145,6 +149,7 @@
     platform::StoreClient m_store;
     ManifestDuty m_manifestDuty;
     RegistryDuty m_registryDuty;
+    OrderDuty m_orderDuty;
     ServingContext m_context;
     ReadyServer m_readyServer;
     HttpListener m_listener;
--- /dev/null
+++ b/Source/Serving/RoleSplit.cpp
@@ -0,0 +1,98 @@
+#include "Serving/RoleSplit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondscale {
+
+namespace {
+
+    // Fleets of this size keep a second decode engine, so that a crash leaves one.
+    constexpr int enginesForSecond = 6;
+    // Requests a second below which the traffic has not begun.
+    constexpr double leastRequests = 0.5;
+
+    bool isEngineOf(const Backend& backend, const ServiceName& service)
+    {
+        return backend.record.service == service && backend.record.role && !backend.record.draining;
+    }
+
+} // namespace
+
+RoleSplit::RoleSplit(const BackendTable& backends, RoleSplitOptions options)
+    : m_backends(backends)
+    , m_options(options)
+{
+}
+
+int RoleSplit::decodeTarget(int engines, const EngineDemand&) const
+{
+    const int share = static_cast<int>(std::lround(engines * m_options.decodeShare));
+    const int least = engines >= enginesForSecond ? 2 : 1;
+    return std::clamp(std::max(share, least), 0, std::max(0, engines - 1));
+}
+
+std::vector<RoleAssignment> RoleSplit::decide(
+    const ServiceName& service, const EngineDemand& demand, MonotonicTime now)
+{
+    std::vector<const Backend*> prefill;
+    std::vector<const Backend*> decode;
+    for (const auto& entry : m_backends.all()) {
+        const auto& backend = entry.second;
+        if (!isEngineOf(backend, service))
+            continue;
+        auto role = *backend.record.role;
+        const auto order = m_orders.find(entry.first);
+        if (order != m_orders.end()) {
+            if (order->second.role == role || now - order->second.at > m_options.orderTime)
+                m_orders.erase(order);
+            else
+                role = order->second.role;
+        }
+        (role == EngineRole::Prefill ? prefill : decode).push_back(&backend);
+    }
+    const int engines = static_cast<int>(prefill.size() + decode.size());
+    const int lacking = decodeTarget(engines, demand) - static_cast<int>(decode.size());
+    if (engines < 2 || lacking == 0) {
+        m_wrongSince.erase(service);
+        return {};
+    }
+    const auto since = m_wrongSince.emplace(service, now).first->second;
+    const bool traffic = demand.requests > leastRequests;
+    if (traffic && (now - since < m_options.dwell || now - m_lastOrderAt < m_options.pause))
+        return {};
+
+    auto& from = lacking > 0 ? prefill : decode;
+    const auto& to = lacking > 0 ? decode : prefill;
+    const auto sameDataCentre = [&](const Backend* engine) {
+        return std::count_if(to.begin(), to.end(),
+            [&](const Backend* other) { return other->record.dataCentre == engine->record.dataCentre; });
+    };
+    // Engines without work first, spread over the data centres.
+    std::stable_sort(from.begin(), from.end(), [&](const Backend* a, const Backend* b) {
+        const auto aCount = sameDataCentre(a);
+        const auto bCount = sameDataCentre(b);
+        if (aCount != bCount)
+            return aCount < bCount;
+        return a->load().requests + a->load().prefillMs < b->load().requests + b->load().prefillMs;
+    });
+    const auto most = traffic ? std::size_t(1) : static_cast<std::size_t>(std::abs(lacking));
+    std::vector<RoleAssignment> orders;
+    for (const auto* engine : from) {
+        if (orders.size() == most)
+            break;
+        if (m_orders.count(engine->record.id) == 0)
+            orders.push_back({ engine->record.id, lacking > 0 ? EngineRole::Decode : EngineRole::Prefill });
+    }
+    return orders;
+}
+
+void RoleSplit::onOrdered(const RoleAssignment& order, MonotonicTime now)
+{
+    m_orders[order.engine] = Order { order.role, now };
+    m_lastOrderAt = now;
+}
+
+void RoleSplit::onRefused(const BackendId& engine) { m_orders.erase(engine); }
+
+} // namespace almondscale
