Keep a server's address by value while a connection to it is made

The log line before it breaks off inside an address: the connection attempt held a reference into the table of servers, and the entry was removed while it waited.

Ruled out: memory (peak 13 MB of 260).

--- a/Programs/almondscale-host/OrderDuty.cpp
+++ b/Programs/almondscale-host/OrderDuty.cpp
@@ -90,11 +90,11 @@
 }
 
 awaitable<std::optional<platform::EngineReport>> OrderDuty::readReport(
-    const Backend& engine, Deadline deadline)
+    BackendId engine, Address address, Deadline deadline)
 {
-    auto call = platform::encodeReportCall(engine.record.id);
-    const auto reply = co_await callHttp(
-        m_pool, engine.record.address, std::move(call.head), std::move(call.body), deadline);
+    auto call = platform::encodeReportCall(engine);
+    const auto reply
+        = co_await callHttp(m_pool, std::move(address), std::move(call.head), std::move(call.body), deadline);
     if (!reply || reply.value().head.status != 200)
         co_return std::nullopt;
     co_return platform::decodeReport(reply.value().body);
@@ -106,7 +106,8 @@
     if (!engine)
         co_return;
     const auto address = engine->record.address;
-    const auto report = co_await readReport(*engine, Deadline::after(bootTime(), answerTime));
+    const auto report
+        = co_await readReport(assignment.engine, address, Deadline::after(bootTime(), answerTime));
     if (!report || report->changing || report->role == assignment.role) {
         // Its registration lags behind, or it does not answer: it counts as ordered for now.
         m_split.onOrdered(assignment, bootTime());
--- a/Programs/almondscale-host/OrderDuty.h
+++ b/Programs/almondscale-host/OrderDuty.h
@@ -23,7 +23,7 @@
 private:
     awaitable<void> giveOrders();
     awaitable<void> order(RoleAssignment);
-    awaitable<std::optional<platform::EngineReport>> readReport(const Backend&, Deadline);
+    awaitable<std::optional<platform::EngineReport>> readReport(BackendId, Address, Deadline);
     void noteHolding();
 
     platform::StoreClient& m_store;
--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -163,7 +163,7 @@
     }
 
     // A connection to the server, or null if none could be made; nothing was sent then.
-    awaitable<bool> openConnection(const BackendId& id, const Address& address, Deadline deadline)
+    awaitable<bool> openConnection(BackendId id, Address address, Deadline deadline)
     {
         m_connection = m_context.pool.take(address);
         if (m_connection)
