--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -6,10 +6,11 @@
 #include "Forwarding/HttpListener.h"
 #include "Forwarding/Signal.h"
 #include "Forwarding/Spawn.h"
-#include "ManifestDuty.h"
+#include "MirrorDuty.h"
 #include "OrderDuty.h"
+#include "Peers/PeerNetwork.h"
 #include "ReadyServer.h"
-#include "RegistryDuty.h"
+#include "Serving/BackendDirectory.h"
 #include "platform/RequestWire.h"
 
 #include <boost/asio/io_context.hpp>
@@ -27,7 +28,7 @@
     // Requests that are still open so long before the process is killed are cut.
     constexpr Nanoseconds shutdownMargin = std::chrono::milliseconds(600);
     constexpr Nanoseconds shutdownPoll = std::chrono::milliseconds(50);
-    constexpr Nanoseconds sweepPause = std::chrono::seconds(1);
+    constexpr Nanoseconds sweepPause = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -40,15 +41,26 @@
         , m_directory(m_backends)
         , m_placement(m_backends, m_settings.dataCentre)
         , m_retries(m_settings.retries, initialHosts)
+        , m_self { m_settings.host, m_settings.dataCentre, m_settings.peers, m_settings.strength }
         , m_store(m_pool, m_settings.store)
-        , m_manifestDuty(m_store, m_routes)
-        , m_registryDuty(m_store, m_directory)
-        , m_orderDuty(m_store, m_pool, m_routes, m_backends, m_demand, m_settings.host, m_settings.lease)
+        , m_network(m_loop.get_executor(), m_self, m_settings.seeds, m_mirror,
+              { [this] { return ownWork(); }, [this](const PeerWork& work) { setOthersWork(work); } })
+        , m_mirrorDuty(m_store, m_mirror, m_self,
+              { [this] { return m_network.reader(); }, [this] { m_network.publish(); },
+                  [this](SharedTable table) { readFailed(table); } })
+        , m_orderDuty(m_store, m_pool, m_routes, m_backends, m_settings.host, m_settings.lease,
+              { [this] { return m_network.reader(); }, [this] { return totalDemand(); } })
         , m_context { m_loop.get_executor(), m_wire, m_routes, m_backends, m_placement, m_retries, m_demand,
             m_pool, systemRandom() }
         , m_readyServer(m_loop.get_executor(), { [this] { return ready(); }, [this] { return metrics(); } })
         , m_listener(m_loop.get_executor(), [this](tcp::socket socket) { serve(std::move(socket)); })
     {
+        m_mirror.sameMeaning = [](SharedTable table, const std::string& before, const std::string& after) {
+            return table == SharedTable::Backends && platform::sameRegistration(before, after);
+        };
+        m_mirror.onNews = [this](SharedTable table, const StoredRows& rows, MonotonicTime now) {
+            takeNews(table, rows, now);
+        };
         m_directory.onGone = [this](const BackendRecord& record) { m_pool.forget(record.address); };
     }
 
@@ -56,7 +68,8 @@
     {
         for (const auto& [address, error] :
             { std::pair { m_settings.callers, m_listener.start(m_settings.callers) },
-                std::pair { m_settings.ready, m_readyServer.start(m_settings.ready) } }) {
+                std::pair { m_settings.ready, m_readyServer.start(m_settings.ready) },
+                std::pair { m_settings.peers, m_network.start() } }) {
             if (!error)
                 continue;
             LogEvent("listen_failed", LogLevel::Error)
@@ -65,8 +78,10 @@
             return 1;
         }
         LogEvent("start").with("host", m_settings.host).with("data_centre", m_settings.dataCentre);
-        start(m_manifestDuty.run());
-        start(m_registryDuty.run());
+        for (const auto table : sharedTables)
+            start(m_mirrorDuty.follow(table));
+        start(m_mirrorDuty.enroll());
+        start(m_network.run());
         start(m_orderDuty.run());
         start(sweep());
         boost::asio::signal_set signals(m_loop, SIGTERM, SIGINT);
@@ -97,6 +112,73 @@
         });
     }
 
+    void takeNews(SharedTable table, const StoredRows& rows, MonotonicTime now)
+    {
+        switch (table) {
+        case SharedTable::Manifest:
+            takeManifest(rows);
+            return;
+        case SharedTable::Backends: {
+            const auto changes = platform::registrationsIn(rows);
+            if (rows.whole)
+                m_directory.onSnapshot(changes, rows.newest, now);
+            else
+                m_directory.onChanges(changes, rows.newest, now);
+            return;
+        }
+        case SharedTable::Hosts:
+            takeHosts();
+            return;
+        }
+    }
+
+    void takeManifest(const StoredRows& rows)
+    {
+        auto manifest = platform::manifestIn(rows);
+        if (!manifest || !m_routes.adopt(std::move(*manifest)))
+            return;
+        LogEvent("manifest_in_force")
+            .with("version", m_routes.version())
+            .with("routes", m_routes.manifest()->routes.size())
+            .with("store_version", rows.newest);
+    }
+
+    void takeHosts()
+    {
+        std::vector<HostRecord> hosts;
+        const auto rows = m_mirror.newsSince(SharedTable::Hosts, RowVersion(0));
+        if (rows) {
+            for (const auto& row : rows->rows) {
+                if (auto record = decodeHostRecord(row.value))
+                    hosts.push_back(std::move(*record));
+            }
+        }
+        m_network.setHosts(std::move(hosts));
+        m_retries.setHosts(m_network.hostCount());
+        LogEvent("hosts").with("count", m_network.hostCount());
+    }
+
+    void readFailed(SharedTable table)
+    {
+        if (table == SharedTable::Backends)
+            m_directory.onReadFailed(bootTime());
+    }
+
+    PeerWork ownWork() const { return { m_backends.ownLoads(), m_demand.demand(bootTime()) }; }
+
+    void setOthersWork(const PeerWork& work)
+    {
+        m_backends.setOthersLoads(work.loads);
+        m_othersDemand = work.demand;
+    }
+
+    ServiceDemands totalDemand() const
+    {
+        PeerWork work { {}, m_demand.demand(bootTime()) };
+        work += PeerWork { {}, m_othersDemand };
+        return work.demand;
+    }
+
     bool ready() const { return !m_context.stopping && !m_routes.empty() && m_directory.known(); }
 
     static std::string metrics() { return {}; }
@@ -113,6 +195,7 @@
         for (;;) {
             co_await sleepFor(sweepPause);
             m_pool.sweep();
+            m_directory.sweep(bootTime());
         }
     }
 
@@ -146,9 +229,12 @@
     Placement m_placement;
     RetryGate m_retries;
     DemandMeter m_demand;
+    HostRecord m_self;
     platform::StoreClient m_store;
-    ManifestDuty m_manifestDuty;
-    RegistryDuty m_registryDuty;
+    RowMirror m_mirror;
+    ServiceDemands m_othersDemand;
+    PeerNetwork m_network;
+    MirrorDuty m_mirrorDuty;
     OrderDuty m_orderDuty;
     ServingContext m_context;
     ReadyServer m_readyServer;
--- /dev/null
+++ b/Programs/almondscale-host/MirrorDuty.cpp
@@ -0,0 +1,154 @@
+#include "MirrorDuty.h"
+
+#include "Core/LogEvent.h"
+#include "Forwarding/BootClock.h"
+#include "Forwarding/Signal.h"
+
+namespace almondscale {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    // How a table is followed.
+    struct Pace {
+        // How long the store may wait for a change before it answers.
+        Nanoseconds wait;
+        // Between two readings of a reader.
+        Nanoseconds pause;
+        // A host that is no reader reads for itself when its copy is older than this.
+        Nanoseconds mostAge;
+    };
+
+    // A manifest is in force, and a leaving server without new work, two seconds after
+    // the store's word; the hosts may be known later.
+    Pace paceOf(SharedTable table)
+    {
+        switch (table) {
+        case SharedTable::Manifest:
+            return { milliseconds(800), milliseconds(50), milliseconds(1300) };
+        case SharedTable::Backends:
+            return { milliseconds(0), milliseconds(550), milliseconds(1000) };
+        case SharedTable::Hosts:
+            return { milliseconds(0), milliseconds(2000), milliseconds(6000) };
+        }
+        return {};
+    }
+
+    constexpr Nanoseconds readerRetry = milliseconds(200);
+    // Many hosts may find their copies old at once; they come back spread over this time.
+    constexpr Nanoseconds followerRetry = milliseconds(800);
+    // The store's answer that nothing changed is at most this old when it arrives.
+    constexpr Nanoseconds answerAge = milliseconds(100);
+    constexpr Nanoseconds look = milliseconds(50);
+    // The hosts start together, and links between them come first.
+    constexpr Nanoseconds startTime = milliseconds(900);
+
+} // namespace
+
+MirrorDuty::MirrorDuty(platform::StoreClient& store, RowMirror& mirror, HostRecord self, Hooks hooks)
+    : m_store(store)
+    , m_mirror(mirror)
+    , m_self(std::move(self))
+    , m_hooks(std::move(hooks))
+    , m_random(systemRandom())
+    , m_startedAt(bootTime())
+{
+}
+
+bool MirrorDuty::due(SharedTable table) const
+{
+    // The table of hosts tells who the reader is, so it is read first by everyone.
+    if (table == SharedTable::Hosts && m_mirror.empty(table))
+        return true;
+    if (m_hooks.reader())
+        return true;
+    const auto pace = paceOf(table);
+    const auto since
+        = m_mirror.empty(table) ? m_startedAt + startTime - pace.mostAge : m_mirror.currentAt(table);
+    return bootTime() - since > pace.mostAge;
+}
+
+awaitable<void> MirrorDuty::follow(SharedTable table)
+{
+    const auto pace = paceOf(table);
+    for (;;) {
+        if (!due(table)) {
+            co_await sleepFor(look);
+            continue;
+        }
+        const bool read = co_await readOnce(table);
+        if (read) {
+            co_await sleepFor(m_hooks.reader() ? pace.pause : look);
+            continue;
+        }
+        m_hooks.onFailed(table);
+        const bool reader = m_hooks.reader();
+        co_await sleepFor(reader ? readerRetry
+                                 : followerRetry
+                    + Nanoseconds(static_cast<std::int64_t>(uniform(m_random) * followerRetry.count())));
+    }
+}
+
+awaitable<bool> MirrorDuty::readOnce(SharedTable table)
+{
+    Result<StoredRows> rows = ErrorKind::PlatformUnavailable;
+    const auto askedAt = bootTime();
+    const auto before = m_mirror.version(table);
+    const bool whole = m_mirror.empty(table) || m_historyGone.count(table) > 0;
+    if (whole)
+        rows = co_await m_store.read(table);
+    else
+        rows = co_await m_store.changes(table, before, paceOf(table).wait);
+    if (rows && rows.value().historyGone) {
+        LogEvent("store_history_gone").with("table", sharedTableWord(table)).with("version", before);
+        m_historyGone.insert(table);
+        co_return true;
+    }
+    if (rows.ok() != m_reachable) {
+        m_reachable = rows.ok();
+        LogEvent(m_reachable ? "store_regained" : "store_lost", LogLevel::Warning)
+            .with("table", sharedTableWord(table))
+            .with("error", rows.ok() ? std::string() : rows.error().message());
+    }
+    // A reading that is older than the copy tells nothing of the changes that were missed.
+    if (!rows || (whole && rows.value().newest < before))
+        co_return false;
+    if (whole)
+        m_historyGone.erase(table);
+    // A wait that ended without a change says that there was none until its end.
+    const bool waited = !whole && rows.value().rows.empty() && paceOf(table).wait.count() > 0;
+    m_mirror.apply(table, rows.value(), waited ? bootTime() - answerAge : askedAt, bootTime());
+    m_hooks.onRead();
+    co_return true;
+}
+
+awaitable<void> MirrorDuty::enroll()
+{
+    const auto wanted = encodeHostRecord(m_self);
+    for (;;) {
+        co_await sleepFor(look);
+        if (m_mirror.empty(SharedTable::Hosts))
+            continue;
+        RowVersion version;
+        bool there = false;
+        const auto rows = m_mirror.newsSince(SharedTable::Hosts, RowVersion(0));
+        if (rows) {
+            for (const auto& row : rows->rows) {
+                if (row.key != m_self.id.text())
+                    continue;
+                version = row.version;
+                there = row.value == wanted;
+            }
+        }
+        if (there)
+            co_return;
+        const auto written = co_await m_store.writeHost(m_self.id, wanted, version);
+        LogEvent("enrolled").with("host", m_self.id).with("outcome", static_cast<int>(written.outcome));
+        if (written.outcome == WriteOutcome::Applied)
+            co_return;
+        co_await sleepFor(followerRetry);
+    }
+}
+
+} // namespace almondscale
--- a/Programs/almondscale-host/OrderDuty.cpp
+++ b/Programs/almondscale-host/OrderDuty.cpp
@@ -36,21 +36,26 @@
 } // namespace
 
 OrderDuty::OrderDuty(platform::StoreClient& store, ConnectionPool& pool, const RouteTable& routes,
-    const BackendTable& backends, const DemandMeter& demand, HostId host, Nanoseconds lease)
+    const BackendTable& backends, HostId host, Nanoseconds lease, Hooks hooks)
     : m_store(store)
     , m_pool(pool)
     , m_routes(routes)
     , m_backends(backends)
-    , m_demand(demand)
     , m_host(std::move(host))
     , m_lease(leaseKey, m_host, Incarnation(systemRandom()()), leaseSettings(lease))
     , m_split(backends)
+    , m_hooks(std::move(hooks))
 {
 }
 
 awaitable<void> OrderDuty::run()
 {
     for (;;) {
+        // A host that holds the lease keeps it while it can, whoever reads.
+        if (!m_hooks.competes() && !m_lease.holds(bootTime()) && !m_releasing) {
+            co_await sleepFor(step);
+            continue;
+        }
         if (auto call = m_lease.nextCall(bootTime())) {
             auto answer = co_await m_store.perform(std::move(*call));
             m_lease.onAnswer(bootTime(), answer);
@@ -64,7 +69,11 @@
     }
 }
 
-void OrderDuty::release() { m_lease.release(); }
+void OrderDuty::release()
+{
+    m_releasing = true;
+    m_lease.release();
+}
 
 void OrderDuty::noteHolding()
 {
@@ -76,7 +85,7 @@
 
 awaitable<void> OrderDuty::giveOrders()
 {
-    const auto demand = m_demand.demand(bootTime());
+    const auto demand = m_hooks.demand();
     const auto manifest = m_routes.manifest();
     for (const auto& entry : manifest->services) {
         if (!entry.second.engine)
--- a/Programs/almondscale-host/OrderDuty.h
+++ b/Programs/almondscale-host/OrderDuty.h
@@ -1,20 +1,28 @@
 #pragma once
 
 #include "Authority/Lease.h"
-#include "Serving/DemandMeter.h"
 #include "Serving/RoleSplit.h"
 #include "Serving/RouteTable.h"
 #include "platform/OrderCodec.h"
 #include "platform/StoreClient.h"
 
+#include <functional>
+
 namespace almondscale {
 
 // Competes for the lease of orders and, while this host holds it, gives the
 // engines the roles that the split wants.
 class OrderDuty {
 public:
-    OrderDuty(platform::StoreClient&, ConnectionPool&, const RouteTable&, const BackendTable&,
-        const DemandMeter&, HostId, Nanoseconds lease);
+    struct Hooks {
+        // Whether this host competes for the lease; few do, since each looks at it often.
+        std::function<bool()> competes;
+        // The demand at all hosts.
+        std::function<std::map<ServiceName, EngineDemand>()> demand;
+    };
+
+    OrderDuty(platform::StoreClient&, ConnectionPool&, const RouteTable&, const BackendTable&, HostId,
+        Nanoseconds lease, Hooks);
 
     awaitable<void> run();
     // Gives the lease up; no order follows.
@@ -30,11 +38,12 @@
     ConnectionPool& m_pool;
     const RouteTable& m_routes;
     const BackendTable& m_backends;
-    const DemandMeter& m_demand;
     HostId m_host;
     Lease m_lease;
     RoleSplit m_split;
+    Hooks m_hooks;
     bool m_holding = false;
+    bool m_releasing = false;
 };
 
 } // namespace almondscale
--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -22,6 +22,8 @@
     constexpr Nanoseconds connectTime = milliseconds(400);
     // A call for a prefill is taken as lost after three times what it should take and this.
     constexpr Nanoseconds prefillSlack = milliseconds(700);
+    // From the end of a prefill to the first event of the answer.
+    constexpr Nanoseconds decodeTime = milliseconds(150);
     // A decode engine that is silent for this long, where the request may go elsewhere.
     constexpr Nanoseconds streamSilence = milliseconds(1000);
     // Time for freeing a KV cache, which expires by itself.
@@ -318,8 +320,8 @@
     awaitable<AttemptEnd> attemptStream()
     {
         const auto& prompt = *m_request.prompt;
-        const auto prefill
-            = m_context.placement.choosePrefill(m_service, prompt, m_prefillExcluded, bootTime());
+        const auto prefill = m_context.placement.choosePrefill(m_service, prompt, m_prefillExcluded,
+            Deadline(m_arrivedAt + m_route->target - decodeTime), bootTime());
         std::optional<KvSource> source;
         DataCentre prefilledIn;
         if (prefill) {
@@ -345,6 +347,7 @@
     awaitable<std::optional<std::string>> prefillAt(PlacementChoice choice, Address address)
     {
         const auto id = choice.backend;
+        m_prefill = choice;
         m_prefillExcluded.insert(id);
         m_backend = id;
         const OpenWork work(m_context.backends, id, BackendLoad { choice.workMs, 0, 0 });
@@ -492,6 +495,11 @@
             .with("manifest", m_context.routes.version())
             .with("outcome", m_callerGone ? "caller_left" : m_outcome)
             .with("sent", m_arrivals)
+            .with("prefill", m_prefill ? m_prefill->backend : BackendId())
+            .with("expected_ms", m_prefill ? static_cast<int>(m_prefill->expectedMs) : 0)
+            .with("work_ms", m_prefill ? static_cast<int>(m_prefill->workMs) : 0)
+            .with("shared", m_request.prompt ? m_request.prompt->shared.count() : 0)
+            .with("prompt", m_request.prompt ? m_request.prompt->prompt.count() : 0)
             .with("prefill_ms", m_prefilledAt == MonotonicTime() ? -1 : msSince(m_prefilledAt))
             .with("ms", msSince(bootTime()));
     }
@@ -529,6 +537,8 @@
     std::optional<EngineSpec> m_engine;
     MonotonicTime m_arrivedAt;
     Deadline m_deadline;
+    // The last choice of an engine for the prefill, and when it was done.
+    std::optional<PlacementChoice> m_prefill;
     MonotonicTime m_prefilledAt {};
 
     Placement::Excluded m_excluded;
--- /dev/null
+++ b/Source/Peers/PeerFrame.cpp
@@ -0,0 +1,136 @@
+#include "Peers/PeerFrame.h"
+
+#include "Peers/PeerFrames_generated.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondscale {
+
+namespace {
+
+    // Less prefill work than this is not worth its bytes.
+    constexpr double leastPrefillMs = 0.5;
+
+    std::string textOf(const flatbuffers::String* text) { return text ? text->str() : std::string(); }
+
+    flatbuffers::Offset<peerwire::TableNews> encodeNews(
+        flatbuffers::FlatBufferBuilder& builder, const PeerNews& news)
+    {
+        std::vector<flatbuffers::Offset<peerwire::Row>> rows;
+        rows.reserve(news.rows.rows.size());
+        for (const auto& row : news.rows.rows)
+            rows.push_back(peerwire::CreateRow(builder, builder.CreateString(row.key),
+                builder.CreateString(row.value), row.version.count(), row.removed));
+        const auto ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(news.age).count();
+        return peerwire::CreateTableNews(builder, static_cast<std::uint8_t>(news.table),
+            news.rows.newest.count(), news.rows.whole,
+            static_cast<std::uint32_t>(std::max<std::int64_t>(0, ageMs)), builder.CreateVector(rows));
+    }
+
+    std::optional<PeerNews> decodeNews(const peerwire::TableNews& from)
+    {
+        if (from.table() >= sharedTables.size())
+            return std::nullopt;
+        PeerNews news;
+        news.table = sharedTables.at(from.table());
+        news.rows.newest = RowVersion(from.newest());
+        news.rows.whole = from.whole();
+        news.age = std::chrono::milliseconds(from.age_ms());
+        if (!from.rows())
+            return news;
+        for (const auto* row : *from.rows())
+            news.rows.rows.push_back(
+                { textOf(row->key()), textOf(row->value()), RowVersion(row->version()), row->removed() });
+        return news;
+    }
+
+    PeerWork decodeWork(const peerwire::PeerFrame& frame)
+    {
+        PeerWork work;
+        if (frame.loads()) {
+            for (const auto* load : *frame.loads())
+                work.loads[load->backend()]
+                    = { load->prefill_ms(), load->requests(), load->context_tokens() };
+        }
+        if (frame.demand()) {
+            for (const auto* demand : *frame.demand())
+                work.demand[ServiceName(textOf(demand->service()))]
+                    = { demand->prefill_ms(), demand->requests(), demand->context_tokens() };
+        }
+        return work;
+    }
+
+} // namespace
+
+PeerWork& PeerWork::operator+=(const PeerWork& other)
+{
+    for (const auto& load : other.loads)
+        loads[load.first] += load.second;
+    for (const auto& entry : other.demand)
+        demand[entry.first] += entry.second;
+    return *this;
+}
+
+PeerWork& PeerWork::operator-=(const PeerWork& other)
+{
+    for (const auto& load : other.loads)
+        loads[load.first] -= load.second;
+    for (const auto& entry : other.demand) {
+        auto less = entry.second;
+        demand[entry.first] += (less *= -1);
+    }
+    return *this;
+}
+
+std::string encodePeerFrame(const PeerFrame& frame)
+{
+    flatbuffers::FlatBufferBuilder builder(1024);
+    std::vector<flatbuffers::Offset<peerwire::TableNews>> news;
+    for (const auto& each : frame.news)
+        news.push_back(encodeNews(builder, each));
+    std::vector<peerwire::Load> loads;
+    std::vector<flatbuffers::Offset<peerwire::Demand>> demands;
+    if (frame.work) {
+        for (const auto& entry : frame.work->loads) {
+            const auto& load = entry.second;
+            if (load.requests != 0 || std::abs(load.prefillMs) >= leastPrefillMs)
+                loads.emplace_back(entry.first, static_cast<float>(load.prefillMs),
+                    static_cast<float>(load.contextTokens), load.requests);
+        }
+        for (const auto& entry : frame.work->demand)
+            demands.push_back(peerwire::CreateDemand(builder, builder.CreateString(entry.first.text()),
+                static_cast<float>(entry.second.prefillMs), static_cast<float>(entry.second.requests),
+                static_cast<float>(entry.second.contextTokens)));
+    }
+    const auto host = builder.CreateString(frame.host.text());
+    const auto dataCentre = builder.CreateString(frame.dataCentre.text());
+    const auto loadList = builder.CreateVectorOfStructs(loads);
+    const auto demandList = builder.CreateVector(demands);
+    const auto newsList = builder.CreateVector(news);
+    builder.Finish(peerwire::CreatePeerFrame(
+        builder, host, dataCentre, frame.work.has_value(), loadList, demandList, newsList));
+    return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+}
+
+std::optional<PeerFrame> decodePeerFrame(const std::string& bytes)
+{
+    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+    if (!peerwire::VerifyPeerFrameBuffer(verifier))
+        return std::nullopt;
+    const auto* from = peerwire::GetPeerFrame(bytes.data());
+    PeerFrame frame;
+    frame.host = HostId(textOf(from->host()));
+    frame.dataCentre = DataCentre(textOf(from->data_centre()));
+    if (from->has_work())
+        frame.work = decodeWork(*from);
+    if (from->news()) {
+        for (const auto* each : *from->news()) {
+            if (auto news = decodeNews(*each))
+                frame.news.push_back(std::move(*news));
+        }
+    }
+    return frame;
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Peers/PeerFrame.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Core/DataCentre.h"
+#include "Core/HostId.h"
+#include "Core/MonotonicTime.h"
+#include "Core/ServiceName.h"
+#include "Serving/BackendTable.h"
+#include "Serving/EngineDemand.h"
+#include "Serving/SharedTable.h"
+#include "Serving/StoredRow.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace almondscale {
+
+using ServiceDemands = std::map<ServiceName, EngineDemand>;
+
+// The work that one host or a whole data centre has open, and what callers bring it.
+struct PeerWork {
+    BackendTable::Loads loads;
+    ServiceDemands demand;
+
+    PeerWork& operator+=(const PeerWork&);
+    PeerWork& operator-=(const PeerWork&);
+};
+
+// New rows of one table.
+struct PeerNews {
+    SharedTable table = SharedTable::Manifest;
+    StoredRows rows;
+    Nanoseconds age {};
+};
+
+// One frame between two hosts.
+struct PeerFrame {
+    HostId host;
+    DataCentre dataCentre;
+    std::optional<PeerWork> work;
+    std::vector<PeerNews> news;
+};
+
+// The frame's bytes without a length in front.
+std::string encodePeerFrame(const PeerFrame&);
+std::optional<PeerFrame> decodePeerFrame(const std::string& bytes);
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Peers/PeerLink.cpp
@@ -0,0 +1,172 @@
+#include "Peers/PeerLink.h"
+
+#include "Core/LogEvent.h"
+#include "Forwarding/BootClock.h"
+#include "Forwarding/Signal.h"
+#include "Forwarding/Spawn.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <map>
+
+namespace almondscale {
+
+namespace {
+
+    // How often the work is told; the choice of a backend server tolerates news of this age.
+    constexpr Nanoseconds tick = std::chrono::milliseconds(200);
+    // Five frames that did not come; the other host is frozen, cut off or gone.
+    constexpr Nanoseconds silence = std::chrono::milliseconds(1000);
+    // A manifest with hundreds of routes and all registrations stay far below.
+    constexpr std::uint32_t mostFrameBytes = 8 << 20;
+
+    using Length = std::array<unsigned char, 4>;
+
+    Length encodeLength(std::size_t size)
+    {
+        return { static_cast<unsigned char>(size >> 24), static_cast<unsigned char>(size >> 16),
+            static_cast<unsigned char>(size >> 8), static_cast<unsigned char>(size) };
+    }
+
+    std::uint32_t decodeLength(const Length& bytes)
+    {
+        return std::uint32_t(bytes[0]) << 24 | std::uint32_t(bytes[1]) << 16 | std::uint32_t(bytes[2]) << 8
+            | std::uint32_t(bytes[3]);
+    }
+
+} // namespace
+
+class PeerLink::Impl {
+public:
+    Impl(tcp::socket socket, bool initiated, Hooks hooks)
+        : m_socket(std::move(socket))
+        , m_initiated(initiated)
+        , m_hooks(std::move(hooks))
+        , m_wake(m_socket.get_executor())
+        , m_watch(m_socket.get_executor())
+    {
+        boost::system::error_code ignored;
+        m_socket.set_option(tcp::no_delay(true), ignored);
+    }
+
+    void close()
+    {
+        m_open = false;
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+        m_watch.cancel();
+        m_wake.notify();
+    }
+
+    // Closes the link when nothing has come for too long.
+    void watch()
+    {
+        m_watch.expires_after(silence);
+        m_watch.async_wait([weak = m_self](const boost::system::error_code& error) {
+            const auto self = weak.lock();
+            if (error || !self)
+                return;
+            LogEvent("peer_silent", LogLevel::Warning).with("host", self->m_host);
+            self->close();
+        });
+    }
+
+    static awaitable<void> receive(std::shared_ptr<Impl> self, std::shared_ptr<PeerLink> link)
+    {
+        while (self->m_open) {
+            self->watch();
+            Length length {};
+            const auto [error, size]
+                = co_await boost::asio::async_read(self->m_socket, boost::asio::buffer(length), noThrow);
+            if (error || decodeLength(length) > mostFrameBytes)
+                break;
+            std::string bytes(decodeLength(length), '\0');
+            const auto [failed, read]
+                = co_await boost::asio::async_read(self->m_socket, boost::asio::buffer(bytes), noThrow);
+            if (failed)
+                break;
+            auto frame = decodePeerFrame(bytes);
+            if (!frame) {
+                LogEvent("peer_frame_invalid", LogLevel::Warning)
+                    .with("host", self->m_host)
+                    .with("bytes", bytes.size());
+                break;
+            }
+            self->m_host = frame->host;
+            self->m_dataCentre = frame->dataCentre;
+            if (frame->work)
+                self->m_work = *frame->work;
+            self->m_hooks.onFrame(*link, std::move(*frame));
+        }
+        self->close();
+        self->m_hooks.onClosed(*link);
+    }
+
+    static awaitable<void> send(std::shared_ptr<Impl> self, std::shared_ptr<PeerLink> link)
+    {
+        while (self->m_open) {
+            const auto body = encodePeerFrame(self->m_hooks.makeFrame(*link));
+            const auto length = encodeLength(body.size());
+            const std::array<boost::asio::const_buffer, 2> buffers { boost::asio::buffer(length),
+                boost::asio::buffer(body) };
+            const auto [error, size] = co_await boost::asio::async_write(self->m_socket, buffers, noThrow);
+            if (error)
+                break;
+            co_await self->m_wake.waitUntil(Deadline::after(bootTime(), tick));
+        }
+        self->close();
+    }
+
+    tcp::socket m_socket;
+    bool m_initiated;
+    Hooks m_hooks;
+    Signal m_wake;
+    boost::asio::steady_timer m_watch;
+    bool m_open = true;
+    HostId m_host;
+    DataCentre m_dataCentre;
+    PeerWork m_work;
+    std::map<SharedTable, RowVersion> m_known;
+    std::weak_ptr<Impl> m_self;
+};
+
+PeerLink::PeerLink(tcp::socket socket, bool initiated, Hooks hooks)
+    : m_impl(std::make_shared<Impl>(std::move(socket), initiated, std::move(hooks)))
+{
+    m_impl->m_self = m_impl;
+}
+
+PeerLink::~PeerLink() = default;
+
+void PeerLink::start()
+{
+    const auto executor = m_impl->m_socket.get_executor();
+    spawn(executor, Impl::receive(m_impl, shared_from_this()));
+    spawn(executor, Impl::send(m_impl, shared_from_this()));
+}
+
+void PeerLink::wake() { m_impl->m_wake.notify(); }
+void PeerLink::close() { m_impl->close(); }
+bool PeerLink::open() const { return m_impl->m_open; }
+bool PeerLink::initiated() const { return m_impl->m_initiated; }
+const HostId& PeerLink::host() const { return m_impl->m_host; }
+const DataCentre& PeerLink::dataCentre() const { return m_impl->m_dataCentre; }
+const PeerWork& PeerLink::work() const { return m_impl->m_work; }
+
+RowVersion PeerLink::known(SharedTable table) const
+{
+    const auto found = m_impl->m_known.find(table);
+    return found == m_impl->m_known.end() ? RowVersion(0) : found->second;
+}
+
+void PeerLink::setKnown(SharedTable table, RowVersion version)
+{
+    auto& known = m_impl->m_known[table];
+    if (known < version)
+        known = version;
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Peers/PeerLink.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Forwarding/Asio.h"
+#include "Peers/PeerFrame.h"
+
+#include <functional>
+#include <memory>
+
+namespace almondscale {
+
+// One connection to another host. Frames go out when there is something to say,
+// one at a time, so that a host that does not read holds nobody up.
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
+public:
+    struct Hooks {
+        // The frame to send now.
+        std::function<PeerFrame(PeerLink&)> makeFrame;
+        std::function<void(PeerLink&, PeerFrame)> onFrame;
+        std::function<void(PeerLink&)> onClosed;
+    };
+
+    // Whether this host made the connection.
+    PeerLink(tcp::socket, bool initiated, Hooks);
+    ~PeerLink();
+
+    void start();
+    // Sends a frame soon.
+    void wake();
+    void close();
+    bool open() const;
+
+    bool initiated() const;
+    // Known after the first frame.
+    const HostId& host() const;
+    const DataCentre& dataCentre() const;
+    const PeerWork& work() const;
+    // The version of a table up to which the other host has it from here, or said to have it.
+    RowVersion known(SharedTable) const;
+    void setKnown(SharedTable, RowVersion);
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Peers/PeerNetwork.cpp
@@ -0,0 +1,306 @@
+#include "Peers/PeerNetwork.h"
+
+#include "Core/LogEvent.h"
+#include "Forwarding/BootClock.h"
+#include "Forwarding/HttpListener.h"
+#include "Forwarding/Signal.h"
+#include "Peers/PeerLink.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace almondscale {
+
+namespace {
+
+    // How often the links are looked at.
+    constexpr Nanoseconds step = std::chrono::milliseconds(200);
+    // Hosts of one region answer within a few milliseconds.
+    constexpr Nanoseconds connectTime = std::chrono::milliseconds(250);
+    // A host that did not answer is asked again after this.
+    constexpr Nanoseconds retryTime = std::chrono::seconds(3);
+
+    // Seeds are tried one after the other with this pause.
+    constexpr Nanoseconds seedTime = std::chrono::milliseconds(400);
+
+    awaitable<std::optional<tcp::socket>> connectTo(Address address)
+    {
+        // Shared with the timer's handler, which may run after the connection is made.
+        const auto shared = std::make_shared<tcp::socket>(co_await boost::asio::this_coro::executor);
+        auto& socket = *shared;
+        boost::system::error_code error;
+        const auto ip = boost::asio::ip::make_address_v4(address.ip, error);
+        if (error)
+            co_return std::nullopt;
+        socket.open(tcp::v4(), error);
+        boost::asio::steady_timer timer(socket.get_executor());
+        timer.expires_after(connectTime);
+        timer.async_wait([shared](const boost::system::error_code& stopped) {
+            boost::system::error_code ignored;
+            if (!stopped)
+                shared->close(ignored);
+        });
+        const auto [failed] = co_await socket.async_connect(tcp::endpoint(ip, address.port), noThrow);
+        const bool inTime = timer.cancel() > 0;
+        if (failed || !inTime) {
+            LogEvent("peer_unreachable", LogLevel::Warning)
+                .with("address", address.text())
+                .with("error", failed.message());
+            co_return std::nullopt;
+        }
+        co_return std::move(socket);
+    }
+
+} // namespace
+
+class PeerNetwork::Impl : public std::enable_shared_from_this<PeerNetwork::Impl> {
+public:
+    Impl(const boost::asio::any_io_executor& executor, HostRecord self, std::vector<Address> seeds,
+        RowMirror& mirror, Hooks hooks)
+        : m_self(std::move(self))
+        , m_seeds(std::move(seeds))
+        , m_mirror(mirror)
+        , m_hooks(std::move(hooks))
+        , m_listener(executor, [this](tcp::socket socket) { addLink(std::move(socket), false); })
+    {
+    }
+
+    awaitable<void> run()
+    {
+        for (;;) {
+            co_await linkSeed();
+            co_await linkUp();
+            co_await linkAcross();
+            m_settled = m_settled || m_hostsKnown;
+            co_await sleepFor(step);
+        }
+    }
+
+    bool reader() const { return m_settled && !openLink(m_up); }
+
+    void publish()
+    {
+        for (const auto& link : m_links)
+            link->wake();
+    }
+
+    std::shared_ptr<PeerLink> addLink(tcp::socket socket, bool initiated)
+    {
+        PeerLink::Hooks hooks;
+        hooks.makeFrame = [this](PeerLink& link) { return makeFrame(link); };
+        hooks.onFrame = [this](PeerLink& link, PeerFrame frame) { onFrame(link, std::move(frame)); };
+        hooks.onClosed = [this](PeerLink& link) { onClosed(link); };
+        auto link = std::make_shared<PeerLink>(std::move(socket), initiated, std::move(hooks));
+        m_links.insert(link);
+        link->start();
+        return link;
+    }
+
+    HostRecord m_self;
+    std::vector<Address> m_seeds;
+    RowMirror& m_mirror;
+    Hooks m_hooks;
+    HttpListener m_listener;
+    std::map<HostId, HostRecord> m_hosts;
+    bool m_hostsKnown = false;
+
+private:
+    static bool openLink(const std::shared_ptr<PeerLink>& link) { return link && link->open(); }
+
+    // The hosts of the data centre, the strongest first.
+    std::vector<HostRecord> ranked(const DataCentre& dataCentre) const
+    {
+        std::vector<HostRecord> hosts;
+        for (const auto& entry : m_hosts) {
+            if (entry.second.dataCentre == dataCentre)
+                hosts.push_back(entry.second);
+        }
+        std::sort(hosts.begin(), hosts.end(), ranksBefore);
+        return hosts;
+    }
+
+    awaitable<std::shared_ptr<PeerLink>> tryHost(HostRecord host)
+    {
+        auto& next = m_nextTry[host.id];
+        if (!next.passed(bootTime()))
+            co_return nullptr;
+        next = Deadline::after(bootTime(), retryTime);
+        auto socket = co_await connectTo(host.peers);
+        if (!socket)
+            co_return nullptr;
+        co_return addLink(std::move(*socket), true);
+    }
+
+    // Learns the other hosts from a seed, while the store does not tell them.
+    awaitable<void> linkSeed()
+    {
+        if (m_hostsKnown || openLink(m_seedLink)) {
+            if (m_hostsKnown && openLink(m_seedLink))
+                m_seedLink->close();
+            co_return;
+        }
+        if (m_seeds.empty() || !m_nextSeed.passed(bootTime()))
+            co_return;
+        m_nextSeed = Deadline::after(bootTime(), seedTime);
+        std::rotate(m_seeds.begin(), m_seeds.begin() + 1, m_seeds.end());
+        auto socket = co_await connectTo(m_seeds.front());
+        if (socket)
+            m_seedLink = addLink(std::move(*socket), true);
+    }
+
+    // Keeps a link to the strongest host of this data centre that answers.
+    awaitable<void> linkUp()
+    {
+        for (const auto& host : ranked(m_self.dataCentre)) {
+            if (!ranksBefore(host, m_self) || (openLink(m_up) && host.id == m_upHost))
+                co_return;
+            const auto link = co_await tryHost(host);
+            if (!link)
+                continue;
+            if (openLink(m_up))
+                m_up->close();
+            m_up = link;
+            m_upHost = host.id;
+            LogEvent("reader").with("host", host.id);
+            co_return;
+        }
+    }
+
+    // A reader keeps a link to the reader of each data centre after its own in the order of names.
+    awaitable<void> linkAcross()
+    {
+        std::set<DataCentre> others;
+        for (const auto& entry : m_hosts) {
+            if (m_self.dataCentre < entry.second.dataCentre)
+                others.insert(entry.second.dataCentre);
+        }
+        for (const auto& dataCentre : others) {
+            auto& link = m_across[dataCentre];
+            if (!reader()) {
+                if (openLink(link))
+                    link->close();
+                continue;
+            }
+            const auto hosts = ranked(dataCentre);
+            for (std::size_t i = 0; i < hosts.size(); ++i) {
+                if (openLink(link) && m_acrossHost[dataCentre] == hosts[i].id)
+                    break;
+                const auto made = co_await tryHost(hosts[i]);
+                if (!made)
+                    continue;
+                if (openLink(link))
+                    link->close();
+                link = made;
+                m_acrossHost[dataCentre] = hosts[i].id;
+                break;
+            }
+        }
+    }
+
+    bool isDown(const PeerLink& link) const
+    {
+        return !link.initiated() && link.dataCentre() == m_self.dataCentre;
+    }
+
+    PeerFrame makeFrame(PeerLink& link)
+    {
+        PeerFrame frame;
+        frame.host = m_self.id;
+        frame.dataCentre = m_self.dataCentre;
+        frame.work = m_hooks.ownWork();
+        for (const auto& other : m_links) {
+            // Work of hosts elsewhere is told to those below only, or it would go round in a circle.
+            if (other.get() != &link && (isDown(link) || isDown(*other)))
+                *frame.work += other->work();
+        }
+        const auto now = bootTime();
+        for (const auto table : sharedTables) {
+            if (m_mirror.empty(table))
+                continue;
+            PeerNews news;
+            news.table = table;
+            news.age = now - m_mirror.currentAt(table);
+            news.rows.newest = m_mirror.version(table);
+            if (auto rows = m_mirror.newsSince(table, link.known(table)))
+                news.rows = std::move(*rows);
+            link.setKnown(table, m_mirror.version(table));
+            frame.news.push_back(std::move(news));
+        }
+        return frame;
+    }
+
+    void onFrame(PeerLink& link, PeerFrame frame)
+    {
+        const auto now = bootTime();
+        bool news = false;
+        for (const auto& each : frame.news) {
+            const auto before = m_mirror.version(each.table);
+            m_mirror.apply(each.table, each.rows, now - each.age, now);
+            link.setKnown(each.table, each.rows.newest);
+            news = news || before < m_mirror.version(each.table);
+        }
+        if (news)
+            publish();
+        tellOthersWork();
+    }
+
+    void onClosed(PeerLink& link)
+    {
+        m_links.erase(link.shared_from_this());
+        tellOthersWork();
+    }
+
+    void tellOthersWork()
+    {
+        PeerWork others;
+        for (const auto& link : m_links)
+            others += link->work();
+        m_hooks.onOthersWork(others);
+    }
+
+    std::set<std::shared_ptr<PeerLink>> m_links;
+    std::shared_ptr<PeerLink> m_seedLink;
+    Deadline m_nextSeed;
+    std::shared_ptr<PeerLink> m_up;
+    HostId m_upHost;
+    std::map<DataCentre, std::shared_ptr<PeerLink>> m_across;
+    std::map<DataCentre, HostId> m_acrossHost;
+    std::map<HostId, Deadline> m_nextTry;
+    bool m_settled = false;
+};
+
+PeerNetwork::PeerNetwork(const boost::asio::any_io_executor& executor, HostRecord self,
+    std::vector<Address> seeds, RowMirror& mirror, Hooks hooks)
+    : m_impl(std::make_shared<Impl>(executor, std::move(self), std::move(seeds), mirror, std::move(hooks)))
+{
+}
+
+PeerNetwork::~PeerNetwork() = default;
+
+std::error_code PeerNetwork::start() { return m_impl->m_listener.start(m_impl->m_self.peers); }
+
+awaitable<void> PeerNetwork::run()
+{
+    const auto impl = m_impl;
+    co_await impl->run();
+}
+
+void PeerNetwork::setHosts(std::vector<HostRecord> hosts)
+{
+    m_impl->m_hosts.clear();
+    for (auto& host : hosts)
+        m_impl->m_hosts[host.id] = std::move(host);
+    m_impl->m_hosts[m_impl->m_self.id] = m_impl->m_self;
+    m_impl->m_hostsKnown = true;
+}
+
+int PeerNetwork::hostCount() const { return std::max<int>(1, static_cast<int>(m_impl->m_hosts.size())); }
+
+bool PeerNetwork::reader() const { return m_impl->reader(); }
+
+void PeerNetwork::publish() { m_impl->publish(); }
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Peers/PeerNetwork.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Forwarding/Asio.h"
+#include "Peers/PeerFrame.h"
+#include "Serving/HostRecord.h"
+#include "Serving/RowMirror.h"
+
+#include <functional>
+#include <memory>
+
+namespace almondscale {
+
+// Connects the entry hosts as a tree: the hosts of a data centre to its strongest
+// one, and these strongest ones, the readers, to each other. The readers read the
+// store for all; what is new and the open work pass along the links. Who has no
+// reader, or whose reader is behind, reads for itself.
+class PeerNetwork {
+public:
+    struct Hooks {
+        // The open work of this host alone.
+        std::function<PeerWork()> ownWork;
+        // The open work of all other hosts, as far as it is heard.
+        std::function<void(const PeerWork&)> onOthersWork;
+    };
+
+    // The seeds are addresses of other hosts that may be stale.
+    PeerNetwork(
+        const boost::asio::any_io_executor&, HostRecord self, std::vector<Address> seeds, RowMirror&, Hooks);
+    ~PeerNetwork();
+
+    std::error_code start();
+    awaitable<void> run();
+
+    // The hosts as the table of hosts tells; this host always counts.
+    void setHosts(std::vector<HostRecord>);
+    int hostCount() const;
+    // This host reads the store for its data centre.
+    bool reader() const;
+    // News came that the others may lack.
+    void publish();
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace almondscale
--- a/Source/Serving/Backend.h
+++ b/Source/Serving/Backend.h
@@ -12,9 +12,9 @@
 // One backend server with what this host knows of its work and its condition.
 struct Backend {
     BackendRecord record;
-    // Open work of this host, and of its peers as last heard.
+    // Open work of this host, and of all others as last heard.
     BackendLoad own;
-    BackendLoad peers;
+    BackendLoad others;
 
     // Broken connections without an answer between them.
     int breaksInRow = 0;
@@ -30,7 +30,7 @@
     BackendLoad load() const
     {
         BackendLoad sum = own;
-        return sum += peers;
+        return sum += others;
     }
 };
 
--- a/Source/Serving/BackendRecord.h
+++ b/Source/Serving/BackendRecord.h
@@ -24,6 +24,13 @@
     std::optional<EngineRole> role;
     // When it started, in milliseconds since 1970; an id whose start changes is a new server.
     std::int64_t startedAtMs = 0;
+
+    friend bool operator==(const BackendRecord& a, const BackendRecord& b)
+    {
+        return a.id == b.id && a.service == b.service && a.address == b.address
+            && a.dataCentre == b.dataCentre && a.slots == b.slots && a.draining == b.draining
+            && a.role == b.role && a.startedAtMs == b.startedAtMs;
+    }
 };
 
 } // namespace almondscale
--- a/Source/Serving/BackendTable.cpp
+++ b/Source/Serving/BackendTable.cpp
@@ -34,10 +34,10 @@
             || backend.record.startedAtMs == record.startedAtMs);
     if (!same) {
         const auto own = backend.own;
-        const auto peers = backend.peers;
+        const auto others = backend.others;
         backend = Backend();
         backend.own = own;
-        backend.peers = peers;
+        backend.others = others;
     }
     backend.record = record;
 }
@@ -129,42 +129,16 @@
     for (const auto& entry : m_backends) {
         const auto& own = entry.second.own;
         if (own.requests != 0 || std::abs(own.prefillMs) > 0.5)
-            loads[entry.first] = own;
+            loads[backendHash(entry.first)] = own;
     }
     return loads;
 }
 
-void BackendTable::setPeerLoads(const HostId& host, Loads loads, MonotonicTime now)
+void BackendTable::setOthersLoads(const Loads& loads)
 {
-    auto& peer = m_peers[host];
-    addPeer(peer.loads, -1);
-    peer.loads = std::move(loads);
-    peer.heardAt = now;
-    addPeer(peer.loads, 1);
-}
-
-void BackendTable::forgetPeersBefore(MonotonicTime oldest)
-{
-    for (auto peer = m_peers.begin(); peer != m_peers.end();) {
-        if (peer->second.heardAt >= oldest) {
-            ++peer;
-            continue;
-        }
-        addPeer(peer->second.loads, -1);
-        peer = m_peers.erase(peer);
-    }
-}
-
-void BackendTable::addPeer(const Loads& loads, int sign)
-{
-    for (const auto& entry : loads) {
-        const auto found = m_backends.find(entry.first);
-        if (found == m_backends.end())
-            continue;
-        if (sign > 0)
-            found->second.peers += entry.second;
-        else
-            found->second.peers -= entry.second;
+    for (auto& entry : m_backends) {
+        const auto found = loads.find(backendHash(entry.first));
+        entry.second.others = found == loads.end() ? BackendLoad() : found->second;
     }
 }
 
--- a/Source/Serving/BackendTable.h
+++ b/Source/Serving/BackendTable.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "Core/HostId.h"
 #include "Serving/Backend.h"
 #include "Serving/BackendOutcome.h"
 
@@ -14,7 +13,8 @@
 // peers have open at each. Not thread-safe.
 class BackendTable {
 public:
-    using Loads = std::unordered_map<BackendId, BackendLoad>;
+    // Open work by the hash of the server's name.
+    using Loads = std::unordered_map<std::uint64_t, BackendLoad>;
 
     // A server that started anew under its id or address begins without history.
     void put(const BackendRecord&);
@@ -34,22 +34,11 @@
 
     // What this host tells its peers.
     Loads ownLoads() const;
-    // Replaces what a peer told before.
-    void setPeerLoads(const HostId&, Loads, MonotonicTime now);
-    // Forgets peers that have been silent.
-    void forgetPeersBefore(MonotonicTime);
-    std::size_t livePeers() const { return m_peers.size(); }
+    // Replaces what was known of the open work of all other hosts.
+    void setOthersLoads(const Loads&);
 
 private:
-    struct Peer {
-        Loads loads;
-        MonotonicTime heardAt {};
-    };
-
-    void addPeer(const Loads&, int sign);
-
     std::map<BackendId, Backend> m_backends;
-    std::map<HostId, Peer> m_peers;
 };
 
 } // namespace almondscale
--- a/Source/Serving/EngineSpeedModel.h
+++ b/Source/Serving/EngineSpeedModel.h
@@ -12,7 +12,7 @@
     // Milliseconds for each million pairs of a new token and a token before it.
     double attentionMsPerMillionPairs = 0.248;
     // What each request adds, in milliseconds.
-    double requestMs = 2;
+    double requestMs = 16;
 
     // Milliseconds for a prompt of which the first tokens are cached.
     double prefillMs(TokenCount prompt, TokenCount cached) const
--- a/Source/Serving/Placement.cpp
+++ b/Source/Serving/Placement.cpp
@@ -28,10 +28,7 @@
     // Ranks servers for a part; all hosts compute the same rank.
     std::uint64_t homeRank(std::uint64_t part, const BackendId& id)
     {
-        std::uint64_t hash = 0xcbf29ce484222325ULL;
-        for (const unsigned char c : id.text())
-            hash = (hash ^ c) * 0x100000001b3ULL;
-        return mixBits(hash ^ mixBits(part));
+        return mixBits(backendHash(id) ^ mixBits(part));
     }
 
     bool hasRole(const Backend& backend, EngineRole role)
@@ -48,36 +45,35 @@
 {
 }
 
-std::optional<PlacementChoice> Placement::choosePrefill(
-    const ServiceName& service, const PromptShape& prompt, const Excluded& excluded, MonotonicTime now) const
+std::optional<PlacementChoice> Placement::choosePrefill(const ServiceName& service, const PromptShape& prompt,
+    const Excluded& excluded, Deadline timely, MonotonicTime now) const
 {
-    std::vector<const Backend*> candidates;
-    const Backend* home = nullptr;
-    std::uint64_t homeScore = 0;
+    std::vector<std::pair<std::uint64_t, const Backend*>> ranked;
     for (const auto* backend : m_backends.usable(service, now)) {
-        if (!hasRole(*backend, EngineRole::Prefill) || excluded.count(backend->record.id) > 0)
-            continue;
-        candidates.push_back(backend);
-        const auto score = homeRank(prompt.sharedKey, backend->record.id);
-        if (!home || score > homeScore) {
-            home = backend;
-            homeScore = score;
-        }
+        if (hasRole(*backend, EngineRole::Prefill) && excluded.count(backend->record.id) == 0)
+            ranked.emplace_back(homeRank(prompt.sharedKey, backend->record.id), backend);
     }
+    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    const double leftMs = static_cast<double>(timely.remaining(now).count()) / 1e6;
+    const double rereadMs = m_options.rereadFactor * m_options.speed.prefillMs(prompt.shared, TokenCount(0));
     std::optional<PlacementChoice> best;
     double bestCost = 0;
-    for (const auto* backend : candidates) {
+    for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
+        const auto* backend = ranked[rank].second;
         const auto part = backend->parts.find(prompt.sharedKey);
         const bool kept = part != backend->parts.end() && now - part->second < m_options.partLifetime;
-        const bool cached = prompt.sharedKey != 0 && (kept || backend == home);
+        const bool shares = prompt.sharedKey != 0;
+        const bool cached = shares && (kept || rank < m_options.copies);
         const double work = m_options.speed.prefillMs(prompt.prompt, cached ? prompt.shared : TokenCount(0));
-        const double reread = cached || prompt.sharedKey == 0
-            ? 0
-            : (m_options.rereadFactor - 1) * m_options.speed.prefillMs(prompt.shared, TokenCount(0));
         const double wait = std::max(0.0, backend->load().prefillMs);
         const double expected = (wait + work) * backend->slowness + failureMs * backend->failureShare;
-        const double away = backend->record.dataCentre == m_dataCentre ? 0 : m_options.otherDataCentreMs;
-        const double cost = expected + reread + away;
+        double cost = expected + m_options.lateFactor * std::max(0.0, expected - leftMs);
+        if (shares && !cached)
+            cost += rereadMs;
+        if (shares)
+            cost += m_options.rankMs * static_cast<double>(rank);
+        if (backend->record.dataCentre != m_dataCentre)
+            cost += m_options.otherDataCentreMs;
         if (!best || cost < bestCost) {
             best = PlacementChoice { backend->record.id, expected, work };
             bestCost = cost;
--- a/Source/Serving/Placement.h
+++ b/Source/Serving/Placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/DataCentre.h"
+#include "Core/Deadline.h"
 #include "Serving/BackendTable.h"
 #include "Serving/EngineSpec.h"
 #include "Serving/EngineSpeedModel.h"
@@ -14,9 +15,16 @@
 // Weights of the choice of a backend server.
 struct PlacementOptions {
     EngineSpeedModel speed;
-    // A shared part that is prefilled a second time is charged this many times its
-    // own cost, since it also pushes other parts out of the engine's memory.
-    double rereadFactor = 1.5;
+    // Reading a shared part again delays other requests too; it is charged this many
+    // times its own cost beside the time that it takes.
+    double rereadFactor = 3;
+    // Engines that keep each shared part: two choices balance the load, and twice the
+    // shared parts still fit into the engines' memory.
+    std::size_t copies = 1;
+    // What each millisecond beyond the time that is left weighs.
+    double lateFactor = 3;
+    // All hosts prefer the same engine for a part's second copy, and so on.
+    double rankMs = 10;
     // A part is believed to be cached for this long after it was last sent there.
     Nanoseconds partLifetime = std::chrono::seconds(30);
     // What another data centre must be better by, in milliseconds: the way there
@@ -37,16 +45,17 @@
 
 // Chooses backend servers by expected completion. It answers a load of long
 // prompts whose shared parts do not fit into one engine's memory: each part has
-// a home among the prefill engines, and leaves it only when waiting there would
-// take longer than reading the part again elsewhere.
+// an order of prefill engines, the same at all hosts; a request leaves the first
+// one when its answer would be late there, and then mostly for the second.
 class Placement {
 public:
     using Excluded = std::set<BackendId>;
 
     Placement(const BackendTable&, DataCentre, PlacementOptions = {});
 
+    // `timely` is when the prefill should be done for an answer in time.
     std::optional<PlacementChoice> choosePrefill(
-        const ServiceName&, const PromptShape&, const Excluded&, MonotonicTime now) const;
+        const ServiceName&, const PromptShape&, const Excluded&, Deadline timely, MonotonicTime now) const;
     // The engine that decodes after a prefill in the data centre.
     std::optional<PlacementChoice> chooseDecode(const ServiceName&, const EngineSpec&, const PromptShape&,
         const DataCentre& prefilledIn, const Excluded&, MonotonicTime now) const;
--- a/platform/StoredRow.h
+++ b/Source/Serving/StoredRow.h
@@ -5,26 +5,27 @@
 #include <string>
 #include <vector>
 
-namespace almondscale::platform {
+namespace almondscale {
 
 // One row of the platform's store.
 struct StoredRow {
-    std::string table;
     std::string key;
     std::string value;
     RowVersion version;
-    // A feed tells of rows that were removed.
+    // A list of changes tells of rows that were removed.
     bool removed = false;
 };
 
-// Rows as of one version of the whole store.
+// Rows of one table as of one version of the store.
 struct StoredRows {
     std::vector<StoredRow> rows;
     RowVersion newest;
+    // All rows of the table, not only the changes after an earlier version.
+    bool whole = false;
     // The reading stopped before the end of the table.
     bool more = false;
     // The store no longer has the changes after the version that was asked for.
     bool historyGone = false;
 };
 
-} // namespace almondscale::platform
+} // namespace almondscale
