--- a/Source/Dispatch/RetryBudget.cpp
+++ b/Source/Dispatch/RetryBudget.cpp
@@ -17,16 +17,16 @@
     m_saved = std::min(most, m_saved + m_options.earned);
 }
 
-bool RetryBudget::tryRetry(MonotonicTime now)
+bool RetryBudget::tryRetry(MonotonicTime now, int count)
 {
     forgetBefore(now - m_options.window);
-    const auto retries = static_cast<double>(m_retries.size() + 1);
+    const auto retries = static_cast<double>(m_retries.size()) + count;
     const bool few = retries <= m_options.leastRetries;
     const bool withinShare = retries <= m_options.share * static_cast<double>(m_requests.size());
-    if (!few && !(withinShare && m_saved >= 1))
+    if (!few && !(withinShare && m_saved >= count))
         return false;
-    m_saved = std::max(0.0, m_saved - 1);
-    m_retries.push_back(now);
+    m_saved = std::max(0.0, m_saved - count);
+    m_retries.insert(m_retries.end(), static_cast<std::size_t>(count), now);
     return true;
 }
 
--- a/Source/Dispatch/RetryBudget.h
+++ b/Source/Dispatch/RetryBudget.h
@@ -27,8 +27,8 @@
 
     // To be called once for each request, at its first attempt.
     void onRequest(MonotonicTime now);
-    // Whether a further attempt may be made now; if so it is counted.
-    bool tryRetry(MonotonicTime now);
+    // Whether so many further attempts may be made now; if so they are counted.
+    bool tryRetry(MonotonicTime now, int count = 1);
     // Follows the number of hosts that share a bound.
     void setLeastRetries(int count) { m_options.leastRetries = count; }
 
--- a/Source/Forwarding/HttpCaller.cpp
+++ b/Source/Forwarding/HttpCaller.cpp
@@ -29,7 +29,8 @@
     if (!read)
         co_return read.error();
     pool.giveBack(std::move(connection));
-    co_return HttpReply { std::move(reply.value()), std::move(read.value()) };
+    HttpReply whole { std::move(reply.value()), std::move(read.value()) };
+    co_return whole;
 }
 
 } // namespace almondscale
--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -124,9 +124,11 @@
     {
         if (m_mayHaveRun && !m_route->repeatable())
             return false;
-        if (m_runs >= m_route->maxAttempts || m_arrivals > m_route->maxAttempts)
+        if (m_runs >= m_route->maxAttempts || ++m_cycles > m_route->maxAttempts)
             return false;
-        if (m_arrivals > 0 && !m_context.retries.tryRetry(m_service, bootTime())) {
+        // Another prefill counts like another run, unless none was accepted so far.
+        const int sends = (m_arrivals > 0 ? 1 : 0) + (m_prefilled || m_prefillFailed ? 1 : 0);
+        if (sends > 0 && !m_context.retries.tryRetry(m_service, bootTime(), sends)) {
             m_error = ErrorKind::RetryBudgetSpent;
             return false;
         }
@@ -363,19 +365,19 @@
         call.lastEvent.clear();
         auto reply = co_await exchange(call, deadline);
         if (!reply) {
-            ++m_arrivals;
+            m_prefillFailed = true;
             note(id, BackendOutcome::Broken);
             dropConnection();
             co_return std::nullopt;
         }
         if (!reply.value().success()) {
-            ++m_arrivals;
+            m_prefillFailed = true;
             co_await endOfRefusal(id, reply.value(), deadline);
             co_return std::nullopt;
         }
         auto body = co_await m_connection->readWholeBody(mostAnswerBytes, deadline);
         if (!body) {
-            ++m_arrivals;
+            m_prefillFailed = true;
             note(id, BackendOutcome::Broken);
             dropConnection();
             co_return std::nullopt;
@@ -383,6 +385,7 @@
         m_context.pool.giveBack(std::move(m_connection));
         dropConnection();
         note(id, BackendOutcome::Answered);
+        m_prefilled = true;
         m_context.backends.noteSpeed(id, bootTime() - sentAt, fromMs(choice.expectedMs));
         m_prefilledAt = bootTime();
         co_return m_context.wire.decodeKvHandle(body.value());
@@ -554,6 +557,11 @@
     const char* m_outcome = "";
     // Sends that count as attempts, and servers that may have run the request.
     int m_arrivals = 0;
+    // Attempts after the first, those that did not run included.
+    int m_cycles = 0;
+    // An engine accepted a prefill, or did not.
+    bool m_prefilled = false;
+    bool m_prefillFailed = false;
     int m_runs = 0;
     bool m_headSent = false;
     bool m_mayHaveRun = false;
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -20,6 +20,9 @@
     constexpr Nanoseconds step = std::chrono::milliseconds(200);
     // Hosts of one region answer within a few milliseconds.
     constexpr Nanoseconds connectTime = std::chrono::milliseconds(250);
+    // A host sends its first frame as soon as it is connected.
+    constexpr Nanoseconds firstFrameTime = std::chrono::milliseconds(300);
+    constexpr Nanoseconds firstFramePoll = std::chrono::milliseconds(5);
     // A host that did not answer is asked again after this.
     constexpr Nanoseconds retryTime = std::chrono::seconds(3);
 
@@ -128,10 +131,24 @@
         if (!next.passed(bootTime()))
             co_return nullptr;
         next = Deadline::after(bootTime(), retryTime);
-        auto socket = co_await connectTo(host.peers);
+        co_return co_await linkTo(host.peers);
+    }
+
+    // A link to the host at the address, or null if it does not speak. A frozen
+    // machine may still accept connections.
+    awaitable<std::shared_ptr<PeerLink>> linkTo(Address address)
+    {
+        auto socket = co_await connectTo(address);
         if (!socket)
             co_return nullptr;
-        co_return addLink(std::move(*socket), true);
+        const auto link = addLink(std::move(*socket), true);
+        const auto deadline = Deadline::after(bootTime(), firstFrameTime);
+        while (link->open() && link->host().empty() && !deadline.passed(bootTime()))
+            co_await sleepFor(firstFramePoll);
+        if (!link->host().empty())
+            co_return link;
+        link->close();
+        co_return nullptr;
     }
 
     // Learns the other hosts from a seed, while the store does not tell them.
@@ -146,9 +163,7 @@
             co_return;
         m_nextSeed = Deadline::after(bootTime(), seedTime);
         std::rotate(m_seeds.begin(), m_seeds.begin() + 1, m_seeds.end());
-        auto socket = co_await connectTo(m_seeds.front());
-        if (socket)
-            m_seedLink = addLink(std::move(*socket), true);
+        m_seedLink = co_await linkTo(m_seeds.front());
     }
 
     // Keeps a link to the strongest host of this data centre that answers.
--- a/Source/Serving/BackendTable.cpp
+++ b/Source/Serving/BackendTable.cpp
@@ -50,7 +50,8 @@
     return found == m_backends.end() ? nullptr : &found->second;
 }
 
-std::vector<const Backend*> BackendTable::usable(const ServiceName& service, MonotonicTime now) const
+std::vector<const Backend*> BackendTable::usable(
+    const ServiceName& service, MonotonicTime now, std::optional<EngineRole> role) const
 {
     std::vector<const Backend*> sound;
     std::vector<const Backend*> avoided;
@@ -58,6 +59,8 @@
         const auto& backend = entry.second;
         if (backend.record.service != service || backend.record.draining)
             continue;
+        if (role && backend.record.role != role)
+            continue;
         (backend.avoidUntil > now ? avoided : sound).push_back(&backend);
     }
     return sound.empty() ? avoided : sound;
--- a/Source/Serving/BackendTable.h
+++ b/Source/Serving/BackendTable.h
@@ -4,6 +4,7 @@
 #include "Serving/BackendOutcome.h"
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -22,8 +23,10 @@
 
     const Backend* find(const BackendId&) const;
     const std::map<BackendId, Backend>& all() const { return m_backends; }
-    // The servers of the service that may get new work now, avoided ones last resort only.
-    std::vector<const Backend*> usable(const ServiceName&, MonotonicTime now) const;
+    // The servers of the service, and of the role if there is one, that may get new
+    // work now; those to be avoided only if there are no others.
+    std::vector<const Backend*> usable(
+        const ServiceName&, MonotonicTime now, std::optional<EngineRole> = std::nullopt) const;
 
     void open(const BackendId&, const BackendLoad&);
     void close(const BackendId&, const BackendLoad&);
--- a/Source/Serving/Placement.cpp
+++ b/Source/Serving/Placement.cpp
@@ -31,11 +31,6 @@
         return mixBits(backendHash(id) ^ mixBits(part));
     }
 
-    bool hasRole(const Backend& backend, EngineRole role)
-    {
-        return backend.record.role && *backend.record.role == role;
-    }
-
 } // namespace
 
 Placement::Placement(const BackendTable& backends, DataCentre dataCentre, PlacementOptions options)
@@ -49,8 +44,8 @@
     const Excluded& excluded, Deadline timely, MonotonicTime now) const
 {
     std::vector<std::pair<std::uint64_t, const Backend*>> ranked;
-    for (const auto* backend : m_backends.usable(service, now)) {
-        if (hasRole(*backend, EngineRole::Prefill) && excluded.count(backend->record.id) == 0)
+    for (const auto* backend : m_backends.usable(service, now, EngineRole::Prefill)) {
+        if (excluded.count(backend->record.id) == 0)
             ranked.emplace_back(homeRank(prompt.sharedKey, backend->record.id), backend);
     }
     std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
@@ -88,8 +83,8 @@
 {
     std::optional<PlacementChoice> best;
     double bestCost = 0;
-    for (const auto* backend : m_backends.usable(service, now)) {
-        if (!hasRole(*backend, EngineRole::Decode) || excluded.count(backend->record.id) > 0)
+    for (const auto* backend : m_backends.usable(service, now, EngineRole::Decode)) {
+        if (excluded.count(backend->record.id) > 0)
             continue;
         const auto load = backend->load();
         const double memory = static_cast<double>(std::max<std::int64_t>(1, spec.memory.count()));
--- a/Source/Serving/RetryGate.cpp
+++ b/Source/Serving/RetryGate.cpp
@@ -29,9 +29,9 @@
 
 void RetryGate::onRequest(const ServiceName& service, MonotonicTime now) { budget(service).onRequest(now); }
 
-bool RetryGate::tryRetry(const ServiceName& service, MonotonicTime now)
+bool RetryGate::tryRetry(const ServiceName& service, MonotonicTime now, int sends)
 {
-    return budget(service).tryRetry(now);
+    return budget(service).tryRetry(now, sends);
 }
 
 RetryBudget& RetryGate::budget(const ServiceName& service)
--- a/Source/Serving/RetryGate.h
+++ b/Source/Serving/RetryGate.h
@@ -26,7 +26,8 @@
     // Hosts come and go; the shares follow.
     void setHosts(int);
     void onRequest(const ServiceName&, MonotonicTime now);
-    bool tryRetry(const ServiceName&, MonotonicTime now);
+    // Whether so many further sends are allowed now; if so they are counted.
+    bool tryRetry(const ServiceName&, MonotonicTime now, int sends = 1);
 
 private:
     RetryBudget& budget(const ServiceName&);
--- /dev/null
+++ b/Tests/Forwarding/BackendConnectionTest.cpp
@@ -0,0 +1,83 @@
+#include "ForwardingFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A server that sends the given bytes after each request and closes if told to.
+class BackendConnectionFixture : public ForwardingFixture {
+public:
+    Result<HttpReply> answerOf(const std::string& bytes, bool keep)
+    {
+        addServer(
+            "s", std::nullopt, [=](const LoopbackServer::Request&, tcp::socket& socket) -> awaitable<bool> {
+                co_await LoopbackServer::write(socket, bytes);
+                co_return keep;
+            });
+        std::optional<Result<HttpReply>> result;
+        spawn(loop.get_executor(), call(backends.all().begin()->second.record.address, result));
+        while (!result && loop.run_one() > 0) { }
+        return *result;
+    }
+
+private:
+    awaitable<void> call(Address server, std::optional<Result<HttpReply>>& result)
+    {
+        HttpRequestHead head { "GET", "/", {} };
+        auto reply = co_await callHttp(
+            pool, server, std::move(head), std::string(), Deadline::after(bootTime(), 300ms));
+        result.emplace(std::move(reply));
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(BackendConnectionFixture, "Answer without a length, ended by its connection, is whole")
+{
+    const auto reply = answerOf("HTTP/1.1 200 OK\r\n\r\nall of it", false);
+    REQUIRE(reply.ok());
+    CHECK(reply.value().body == "all of it");
+}
+
+TEST_CASE_METHOD(BackendConnectionFixture, "Answer, broken off before its length, is an error")
+{
+    CHECK_FALSE(answerOf("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", false).ok());
+}
+
+TEST_CASE_METHOD(BackendConnectionFixture, "Bytes that are no answer are an error")
+{
+    CHECK_FALSE(answerOf("something else entirely\r\n\r\n", true).ok());
+}
+
+TEST_CASE_METHOD(BackendConnectionFixture, "Connection with bytes after its answer is not used again")
+{
+    const auto reply
+        = answerOf("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n", true);
+    REQUIRE(reply.ok());
+    CHECK(reply.value().body == "ok");
+    CHECK(pool.take(backends.all().begin()->second.record.address) == nullptr);
+}
+
+TEST_CASE_METHOD(
+    BackendConnectionFixture, "Connection after a whole answer is used again while its server keeps it")
+{
+    REQUIRE(answerOf("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok", true).ok());
+    CHECK(pool.take(backends.all().begin()->second.record.address) != nullptr);
+    REQUIRE(answerOf("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true).ok());
+}
+
+TEST_CASE_METHOD(BackendConnectionFixture, "Connection that its server is about to close is not used again")
+{
+    REQUIRE(answerOf("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=0\r\n\r\nok", true).ok());
+    CHECK(pool.take(backends.all().begin()->second.record.address) == nullptr);
+}
+
+TEST_CASE_METHOD(BackendConnectionFixture, "Server that is silent is given up at the deadline")
+{
+    const auto before = bootTime();
+    CHECK_FALSE(answerOf("", true).ok());
+    CHECK(bootTime() - before < 600ms);
+}
--- /dev/null
+++ b/Tests/Forwarding/CallerSessionTest.cpp
@@ -0,0 +1,113 @@
+#include "ForwardingFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A caller whose connection a test drives byte by byte.
+class CallerFixture : public ForwardingFixture {
+public:
+    CallerFixture()
+        : caller(loop)
+    {
+        caller.connect(tcp::endpoint(boost::asio::ip::make_address(address.ip), address.port));
+    }
+
+    void send(const std::string& text) { boost::asio::write(caller, boost::asio::buffer(text)); }
+
+    // What has arrived after the time.
+    std::string received(Nanoseconds after)
+    {
+        runFor(after);
+        std::string text(65536, '\0');
+        caller.non_blocking(true);
+        boost::system::error_code error;
+        text.resize(caller.read_some(boost::asio::buffer(text), error));
+        return text;
+    }
+
+    static std::string request(const std::string& target, const std::string& id, const std::string& more = "")
+    {
+        return "GET " + target + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nDeadline-Ms: 1000\r\n"
+            + more + "\r\n";
+    }
+
+    tcp::socket caller;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(CallerFixture, "Requests, sent at once over one connection, are answered in their order")
+{
+    addServer("s1", std::nullopt, whole(200, "fine"));
+    send(request("/safe/1", "a") + request("/safe/2", "b"));
+    const auto text = received(200ms);
+    CHECK(text.find("Request-Id: a") < text.find("Request-Id: b"));
+    CHECK(text.find("Request-Id: b") != std::string::npos);
+}
+
+TEST_CASE_METHOD(CallerFixture, "Caller that leaves ends the work at the backend server at once")
+{
+    bool closed = false;
+    addServer(
+        "s1", std::nullopt, [&](const LoopbackServer::Request&, tcp::socket& socket) -> awaitable<bool> {
+            std::array<char, 1> byte {};
+            const auto [error, size] = co_await socket.async_read_some(boost::asio::buffer(byte), noThrow);
+            closed = static_cast<bool>(error);
+            co_return false;
+        });
+    send(request("/safe/1", "a"));
+    runFor(100ms);
+    CHECK(context.openRequests == 1);
+    caller.close();
+    runFor(100ms);
+    CHECK(closed);
+    CHECK(context.openRequests == 0);
+}
+
+TEST_CASE_METHOD(
+    CallerFixture, "Request that hides another one in its body is refused and ends the connection")
+{
+    auto& server = addServer("s1", std::nullopt, whole(200, "fine"));
+    send("POST /unsafe/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: a\r\nContent-Length: 5\r\nTransfer-Encoding: "
+         "chunked\r\n\r\n"
+         "0\r\n\r\n"
+        + request("/safe/2", "b"));
+    const auto text = received(200ms);
+    CHECK(text.find("HTTP/1.1 400") == 0);
+    CHECK(text.find("Connection: close") != std::string::npos);
+    CHECK(server.requests == 0);
+}
+
+TEST_CASE_METHOD(CallerFixture, "Host without a manifest refuses requests and promises that they did not run")
+{
+    context.routes = RouteTable();
+    send(request("/safe/1", "a"));
+    const auto text = received(100ms);
+    CHECK(text.find("HTTP/1.1 503") == 0);
+    CHECK(text.find(R"("run":"no")") != std::string::npos);
+}
+
+TEST_CASE_METHOD(
+    CallerFixture, "Host that shuts down answers what it reads and ends the connection with that")
+{
+    addServer("s1", std::nullopt, whole(200, "fine"));
+    context.stopping = true;
+    send(request("/safe/1", "a"));
+    const auto text = received(200ms);
+    CHECK(text.find("HTTP/1.1 200") == 0);
+    CHECK(text.find("Connection: close") != std::string::npos);
+}
+
+TEST_CASE_METHOD(CallerFixture, "Caller that waits for a word before its body gets it")
+{
+    addServer("s1", std::nullopt, whole(200, "fine"));
+    send("POST /unsafe/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: a\r\nContent-Length: 4\r\nExpect: "
+         "100-continue\r\n\r\n");
+    CHECK(received(100ms) == "HTTP/1.1 100 Continue\r\n\r\n");
+    send("body");
+    CHECK(received(200ms).find("HTTP/1.1 200") == 0);
+}
--- /dev/null
+++ b/Tests/Forwarding/ForwardingFixture.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "Forwarding/BootClock.h"
+#include "Forwarding/CallerSession.h"
+#include "Forwarding/HttpCaller.h"
+#include "Support/LoopbackServer.h"
+#include "platform/RequestWire.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <vector>
+
+namespace almondscale {
+
+// A host with one route of each kind, in front of servers that a test plays.
+class ForwardingFixture {
+public:
+    ForwardingFixture()
+        : pool(loop.get_executor())
+        , wire(platform::makeServingWire())
+        , placement(backends, DataCentre("a"))
+        , retries(bounds(), 1)
+        , context { loop.get_executor(), wire, routes, backends, placement, retries, demand, pool,
+            seededRandom(1) }
+        , address(freeLoopbackAddress())
+        , listener(loop.get_executor(), [this](tcp::socket socket) {
+            const auto session = std::make_shared<CallerSession>(context, std::move(socket));
+            spawn(loop.get_executor(), session->serve(), [session] {});
+        })
+    {
+        Manifest manifest;
+        manifest.version = 1;
+        manifest.routes = { route("/safe/", RouteKind::Safe, 2), route("/unsafe/", RouteKind::Unsafe, 2),
+            route("/stream/", RouteKind::Stream, 2), route("/once/", RouteKind::Stream, 1) };
+        manifest.routes[2].resumable = true;
+        manifest.services[ServiceName("desk")] = ServiceSpec { ServiceName("desk"), 100, std::nullopt };
+        EngineSpec spec;
+        spec.slots = 64;
+        spec.memory = TokenCount(400000);
+        manifest.services[ServiceName("llm")] = ServiceSpec { ServiceName("llm"), 100, spec };
+        routes.adopt(manifest);
+        listener.start(address);
+    }
+
+    static RetryBounds bounds()
+    {
+        RetryBounds bounds;
+        bounds.least = 50;
+        return bounds;
+    }
+
+    static Route route(const std::string& prefix, RouteKind kind, int attempts)
+    {
+        Route made;
+        made.name = prefix;
+        made.host = "h";
+        made.pathPrefix = prefix;
+        made.kind = kind;
+        made.timeout = std::chrono::milliseconds(1500);
+        made.target = std::chrono::milliseconds(800);
+        made.maxAttempts = attempts;
+        made.shares = { { ServiceName(kind == RouteKind::Stream ? "llm" : "desk"), 1 } };
+        return made;
+    }
+
+    // Adds a server; engines have a role.
+    LoopbackServer& addServer(
+        const std::string& id, std::optional<EngineRole> role, LoopbackServer::Answer answer)
+    {
+        BackendRecord record;
+        record.id = BackendId(id);
+        record.service = ServiceName(role ? "llm" : "desk");
+        record.address = freeLoopbackAddress();
+        record.dataCentre = DataCentre("a");
+        record.slots = 6;
+        record.role = role;
+        backends.put(record);
+        servers.push_back(
+            std::make_unique<LoopbackServer>(loop.get_executor(), record.address, std::move(answer)));
+        return *servers.back();
+    }
+
+    static std::string answerText(const LoopbackServer::Request& request, int status, const std::string& body,
+        const std::string& more = "Response-Signature: s\r\n")
+    {
+        return "HTTP/1.1 " + std::to_string(status)
+            + " X\r\nRequest-Id: " + std::string(request["Request-Id"]) + "\r\n" + more
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    static LoopbackServer::Answer whole(
+        int status, std::string body, std::string more = "Response-Signature: s\r\n")
+    {
+        return [=](const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
+            co_await LoopbackServer::write(socket, answerText(request, status, body, more));
+            co_return true;
+        };
+    }
+
+    static HttpRequestHead requestHead(const std::string& method, const std::string& target)
+    {
+        HttpRequestHead head { method, target, {} };
+        head.fields.add("Host", "h");
+        head.fields.add("Request-Id", "r1");
+        head.fields.add("Deadline-Ms", "1000");
+        if (target.find("/stream/") == 0 || target.find("/once/") == 0) {
+            head.fields.add("Token-Count", "1000,20");
+            head.fields.add("Prefix-Hash", "aa:800,bb:200");
+        }
+        return head;
+    }
+
+    Result<HttpReply> ask(const std::string& method, const std::string& target)
+    {
+        std::optional<Result<HttpReply>> result;
+        spawn(loop.get_executor(), askInto(requestHead(method, target), result));
+        while (!result && loop.run_one() > 0) { }
+        return *result;
+    }
+
+    void runFor(Nanoseconds time)
+    {
+        loop.run_for(std::chrono::duration_cast<std::chrono::milliseconds>(time));
+    }
+
+    boost::asio::io_context loop;
+    ConnectionPool pool;
+    ServingWire wire;
+    RouteTable routes;
+    BackendTable backends;
+    Placement placement;
+    RetryGate retries;
+    DemandMeter demand;
+    ServingContext context;
+    Address address;
+    HttpListener listener;
+    std::vector<std::unique_ptr<LoopbackServer>> servers;
+
+private:
+    awaitable<void> askInto(HttpRequestHead head, std::optional<Result<HttpReply>>& result)
+    {
+        ConnectionPool own(loop.get_executor());
+        auto reply = co_await callHttp(own, address, std::move(head), std::string(),
+            Deadline::after(bootTime(), std::chrono::seconds(4)));
+        result.emplace(std::move(reply));
+    }
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Tests/Forwarding/RequestReaderTest.cpp
@@ -0,0 +1,98 @@
+#include "Forwarding/RequestReader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+
+namespace {
+
+class RequestReaderFixture {
+public:
+    RequestReader::State give(const std::string& bytes)
+    {
+        buffer.commit(boost::asio::buffer_copy(buffer.prepare(bytes.size()), boost::asio::buffer(bytes)));
+        return reader.read(buffer);
+    }
+
+    static CallerLimits limits()
+    {
+        CallerLimits limits;
+        limits.maxHeader = ByteCount(1000);
+        limits.maxBody = ByteCount(100);
+        return limits;
+    }
+
+    boost::beast::flat_buffer buffer;
+    RequestReader reader { limits() };
+};
+
+const std::string head = "POST /a/ HTTP/1.1\r\nHost: h\r\n";
+
+} // namespace
+
+TEST_CASE_METHOD(
+    RequestReaderFixture, "Request, arriving byte by byte, is read whole and leaves what follows")
+{
+    const std::string text = head + "Content-Length: 4\r\n\r\nbodyGET";
+    for (std::size_t i = 0; i + 4 < text.size(); ++i)
+        CHECK(give(text.substr(i, 1)) == RequestReader::State::Partial);
+    CHECK(give(text.substr(text.size() - 4)) == RequestReader::State::Whole);
+    CHECK(reader.take().body == "body");
+    CHECK(buffer.size() == 3);
+}
+
+TEST_CASE_METHOD(RequestReaderFixture, "Request in chunks, read, has its body without them")
+{
+    CHECK(give(head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+        == RequestReader::State::Whole);
+    CHECK(reader.take().body == "abcde");
+}
+
+TEST_CASE_METHOD(RequestReaderFixture, "Request whose length can be understood in two ways is refused")
+{
+    SECTION("by a length beside chunks")
+    {
+        CHECK(give(head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+            == RequestReader::State::Invalid);
+    }
+    SECTION("by two lengths")
+    {
+        CHECK(give(head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody")
+            == RequestReader::State::Invalid);
+    }
+    SECTION("by an encoding that only some servers know")
+    {
+        CHECK(give(head + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n") == RequestReader::State::Invalid);
+    }
+    SECTION("by two encodings")
+    {
+        CHECK(give(head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n")
+            == RequestReader::State::Invalid);
+    }
+    SECTION("by a space before the colon")
+    {
+        CHECK(give(head + "Content-Length : 4\r\n\r\nbody") == RequestReader::State::Invalid);
+    }
+    CHECK(reader.error() == ErrorKind::BadRequest);
+}
+
+TEST_CASE_METHOD(RequestReaderFixture, "Request over a limit is refused by name")
+{
+    SECTION("of the head")
+    {
+        CHECK(give(head + "X: " + std::string(2000, 'x')) == RequestReader::State::Invalid);
+        CHECK(reader.error() == ErrorKind::HeaderTooLarge);
+    }
+    SECTION("of the body")
+    {
+        CHECK(give(head + "Content-Length: 101\r\n\r\n") == RequestReader::State::Invalid);
+        CHECK(reader.error() == ErrorKind::BodyTooLarge);
+    }
+    SECTION("of a body in chunks")
+    {
+        CHECK(give(head + "Transfer-Encoding: chunked\r\n\r\nc8\r\n" + std::string(200, 'x'))
+            == RequestReader::State::Invalid);
+        CHECK(reader.error() == ErrorKind::BodyTooLarge);
+    }
+}
--- /dev/null
+++ b/Tests/Forwarding/RequestRunTest.cpp
@@ -0,0 +1,228 @@
+#include "ForwardingFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string notRun = "Not-Executed: 1\r\n";
+
+std::string chunk(const std::string& text)
+{
+    std::ostringstream out;
+    out << std::hex << text.size() << "\r\n" << text << "\r\n";
+    return out.str();
+}
+
+std::string streamHead(const LoopbackServer::Request& request)
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(request["Request-Id"])
+        + "\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+          "chunked\r\n\r\n";
+}
+
+std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
+
+// An engine that prefills and streams events until it is told to break.
+class StreamFixture : public ForwardingFixture {
+public:
+    StreamFixture()
+    {
+        addServer("p", EngineRole::Prefill, whole(200, R"({"kvHandle":"h1","tokens":1000,"version":1})", ""));
+    }
+
+    // Streams the events after the last one that the caller has, up to `last`; breaks off after `breakAfter`.
+    LoopbackServer::Answer stream(int last, int breakAfter)
+    {
+        return [this, last, breakAfter](
+                   const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
+            sources.emplace_back(request["Kv-Source"]);
+            const std::string after(request["Last-Event-Id"]);
+            resumedAfter.push_back(after);
+            co_await LoopbackServer::write(socket, streamHead(request));
+            for (int id = after.empty() ? 1 : std::stoi(after) + 1; id <= last; ++id) {
+                if (id > breakAfter) {
+                    co_await LoopbackServer::write(socket, chunk("id: " + std::to_string(id) + "\nda"));
+                    co_return false;
+                }
+                co_await LoopbackServer::write(socket, chunk(event(id)));
+            }
+            co_await LoopbackServer::write(socket, "0\r\n\r\n");
+            co_return true;
+        };
+    }
+
+    std::vector<std::string> sources;
+    std::vector<std::string> resumedAfter;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(ForwardingFixture, "Safe request, refused by a server that did not run it, goes to another")
+{
+    auto& full = addServer("s1", std::nullopt, whole(503, "", notRun));
+    auto& free = addServer("s2", std::nullopt, whole(200, "fine"));
+    const auto reply = ask("GET", "/safe/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().head.status == 200);
+    CHECK(reply.value().body == "fine");
+    CHECK(free.requests == 1);
+    CHECK(full.requests <= 1);
+}
+
+TEST_CASE_METHOD(
+    ForwardingFixture, "Safe request, failed by a server, is tried once more and then answered as it failed")
+{
+    auto& first = addServer("s1", std::nullopt, whole(500, "broken"));
+    auto& second = addServer("s2", std::nullopt, whole(500, "broken"));
+    addServer("s3", std::nullopt, whole(500, "broken"));
+    const auto reply = ask("GET", "/safe/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().head.status == 500);
+    CHECK(reply.value().head.fields.has("Response-Signature"));
+    CHECK(first.requests + second.requests + servers[2]->requests == 2);
+}
+
+TEST_CASE_METHOD(
+    ForwardingFixture, "Unsafe request whose answer is lost, sent once, is answered without a promise")
+{
+    const auto lose
+        = [](const LoopbackServer::Request&, tcp::socket&) -> awaitable<bool> { co_return false; };
+    auto& first = addServer("s1", std::nullopt, lose);
+    auto& second = addServer("s2", std::nullopt, lose);
+    const auto reply = ask("POST", "/unsafe/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().head.status == 502);
+    CHECK_FALSE(reply.value().head.fields.has("Retry-After"));
+    CHECK(first.requests + second.requests == 1);
+}
+
+TEST_CASE_METHOD(ForwardingFixture, "Request without any server is refused at once, with a time to come back")
+{
+    const auto before = bootTime();
+    const auto reply = ask("GET", "/safe/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().head.status == 503);
+    CHECK(reply.value().head.fields.has("Retry-After"));
+    CHECK(bootTime() - before < 200ms);
+}
+
+TEST_CASE_METHOD(ForwardingFixture, "Request of a route that was dropped is answered as not found")
+{
+    CHECK(ask("GET", "/gone/x").value().head.status == 404);
+}
+
+TEST_CASE_METHOD(ForwardingFixture, "Request, unanswered at the time that its caller waits, is ended then")
+{
+    addServer("s1", std::nullopt, [](const LoopbackServer::Request&, tcp::socket&) -> awaitable<bool> {
+        co_await sleepFor(3s);
+        co_return false;
+    });
+    const auto before = bootTime();
+    const auto reply = ask("POST", "/unsafe/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().head.status == 504);
+    CHECK(bootTime() - before > 900ms);
+    CHECK(bootTime() - before < 1300ms);
+}
+
+TEST_CASE_METHOD(
+    ForwardingFixture, "Answer to an earlier request, arriving first, is not taken for this one's")
+{
+    addServer("s1", std::nullopt,
+        [](const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
+            auto stray = request;
+            stray.set("Request-Id", "another");
+            co_await LoopbackServer::write(
+                socket, answerText(stray, 200, "theirs") + answerText(request, 200, "mine"));
+            co_return true;
+        });
+    const auto reply = ask("POST", "/unsafe/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().body == "mine");
+}
+
+TEST_CASE_METHOD(ForwardingFixture, "Server, removed while a connection to it is made, does no harm")
+{
+    BackendRecord record;
+    record.id = BackendId("s-gone");
+    record.service = ServiceName("desk");
+    // An address for documentation: nothing answers there.
+    record.address = Address { "192.0.2.1", 9 };
+    record.slots = 6;
+    backends.put(record);
+    boost::asio::steady_timer timer(loop);
+    timer.expires_after(50ms);
+    timer.async_wait([&](const boost::system::error_code&) { backends.remove(record.id); });
+    const auto reply = ask("GET", "/safe/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().head.status == 503);
+}
+
+TEST_CASE_METHOD(StreamFixture, "Stream, prefilled at one engine, goes on from there at another")
+{
+    addServer("d", EngineRole::Decode, stream(3, 3));
+    const auto reply = ask("POST", "/once/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().head.status == 200);
+    CHECK(reply.value().body == event(1) + event(2) + event(3));
+    REQUIRE(sources.size() == 1);
+    CHECK(sources[0].find("/h1") != std::string::npos);
+}
+
+TEST_CASE_METHOD(
+    StreamFixture, "Stream that may be resumed, broken off, goes on at another engine without gap or repeat")
+{
+    addServer("d1", EngineRole::Decode, stream(4, 2));
+    addServer("d2", EngineRole::Decode, stream(4, 4));
+    const auto reply = ask("POST", "/stream/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().body == event(1) + event(2) + event(3) + event(4));
+    CHECK(resumedAfter.back() == (resumedAfter.size() == 2 ? "2" : ""));
+}
+
+TEST_CASE_METHOD(StreamFixture, "Stream that may not be resumed, broken off, does not look complete")
+{
+    addServer("d1", EngineRole::Decode, stream(4, 2));
+    addServer("d2", EngineRole::Decode, stream(4, 2));
+    CHECK_FALSE(ask("POST", "/once/x").ok());
+    CHECK(resumedAfter.size() == 1);
+}
+
+TEST_CASE_METHOD(StreamFixture, "Stream, refused by a decode engine that did not run it, is not lost")
+{
+    auto& full = addServer("d1", EngineRole::Decode, whole(503, "", notRun));
+    addServer("d2", EngineRole::Decode, stream(2, 2));
+    const auto reply = ask("POST", "/stream/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().head.status == 200);
+    CHECK(full.requests <= 1);
+}
+
+TEST_CASE_METHOD(
+    StreamFixture, "Stream, refused by every decode engine, draws on the budget for prefills and decodes")
+{
+    for (const char* id : { "d1", "d2", "d3", "d4" })
+        addServer(id, EngineRole::Decode, whole(503, "", notRun));
+    for (const char* id : { "p2", "p3", "p4" })
+        addServer(id, EngineRole::Prefill, whole(200, R"({"kvHandle":"h1","tokens":1000,"version":1})", ""));
+    int requests = 0;
+    // Beyond the first prefill and the first decode of each request.
+    const auto further = [&] {
+        int sends = 0;
+        // Handles that are freed are no sends of the request.
+        for (const auto& server : servers)
+            sends += server->requestsByMethod["POST"];
+        return sends - 2 * requests;
+    };
+    for (; requests < 20; ++requests) {
+        const auto reply = ask("POST", "/stream/x");
+        REQUIRE(reply.ok());
+        CHECK(reply.value().head.status == 503);
+    }
+    runFor(50ms);
+    CHECK(further() > 0);
+    CHECK(further() <= 0.2 * requests + bounds().least);
+}
--- /dev/null
+++ b/Tests/Peers/PeerFrameTest.cpp
@@ -0,0 +1,45 @@
+#include "Peers/PeerFrame.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+using namespace std::chrono_literals;
+
+TEST_CASE("Frame between hosts, encoded and decoded, is the same")
+{
+    PeerFrame frame;
+    frame.host = HostId("n1");
+    frame.dataCentre = DataCentre("a");
+    frame.work.emplace();
+    frame.work->loads[42] = BackendLoad { 120.5, 3, 51000 };
+    frame.work->demand[ServiceName("llm")] = EngineDemand { 2400, 41, 355000 };
+    PeerNews news;
+    news.table = SharedTable::Backends;
+    news.age = 250ms;
+    news.rows.newest = RowVersion(17);
+    news.rows.whole = true;
+    news.rows.rows = { { "i-1", "{}", RowVersion(16), false }, { "i-2", "", RowVersion(17), true } };
+    frame.news.push_back(news);
+
+    const auto decoded = decodePeerFrame(encodePeerFrame(frame));
+    REQUIRE(decoded);
+    CHECK(decoded->host == frame.host);
+    CHECK(decoded->work->loads.at(42).requests == 3);
+    CHECK(decoded->work->loads.at(42).prefillMs == Approx(120.5));
+    CHECK(decoded->work->demand.at(ServiceName("llm")).requests == Approx(41));
+    REQUIRE(decoded->news.size() == 1);
+    CHECK(decoded->news[0].table == SharedTable::Backends);
+    CHECK(decoded->news[0].age == 250ms);
+    CHECK(decoded->news[0].rows.whole);
+    REQUIRE(decoded->news[0].rows.rows.size() == 2);
+    CHECK(decoded->news[0].rows.rows[1].removed);
+}
+
+TEST_CASE("Bytes that are no frame are told as such")
+{
+    CHECK_FALSE(decodePeerFrame(""));
+    CHECK_FALSE(decodePeerFrame("no frame at all, but long enough to look like one"));
+    auto bytes = encodePeerFrame(PeerFrame());
+    bytes.resize(bytes.size() / 2);
+    CHECK_FALSE(decodePeerFrame(bytes));
+}
--- /dev/null
+++ b/Tests/Peers/PeerNetworkTest.cpp
@@ -0,0 +1,159 @@
+#include "Peers/PeerNetwork.h"
+
+#include "Forwarding/BootClock.h"
+#include "Forwarding/Spawn.h"
+#include "Support/LoopbackServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace almondscale;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t engine = 42;
+
+// One host with its own loop, so that it can be stopped like a process.
+class PlayedHost {
+public:
+    PlayedHost(const std::string& id, const std::string& dataCentre, double strength,
+        std::vector<Address> seeds = {})
+        : record { HostId(id), DataCentre(dataCentre), freeLoopbackAddress(), strength }
+        , network(loop.get_executor(), record, std::move(seeds), mirror,
+              { [this] { return work; }, [this](const PeerWork& heard) { others = heard; } })
+    {
+        work.loads[engine] = BackendLoad { 0, 1, 0 };
+        mirror.onNews = [this](SharedTable table, const StoredRows& rows, MonotonicTime) {
+            if (table == SharedTable::Hosts)
+                takeHosts(rows);
+        };
+        network.start();
+        spawn(loop.get_executor(), network.run());
+    }
+
+    void takeHosts(const StoredRows& rows)
+    {
+        std::vector<HostRecord> hosts;
+        for (const auto& row : rows.rows) {
+            if (const auto host = decodeHostRecord(row.value))
+                hosts.push_back(*host);
+        }
+        network.setHosts(std::move(hosts));
+    }
+
+    int othersRequests() const
+    {
+        const auto found = others.loads.find(engine);
+        return found == others.loads.end() ? 0 : found->second.requests;
+    }
+
+    boost::asio::io_context loop;
+    HostRecord record;
+    RowMirror mirror;
+    PeerWork work;
+    PeerWork others;
+    PeerNetwork network;
+};
+
+class PeerNetworkFixture {
+public:
+    PeerNetworkFixture()
+    {
+        add("a1", "a", 3);
+        add("a2", "a", 2);
+        add("a3", "a", 1);
+        add("b1", "b", 2);
+        add("b2", "b", 1);
+        StoredRows rows;
+        rows.whole = true;
+        rows.newest = RowVersion(1);
+        for (const auto& host : hosts)
+            rows.rows.push_back(
+                { host->record.id.text(), encodeHostRecord(host->record), RowVersion(1), false });
+        for (const auto& host : hosts)
+            host->mirror.apply(SharedTable::Hosts, rows, bootTime(), bootTime());
+    }
+
+    void add(const std::string& id, const std::string& dataCentre, double strength,
+        std::vector<Address> seeds = {})
+    {
+        hosts.push_back(std::make_unique<PlayedHost>(id, dataCentre, strength, std::move(seeds)));
+    }
+
+    void runFor(Nanoseconds time)
+    {
+        const auto until = Deadline::after(bootTime(), time);
+        while (!until.passed(bootTime())) {
+            for (const auto& host : hosts) {
+                if (host)
+                    host->loop.poll();
+            }
+            std::this_thread::sleep_for(1ms);
+        }
+    }
+
+    static StoredRows manifest(std::uint64_t version)
+    {
+        StoredRows rows;
+        rows.whole = true;
+        rows.newest = RowVersion(version);
+        rows.rows = { { "config", "v" + std::to_string(version), RowVersion(version), false } };
+        return rows;
+    }
+
+    std::vector<std::unique_ptr<PlayedHost>> hosts;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    PeerNetworkFixture, "Hosts, linked, have one reader a data centre and know each other's work")
+{
+    runFor(1500ms);
+    CHECK(hosts[0]->network.reader());
+    CHECK_FALSE(hosts[1]->network.reader());
+    CHECK_FALSE(hosts[2]->network.reader());
+    CHECK(hosts[3]->network.reader());
+    CHECK_FALSE(hosts[4]->network.reader());
+    for (const auto& host : hosts)
+        CHECK(host->othersRequests() == 4);
+}
+
+TEST_CASE_METHOD(PeerNetworkFixture, "News, known to one host only, reaches all")
+{
+    runFor(1500ms);
+    hosts[4]->mirror.apply(SharedTable::Manifest, manifest(9), bootTime(), bootTime());
+    hosts[4]->network.publish();
+    runFor(300ms);
+    for (const auto& host : hosts)
+        CHECK(host->mirror.version(SharedTable::Manifest) == RowVersion(9));
+}
+
+TEST_CASE_METHOD(
+    PeerNetworkFixture, "Host that falls silent is replaced as reader, and its work is forgotten")
+{
+    runFor(1500ms);
+    // Its loop stands still like that of a frozen machine.
+    const auto frozen = std::move(hosts[0]);
+    runFor(2500ms);
+    CHECK(hosts[1]->network.reader());
+    CHECK_FALSE(hosts[2]->network.reader());
+    CHECK(hosts[2]->othersRequests() == 3);
+    hosts[3]->mirror.apply(SharedTable::Manifest, manifest(9), bootTime(), bootTime());
+    hosts[3]->network.publish();
+    runFor(500ms);
+    CHECK(hosts[2]->mirror.version(SharedTable::Manifest) == RowVersion(9));
+}
+
+TEST_CASE_METHOD(PeerNetworkFixture, "Host, started while the store is away, learns everything from a seed")
+{
+    runFor(1500ms);
+    hosts[3]->mirror.apply(SharedTable::Manifest, manifest(9), bootTime(), bootTime());
+    add("a4", "a", 0.5, { hosts[4]->record.peers });
+    runFor(1500ms);
+    CHECK(hosts[5]->mirror.version(SharedTable::Manifest) == RowVersion(9));
+    CHECK(hosts[5]->network.hostCount() == 6);
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/NodeSettingsTest.cpp
@@ -0,0 +1,47 @@
+#include "platform/NodeSettings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+using namespace almondscale::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string valid = "nodeName=n1\nzone=a\nip=10.1.0.38\nlisten.front=10.1.0.38:8149\n"
+                          "listen.ready=10.1.0.38:8141\ninternalPortRange=7380,7395\n"
+                          "seedNodes=10.1.0.38:8144,10.2.0.40:8144\nplatform.address=10.200.1.7:8142\n"
+                          "limits.cpuShare=0.25\nlimits.linkMbps=1000.0\nbounds.leaseMs=3000\n"
+                          "bounds.retryBudgetRatio=0.2\nbounds.retryBudgetMin=56\nfuture.field=1\n";
+
+} // namespace
+
+TEST_CASE("Settings of a machine, read, tell addresses, bounds and other machines")
+{
+    const auto read = readNodeSettings(valid, "node.conf");
+    CHECK(read.errors.empty());
+    CHECK(read.settings.peers.text() == "10.1.0.38:7380");
+    REQUIRE(read.settings.seeds.size() == 1);
+    CHECK(read.settings.seeds[0].text() == "10.2.0.40:7380");
+    CHECK(read.settings.lease == 3s);
+    CHECK(read.settings.retries.least == 56);
+    CHECK(read.settings.strength == Approx(250));
+}
+
+TEST_CASE("Settings with a wrong value, read, name file, line, key and remedy")
+{
+    auto text = valid;
+    text.replace(text.find("10.1.0.38:8149"), 14, "somewhere");
+    const auto read = readNodeSettings(text, "node.conf");
+    REQUIRE(read.errors.size() == 1);
+    CHECK(read.errors[0]
+        == "node.conf:4: the key \"listen.front\" has the value \"somewhere\"; use an address such as "
+           "10.1.0.38:8149");
+}
+
+TEST_CASE("Settings without a key that is needed, read, name it")
+{
+    const auto read = readNodeSettings("zone=a\n", "node.conf");
+    CHECK(read.errors.size() > 3);
+    CHECK(read.errors[0] == "node.conf: the key \"nodeName\" is missing; add nodeName=VALUE");
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/OrderCodecTest.cpp
@@ -0,0 +1,27 @@
+#include "platform/OrderCodec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+using namespace almondscale::platform;
+
+TEST_CASE("Order for a role, encoded, names holder, fence and the orders before it")
+{
+    const auto order = encodeRoleOrder(
+        { BackendId("i-1"), EngineRole::Prefill, HostId("node-7"), FencingNumber(41), OrderNumber(2) });
+    CHECK(*order.head.fields.find("Expect-Instance") == "i-1");
+    CHECK(order.body
+        == R"({"operation":"stage","stage":"prefill","holder":"node-7","fencingToken":41,"expected":2})");
+}
+
+TEST_CASE("Report of an engine, decoded, tells its role and whether it changes")
+{
+    const auto report = decodeReport(
+        R"({"stage":"decode","busy":true,"sequence":2,"queued":1,"running":12,"kvUsed":41000})");
+    REQUIRE(report);
+    CHECK(report->role == EngineRole::Decode);
+    CHECK(report->changing);
+    CHECK(report->accepted == OrderNumber(2));
+    CHECK_FALSE(decodeReport("{}"));
+    CHECK_FALSE(decodeReport("nothing"));
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/StoreClientTest.cpp
@@ -0,0 +1,126 @@
+#include "platform/StoreClient.h"
+
+#include "Forwarding/BootClock.h"
+#include "Support/LoopbackServer.h"
+#include "platform/Base64.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace almondscale;
+using namespace almondscale::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string response(int status, const std::string& body)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size())
+        + "\r\n\r\n" + body;
+}
+
+// A client in front of a store that answers as the test says.
+class StoreClientFixture {
+public:
+    StoreClientFixture()
+        : address(freeLoopbackAddress())
+        , pool(loop.get_executor())
+        , client(pool, address)
+        , store(loop.get_executor(), address,
+              [this](const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
+                  return answer(request, socket);
+              })
+    {
+    }
+
+    awaitable<bool> answer(const LoopbackServer::Request& request, tcp::socket& socket)
+    {
+        targets.emplace_back(request.target());
+        if (mute) {
+            co_await sleepFor(3s);
+            co_return false;
+        }
+        co_await LoopbackServer::write(socket, answers.at(std::min(targets.size(), answers.size()) - 1));
+        co_return true;
+    }
+
+    template <typename T> T run(awaitable<T> call)
+    {
+        std::optional<T> result;
+        spawn(loop.get_executor(), store_(std::move(call), result));
+        while (!result && loop.run_one() > 0) { }
+        return std::move(*result);
+    }
+
+    boost::asio::io_context loop;
+    Address address;
+    ConnectionPool pool;
+    StoreClient client;
+    std::vector<std::string> answers;
+    std::vector<std::string> targets;
+    bool mute = false;
+    LoopbackServer store;
+
+private:
+    template <typename T> static awaitable<void> store_(awaitable<T> call, std::optional<T>& result)
+    {
+        result.emplace(co_await std::move(call));
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(StoreClientFixture, "Table of several pages, read, is whole and as old as its first page")
+{
+    const auto value = encodeBase64("{}");
+    answers = { response(200,
+                    R"({"rows":[{"key":"a","value":")" + value
+                        + R"(","rowVersion":1}],"hasMore":true,"rowVersion":10})"),
+        response(200,
+            R"({"rows":[{"key":"a","value":")" + value + R"(","rowVersion":1},{"key":"b","value":")" + value
+                + R"(","rowVersion":2}],"hasMore":false,"rowVersion":12})") };
+    const auto rows = run(client.read(SharedTable::Backends));
+    REQUIRE(rows.ok());
+    CHECK(rows.value().whole);
+    CHECK(rows.value().rows.size() == 2);
+    CHECK(rows.value().newest == RowVersion(10));
+    CHECK(targets[1] == "/almondscale/rows-get?table=servers&part=&from=a");
+}
+
+TEST_CASE_METHOD(
+    StoreClientFixture, "Store that does not answer, called, is given up in time and the write unknown")
+{
+    mute = true;
+    const auto before = bootTime();
+    const auto written = run(client.writeHost(HostId("n1"), "{}", RowVersion(0)));
+    CHECK(written.outcome == WriteOutcome::Unknown);
+    CHECK(bootTime() - before < 2s);
+}
+
+TEST_CASE_METHOD(StoreClientFixture, "Store that turns a write away, called, says that nothing was done")
+{
+    answers = { response(503, "") };
+    CHECK(run(client.writeHost(HostId("n1"), "{}", RowVersion(0))).outcome == WriteOutcome::NotApplied);
+}
+
+TEST_CASE_METHOD(StoreClientFixture, "Lease whose write was answered late, read back, is known by its writer")
+{
+    TableCall write;
+    write.kind = TableCall::Kind::Write;
+    write.key = "lease/roles";
+    write.value = "value";
+    write.writer = WriterId("w1");
+    answers = { response(200, R"({"rowVersion":4})"),
+        response(200,
+            R"({"rows":[{"key":"lease/roles","value":")" + encodeBase64(R"({"writer":"w1","value":"value"})")
+                + R"(","rowVersion":4}],"hasMore":false,"rowVersion":5})") };
+    CHECK(run(client.perform(write)).written.outcome == WriteOutcome::Applied);
+    TableCall read;
+    read.key = "lease/roles";
+    const auto answer = run(client.perform(read));
+    REQUIRE(answer.row);
+    CHECK(answer.row->value == "value");
+    CHECK(answer.row->writer == WriterId("w1"));
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/StoreCodecTest.cpp
@@ -0,0 +1,70 @@
+#include "platform/StoreCodec.h"
+
+#include "platform/Base64.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+using namespace almondscale::platform;
+using namespace std::chrono_literals;
+
+TEST_CASE("Bytes of any length, encoded as base64 and back, are the same")
+{
+    for (const std::string bytes : { "", "n", "no", "nod", "node-1" })
+        CHECK(decodeBase64(encodeBase64(bytes)) == bytes);
+    CHECK(encodeBase64("node-1") == "bm9kZS0x");
+    CHECK_FALSE(decodeBase64("bm9"));
+}
+
+TEST_CASE("Rows, as the store answers them, are decoded")
+{
+    const auto rows = decodeRows(200,
+        R"({"rows":[{"table":"t","part":"","key":"k","value":"bm9kZS0x","rowVersion":412},
+            {"table":"t","part":"","key":"g","rowVersion":413,"deleted":true}],
+            "hasMore":true,"rowVersion":530,"serverTimeMs":51230})");
+    REQUIRE(rows.ok());
+    REQUIRE(rows.value().rows.size() == 2);
+    CHECK(rows.value().rows[0].value == "node-1");
+    CHECK(rows.value().rows[0].version == RowVersion(412));
+    CHECK(rows.value().rows[1].removed);
+    CHECK(rows.value().newest == RowVersion(530));
+    CHECK(rows.value().more);
+}
+
+TEST_CASE("Feed whose history is gone is told apart from a store that does not serve")
+{
+    REQUIRE(decodeRows(410, "").ok());
+    CHECK(decodeRows(410, "").value().historyGone);
+    CHECK(decodeRows(503, "").kind() == ErrorKind::PlatformUnavailable);
+    CHECK(decodeRows(200, "no json").kind() == ErrorKind::PlatformUnavailable);
+}
+
+TEST_CASE("Write whose outcome the store tells is told apart from one without a word")
+{
+    CHECK(decodeWrite(200, R"({"rowVersion":7})").outcome == WriteOutcome::Applied);
+    CHECK(decodeWrite(200, R"({"rowVersion":7})").version == RowVersion(7));
+    CHECK(decodeWrite(503, "").outcome == WriteOutcome::NotApplied);
+    CHECK(decodeWrite(429, "").outcome == WriteOutcome::NotApplied);
+    CHECK(decodeWrite(500, "").outcome == WriteOutcome::Unknown);
+    const auto lost = decodeWrite(412, R"({"rows":[{"key":"k","value":"bm9kZS0x","rowVersion":9}]})");
+    CHECK(lost.outcome == WriteOutcome::Conflict);
+    REQUIRE(lost.current);
+    CHECK(lost.current->value == "node-1");
+    CHECK_FALSE(decodeWrite(412, R"({"rows":[]})").current);
+}
+
+TEST_CASE("Conditional write, encoded, names the row and its version")
+{
+    const auto request = encodeRowWrite("t", "k", std::string("node-1"), RowVersion(4));
+    CHECK(request.head.target == "/almondscale/rows-tx");
+    CHECK(request.body
+        == R"({"expected":[{"table":"t","part":"","key":"k","rowVersion":4}],)"
+           R"("puts":[{"table":"t","part":"","key":"k","value":"bm9kZS0x"}],"remove":[]})");
+}
+
+TEST_CASE("Calls of the store, encoded, escape what a target cannot hold")
+{
+    CHECK(encodeRowsGet("a b", "k&1").head.target == "/almondscale/rows-get?table=a%20b&part=&from=k%261");
+    CHECK(encodeRowsFeed("op", RowVersion(9), 800ms).head.target
+        == "/almondscale/rows-feed?table=op&after=9&waitMs=800");
+}
--- /dev/null
+++ b/Tests/Serving/BackendTableTest.cpp
@@ -0,0 +1,75 @@
+#include "Serving/BackendTable.h"
+
+#include "ServingFixtures.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+using namespace std::chrono_literals;
+
+namespace {
+
+class BackendTableFixture {
+public:
+    BackendTableFixture()
+    {
+        table.put(engineRecord("e1", EngineRole::Decode, "a", 1));
+        table.put(engineRecord("e2", EngineRole::Decode, "a", 2));
+    }
+
+    BackendTable table;
+    const BackendId first { "e1" };
+    const BackendId second { "e2" };
+};
+
+} // namespace
+
+TEST_CASE_METHOD(BackendTableFixture, "Server, broken again and again, is left alone longer each time")
+{
+    table.noteOutcome(first, BackendOutcome::Broken, testStart);
+    CHECK(table.usable(model, testStart).size() == 1);
+    CHECK(table.usable(model, testStart + 400ms).size() == 2);
+    table.noteOutcome(first, BackendOutcome::Broken, testStart + 400ms);
+    CHECK(table.usable(model, testStart + 800ms).size() == 1);
+    table.noteOutcome(first, BackendOutcome::Answered, testStart + 900ms);
+    CHECK(table.usable(model, testStart + 900ms).size() == 2);
+}
+
+TEST_CASE_METHOD(BackendTableFixture, "Servers, all broken, are used all the same")
+{
+    table.noteOutcome(first, BackendOutcome::Broken, testStart);
+    table.noteOutcome(second, BackendOutcome::Broken, testStart);
+    CHECK(table.usable(model, testStart).size() == 2);
+}
+
+TEST_CASE_METHOD(BackendTableFixture, "Server, started anew under its id, begins without history")
+{
+    auto record = engineRecord("e1", EngineRole::Decode, "a", 1);
+    record.startedAtMs = 1000;
+    table.put(record);
+    table.noteOutcome(first, BackendOutcome::Failed, testStart);
+    CHECK(table.find(first)->failureShare > 0);
+    record.startedAtMs = 2000;
+    table.put(record);
+    CHECK(table.find(first)->failureShare == 0);
+}
+
+TEST_CASE_METHOD(BackendTableFixture, "Work of other hosts, told by hash, adds to that of this host")
+{
+    table.open(first, BackendLoad { 10, 1, 100 });
+    table.setOthersLoads({ { backendHash(first), BackendLoad { 5, 2, 50 } } });
+    CHECK(table.find(first)->load().requests == 3);
+    CHECK(table.ownLoads().at(backendHash(first)).requests == 1);
+    table.setOthersLoads({});
+    CHECK(table.find(first)->load().requests == 1);
+}
+
+TEST_CASE_METHOD(
+    BackendTableFixture, "Engines of one role, all broken, are used although those of the other are sound")
+{
+    table.put(engineRecord("p1", EngineRole::Prefill, "a", 3));
+    table.noteOutcome(first, BackendOutcome::Broken, testStart);
+    table.noteOutcome(second, BackendOutcome::Broken, testStart);
+    CHECK(table.usable(model, testStart, EngineRole::Decode).size() == 2);
+    CHECK(table.usable(model, testStart, EngineRole::Prefill).size() == 1);
+}
--- /dev/null
+++ b/Tests/Serving/PlacementTest.cpp
@@ -0,0 +1,94 @@
+#include "Serving/Placement.h"
+
+#include "ServingFixtures.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+using namespace std::chrono_literals;
+
+namespace {
+
+class PlacementFixture {
+public:
+    PlacementFixture()
+        : placement(table, DataCentre("a"))
+    {
+        for (int i = 0; i < 7; ++i)
+            table.put(engineRecord(
+                "p" + std::to_string(i), EngineRole::Prefill, "a", static_cast<std::uint16_t>(i + 1)));
+        table.put(engineRecord("d0", EngineRole::Decode, "a", 20));
+        table.put(engineRecord("d1", EngineRole::Decode, "b", 21));
+        spec.slots = 64;
+        spec.memory = TokenCount(430000);
+        prompt.prompt = TokenCount(17000);
+        prompt.shared = TokenCount(13000);
+        prompt.sharedKey = 77;
+    }
+
+    BackendId prefillFor(const PromptShape& shape, const Placement::Excluded& excluded = {}) const
+    {
+        const auto choice
+            = placement.choosePrefill(model, shape, excluded, Deadline(testStart + 650ms), testStart);
+        REQUIRE(choice);
+        return choice->backend;
+    }
+
+    BackendTable table;
+    Placement placement;
+    EngineSpec spec;
+    PromptShape prompt;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    PlacementFixture, "Prompts with one shared part, placed one after the other, go to one engine")
+{
+    const auto home = prefillFor(prompt);
+    table.open(home, BackendLoad { 100, 0, 0 });
+    CHECK(prefillFor(prompt) == home);
+}
+
+TEST_CASE_METHOD(PlacementFixture, "Prompt, late at its part's engine, goes to another")
+{
+    const auto home = prefillFor(prompt);
+    table.open(home, BackendLoad { 2000, 0, 0 });
+    CHECK(prefillFor(prompt) != home);
+}
+
+TEST_CASE_METHOD(PlacementFixture, "Prompt, refused by its part's engine, goes to another")
+{
+    const auto home = prefillFor(prompt);
+    CHECK(prefillFor(prompt, { home }) != home);
+}
+
+TEST_CASE_METHOD(
+    PlacementFixture, "Prompt, decoded after a prefill, stays in that data centre while it has room")
+{
+    const auto decodeFor = [&](const char* dataCentre) {
+        return placement.chooseDecode(model, spec, prompt, DataCentre(dataCentre), {}, testStart)->backend;
+    };
+    CHECK(decodeFor("a") == BackendId("d0"));
+    CHECK(decodeFor("b") == BackendId("d1"));
+    table.open(BackendId("d0"), BackendLoad { 0, 25, 420000 });
+    CHECK(decodeFor("a") == BackendId("d1"));
+}
+
+TEST_CASE_METHOD(PlacementFixture, "Request for a plain service, placed among busy servers, takes a free one")
+{
+    auto record = engineRecord("s0", EngineRole::Decode, "a", 30);
+    record.role.reset();
+    record.service = ServiceName("desk");
+    record.slots = 6;
+    table.put(record);
+    record.id = BackendId("s1");
+    record.address.port = 9090;
+    record.dataCentre = DataCentre("b");
+    table.put(record);
+    const auto placed = [&] { return placement.choosePlain(ServiceName("desk"), {}, testStart)->backend; };
+    CHECK(placed() == BackendId("s0"));
+    table.open(BackendId("s0"), BackendLoad { 0, 12, 0 });
+    CHECK(placed() == BackendId("s1"));
+    CHECK_FALSE(placement.choosePlain(ServiceName("none"), {}, testStart));
+}
--- /dev/null
+++ b/Tests/Serving/RetryGateTest.cpp
@@ -0,0 +1,51 @@
+#include "Serving/RetryGate.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace almondscale;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Plays a number of hosts whose every request would like to be retried, and counts the retries.
+int retriesOf(int hosts, int believedHosts, int requestsPerHost, Nanoseconds over)
+{
+    RetryBounds bounds;
+    bounds.ratio = 0.2;
+    bounds.least = 56;
+    const ServiceName service("model");
+    std::vector<RetryGate> gates(static_cast<std::size_t>(hosts), RetryGate(bounds, believedHosts));
+    int retries = 0;
+    for (int i = 0; i < requestsPerHost; ++i) {
+        const MonotonicTime now = MonotonicTime(100s) + over * i / requestsPerHost;
+        for (auto& gate : gates) {
+            gate.onRequest(service, now);
+            retries += gate.tryRetry(service, now) ? 1 : 0;
+        }
+    }
+    return retries;
+}
+
+} // namespace
+
+TEST_CASE("Retries of all hosts in a window, wanted for every request, stay within the common bound")
+{
+    for (const int hosts : { 1, 8, 82 }) {
+        for (const int requests : { 5, 60, 400 })
+            CHECK(retriesOf(hosts, hosts, requests, 10s) <= 0.2 * hosts * requests + 56);
+    }
+}
+
+TEST_CASE("Retries of a host, told that there are more hosts, follow its smaller part")
+{
+    RetryBounds bounds;
+    bounds.least = 56;
+    RetryGate gate(bounds, 1);
+    const ServiceName service("model");
+    gate.setHosts(82);
+    int retries = 0;
+    for (int i = 0; i < 20; ++i)
+        retries += gate.tryRetry(service, MonotonicTime(100s)) ? 1 : 0;
+    CHECK(retries == 0);
+}
--- /dev/null
+++ b/Tests/Serving/RoleSplitTest.cpp
@@ -0,0 +1,105 @@
+#include "Serving/RoleSplit.h"
+
+#include "ServingFixtures.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+using namespace std::chrono_literals;
+
+namespace {
+
+class RoleSplitFixture {
+public:
+    RoleSplitFixture()
+        : split(table)
+    {
+        for (int i = 0; i < 9; ++i)
+            set(i, i < 4 ? EngineRole::Prefill : EngineRole::Decode);
+        busy.requests = 40;
+    }
+
+    void set(int engine, EngineRole role)
+    {
+        table.put(engineRecord("e" + std::to_string(engine), role, std::string(1, "abc"[engine % 3]),
+            static_cast<std::uint16_t>(engine + 1)));
+    }
+
+    // Gives the orders and lets them take effect at once.
+    int carryOut(const std::vector<RoleAssignment>& orders, MonotonicTime now)
+    {
+        for (const auto& order : orders) {
+            split.onOrdered(order, now);
+            auto record = table.find(order.engine)->record;
+            record.role = order.role;
+            table.put(record);
+        }
+        return static_cast<int>(orders.size());
+    }
+
+    int decoding() const
+    {
+        int count = 0;
+        for (const auto& entry : table.all())
+            count += entry.second.record.role == EngineRole::Decode ? 1 : 0;
+        return count;
+    }
+
+    BackendTable table;
+    RoleSplit split;
+    EngineDemand busy;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(RoleSplitFixture, "Split, before any traffic, orders all changes at once and then none")
+{
+    CHECK(carryOut(split.decide(model, EngineDemand(), testStart), testStart) == 3);
+    CHECK(decoding() == 2);
+    CHECK(split.decide(model, EngineDemand(), testStart + 1s).empty());
+}
+
+TEST_CASE_METHOD(
+    RoleSplitFixture, "Split, under traffic, waits for a lasting lack and changes one engine at a time")
+{
+    CHECK(split.decide(model, busy, testStart).empty());
+    CHECK(split.decide(model, busy, testStart + 1s).empty());
+    CHECK(carryOut(split.decide(model, busy, testStart + 3s), testStart + 3s) == 1);
+    CHECK(split.decide(model, busy, testStart + 5s).empty());
+    CHECK(carryOut(split.decide(model, busy, testStart + 9s), testStart + 9s) == 1);
+}
+
+TEST_CASE_METHOD(
+    RoleSplitFixture, "Split, with an order under way, does not repeat it before its time is over")
+{
+    for (const auto& order : split.decide(model, EngineDemand(), testStart))
+        split.onOrdered(order, testStart);
+    CHECK(split.decide(model, EngineDemand(), testStart + 5s).empty());
+    CHECK(split.decide(model, EngineDemand(), testStart + 10s).size() == 3);
+}
+
+TEST_CASE_METHOD(RoleSplitFixture, "Split, after the last decode engines crashed, turns a prefill engine")
+{
+    carryOut(split.decide(model, EngineDemand(), testStart), testStart);
+    REQUIRE(split.decide(model, busy, testStart + 1s).empty());
+    for (const auto& entry : std::map<BackendId, Backend>(table.all())) {
+        if (entry.second.record.role == EngineRole::Decode)
+            table.remove(entry.first);
+    }
+    const auto later = testStart + 20s;
+    CHECK(split.decide(model, busy, later).empty());
+    const auto orders = split.decide(model, busy, later + 3s);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].role == EngineRole::Decode);
+}
+
+TEST_CASE("Split of a fleet, of any size, leaves an engine for each role")
+{
+    const BackendTable empty;
+    const RoleSplit split(empty);
+    CHECK(split.decodeTarget(1, {}) == 0);
+    for (int engines = 2; engines <= 90; ++engines) {
+        CHECK(split.decodeTarget(engines, {}) >= 1);
+        CHECK(split.decodeTarget(engines, {}) < engines);
+    }
+}
--- /dev/null
+++ b/Tests/Serving/RowMirrorTest.cpp
@@ -0,0 +1,106 @@
+#include "Serving/RowMirror.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr MonotonicTime now { 50s };
+constexpr auto table = SharedTable::Backends;
+
+StoredRows rows(std::uint64_t newest, std::vector<StoredRow> list, bool whole = false)
+{
+    StoredRows made;
+    made.rows = std::move(list);
+    made.newest = RowVersion(newest);
+    made.whole = whole;
+    return made;
+}
+
+StoredRow row(const std::string& key, const std::string& value, std::uint64_t version, bool removed = false)
+{
+    return { key, value, RowVersion(version), removed };
+}
+
+class RowMirrorFixture {
+public:
+    RowMirrorFixture()
+    {
+        mirror.onNews = [this](SharedTable, const StoredRows& each, MonotonicTime) { news.push_back(each); };
+        mirror.apply(table, rows(10, { row("x", "1", 4), row("y", "1", 9) }, true), now, now);
+        news.clear();
+    }
+
+    RowMirror mirror;
+    std::vector<StoredRows> news;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(RowMirrorFixture, "Mirror, told of changes, passes on only what is new")
+{
+    mirror.apply(table, rows(12, { row("x", "2", 12) }), now + 1s, now + 1s);
+    REQUIRE(news.size() == 1);
+    CHECK(news[0].rows.size() == 1);
+    mirror.apply(table, rows(12, { row("x", "2", 12) }), now + 2s, now + 2s);
+    CHECK(news.size() == 1);
+    CHECK(mirror.currentAt(table) == now + 2s);
+    const auto lacking = mirror.newsSince(table, RowVersion(10));
+    REQUIRE(lacking);
+    CHECK_FALSE(lacking->whole);
+    REQUIRE(lacking->rows.size() == 1);
+    CHECK(lacking->rows[0].value == "2");
+    CHECK_FALSE(mirror.newsSince(table, RowVersion(12)));
+}
+
+TEST_CASE_METHOD(RowMirrorFixture, "Mirror, told of a change without meaning, passes nothing on")
+{
+    mirror.sameMeaning = [](SharedTable, const std::string& before, const std::string& after) {
+        return before.front() == after.front();
+    };
+    mirror.apply(table, rows(12, { row("x", "1 beat", 12) }), now, now);
+    CHECK(news.empty());
+    CHECK(mirror.version(table) == RowVersion(12));
+}
+
+TEST_CASE_METHOD(RowMirrorFixture, "Mirror, given rows of an older version, ignores them")
+{
+    mirror.apply(table, rows(8, { row("y", "old", 8) }, true), now + 1s, now + 1s);
+    CHECK(news.empty());
+    CHECK(mirror.version(table) == RowVersion(10));
+    CHECK(mirror.currentAt(table) == now);
+}
+
+TEST_CASE_METHOD(RowMirrorFixture, "Mirror, told of a removal, tells those that lag behind")
+{
+    mirror.apply(table, rows(13, { row("x", "", 13, true) }), now, now);
+    const auto lacking = mirror.newsSince(table, RowVersion(10));
+    REQUIRE(lacking);
+    REQUIRE(lacking->rows.size() == 1);
+    CHECK(lacking->rows[0].removed);
+    const auto all = mirror.newsSince(table, RowVersion(0));
+    REQUIRE(all);
+    CHECK(all->whole);
+    CHECK(all->rows.size() == 1);
+}
+
+TEST_CASE_METHOD(RowMirrorFixture, "Mirror, replaced as a whole, sends all to who lags behind")
+{
+    mirror.apply(table, rows(20, { row("z", "1", 18) }, true), now, now);
+    const auto lacking = mirror.newsSince(table, RowVersion(12));
+    REQUIRE(lacking);
+    CHECK(lacking->whole);
+    REQUIRE(lacking->rows.size() == 1);
+    CHECK(lacking->rows[0].key == "z");
+}
+
+TEST_CASE("Mirror, told of changes before it knows a table, waits for all of its rows")
+{
+    RowMirror mirror;
+    mirror.apply(table, rows(12, { row("x", "2", 12) }), now, now);
+    CHECK(mirror.empty(table));
+    mirror.apply(table, rows(12, {}, true), now, now);
+    CHECK_FALSE(mirror.empty(table));
+}
--- /dev/null
+++ b/Tests/Support/LoopbackServer.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "Forwarding/Asio.h"
+#include "Forwarding/HttpListener.h"
+#include "Forwarding/Signal.h"
+#include "Forwarding/Spawn.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace almondscale {
+
+// A server on loopback whose answers a test writes byte by byte.
+class LoopbackServer {
+public:
+    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+    // Answers one request; the connection is closed afterwards if it says so.
+    using Answer = std::function<awaitable<bool>(const Request&, tcp::socket&)>;
+
+    LoopbackServer(const boost::asio::any_io_executor& executor, Address address, Answer answer)
+        : m_answer(std::move(answer))
+        , m_listener(executor, [this](tcp::socket socket) {
+            const auto executor = socket.get_executor();
+            spawn(executor, serve(std::make_shared<tcp::socket>(std::move(socket)), this));
+        })
+    {
+        m_listener.start(address);
+    }
+
+    int requests = 0;
+    std::map<std::string, int> requestsByMethod;
+
+    static awaitable<void> write(tcp::socket& socket, std::string text)
+    {
+        co_await boost::asio::async_write(socket, boost::asio::buffer(text), noThrow);
+    }
+
+private:
+    static awaitable<void> serve(std::shared_ptr<tcp::socket> socket, LoopbackServer* self)
+    {
+        boost::beast::flat_buffer buffer;
+        for (bool more = true; more;) {
+            Request request;
+            const auto [error, size]
+                = co_await boost::beast::http::async_read(*socket, buffer, request, noThrow);
+            if (error)
+                co_return;
+            ++self->requests;
+            ++self->requestsByMethod[std::string(request.method_string())];
+            more = co_await self->m_answer(request, *socket);
+        }
+    }
+
+    Answer m_answer;
+    HttpListener m_listener;
+};
+
+// A port on loopback that is free now.
+inline Address freeLoopbackAddress()
+{
+    boost::asio::io_context loop;
+    tcp::acceptor acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    return Address { "127.0.0.1", acceptor.local_endpoint().port() };
+}
+
+} // namespace almondscale
