Let a request that is late everywhere stay where its shared part is

Cause: each millisecond of lateness weighed three, so under load requests moved between engines that were all too late, and every move read a shared part again.

--- a/Source/Serving/Placement.cpp
+++ b/Source/Serving/Placement.cpp
@@ -62,7 +62,7 @@
         const double work = m_options.speed.prefillMs(prompt.prompt, cached ? prompt.shared : TokenCount(0));
         const double wait = std::max(0.0, backend->load().prefillMs);
         const double expected = (wait + work) * backend->delayFactor() + failureMs * backend->failureShare;
-        double cost = expected + m_options.lateFactor * std::max(0.0, expected - leftMs);
+        double cost = expected + (expected > leftMs ? m_options.lateMs : 0);
         if (shares && !cached)
             cost += rereadMs;
         if (shares)
--- a/Source/Serving/Placement.h
+++ b/Source/Serving/Placement.h
@@ -21,8 +21,9 @@
     // Engines that keep each shared part: two choices balance the load, and twice the
     // shared parts still fit into the engines' memory.
     std::size_t copies = 1;
-    // What each millisecond beyond the time that is left weighs.
-    double lateFactor = 3;
+    // What an answer that comes late weighs, in milliseconds. Later still weighs no
+    // more: a request that is late everywhere stays where its part is.
+    double lateMs = 600;
     // All hosts prefer the same engine for a part's second copy, and so on.
     double rankMs = 10;
     // A part is believed to be cached for this long after it was last sent there.
