Drop a removed server at once when the store has been back for long

After a failed reading the directory took the store's return for the moment of the next change, which was the removal itself, and kept the entry as one that lapsed during the absence.

Ruled out: the pace of the readings (all hosts logged the removal 45 ms after the store's word).

Change: the directory is told whenever the registrations are current, changed or not. The test failed before. Every registration that changes is logged.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -58,6 +58,10 @@
         m_mirror.sameMeaning = [](SharedTable table, const std::string& before, const std::string& after) {
             return table == SharedTable::Backends && platform::sameRegistration(before, after);
         };
+        m_mirror.onCurrent = [this](SharedTable table, MonotonicTime now) {
+            if (table == SharedTable::Backends)
+                m_directory.onCurrent(now);
+        };
         m_mirror.onNews = [this](SharedTable table, const StoredRows& rows, MonotonicTime now) {
             takeNews(table, rows, now);
         };
@@ -120,6 +124,7 @@
             return;
         case SharedTable::Backends: {
             const auto changes = platform::registrationsIn(rows);
+            logChanges(changes, rows.newest);
             if (rows.whole)
                 m_directory.onSnapshot(changes, rows.newest, now);
             else
@@ -132,6 +137,23 @@
         }
     }
 
+    static void logChanges(const std::vector<BackendChange>& changes, RowVersion version)
+    {
+        for (const auto& change : changes) {
+            LogEvent event("backend");
+            event.with("backend", change.id).with("store_version", version);
+            if (!change.record) {
+                event.with("state", "removed");
+                continue;
+            }
+            event.with("state", change.record->draining ? "draining" : "ready")
+                .with("service", change.record->service)
+                .with("address", change.record->address.text());
+            if (change.record->role)
+                event.with("role", engineRoleWord(*change.record->role));
+        }
+    }
+
     void takeManifest(const StoredRows& rows)
     {
         auto manifest = platform::manifestIn(rows);
--- a/Source/Serving/BackendDirectory.cpp
+++ b/Source/Serving/BackendDirectory.cpp
@@ -41,13 +41,10 @@
 void BackendDirectory::onChanges(
     const std::vector<BackendChange>& changes, RowVersion version, MonotonicTime now)
 {
-    if (m_failing) {
-        m_failing = false;
-        m_backAt = now;
-    }
     if (version < m_version)
         return;
     m_version = version;
+    onCurrent(now);
     for (const auto& change : changes) {
         if (change.record)
             put(*change.record);
@@ -62,6 +59,14 @@
     m_backAt = now;
 }
 
+void BackendDirectory::onCurrent(MonotonicTime now)
+{
+    if (!m_failing)
+        return;
+    m_failing = false;
+    m_backAt = now;
+}
+
 void BackendDirectory::sweep(MonotonicTime now)
 {
     std::vector<BackendId> over;
--- a/Source/Serving/BackendDirectory.h
+++ b/Source/Serving/BackendDirectory.h
@@ -27,6 +27,8 @@
     void onChanges(const std::vector<BackendChange>&, RowVersion, MonotonicTime now);
     // The store did not answer, or turned this host away.
     void onReadFailed(MonotonicTime now);
+    // The registrations are known to be current, changed or not.
+    void onCurrent(MonotonicTime now);
     // Drops the entries whose time to come back is over.
     void sweep(MonotonicTime now);
 
--- a/Source/Serving/RowMirror.cpp
+++ b/Source/Serving/RowMirror.cpp
@@ -17,6 +17,8 @@
     if (rows.newest < table.version || (!table.known && !rows.whole))
         return;
     table.currentAt = std::max(table.currentAt, currentAt);
+    if (onCurrent)
+        onCurrent(which, now);
     auto news = merge(which, table, rows);
     const bool first = !table.known;
     table.version = rows.newest;
--- a/Source/Serving/RowMirror.h
+++ b/Source/Serving/RowMirror.h
@@ -17,6 +17,8 @@
     // Told of what is new in a table; `whole` says that no other rows exist.
     std::function<void(SharedTable, const StoredRows&, MonotonicTime now)> onNews;
 
+    // Told whenever a table is known to be current, before any news of it.
+    std::function<void(SharedTable, MonotonicTime now)> onCurrent;
     // Whether two values of a row say the same; such a change is not passed on.
     std::function<bool(SharedTable, const std::string& before, const std::string& after)> sameMeaning;
 
--- a/Tests/Serving/BackendDirectoryTest.cpp
+++ b/Tests/Serving/BackendDirectoryTest.cpp
@@ -87,3 +87,13 @@
     REQUIRE(left.size() == 1);
     CHECK(left[0]->record.id == BackendId("e2"));
 }
+
+TEST_CASE_METHOD(BackendDirectoryFixture,
+    "Directory, told of a removal long after an absence of the store, drops the server at once")
+{
+    directory.onReadFailed(testStart + 10s);
+    // The store is back, and nothing has changed.
+    directory.onCurrent(testStart + 11s);
+    directory.onChanges({ gone("e1") }, RowVersion(6), testStart + 15s);
+    CHECK_FALSE(usable("e1"));
+}
