Bound the log's volume, never wait for its reader, and serve metrics

Cause: on-call engineers have only logs and metrics; a pipe that nobody reads would have stopped the loop.

Change: LogGate bounds the lines a second with a reserve for warnings, and leaves a line out when the output does not take it at once; the next line tells how many were left out. HostMetrics serves counters and latency histograms on port 9464 of each machine.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -6,6 +6,7 @@
 #include "Forwarding/HttpListener.h"
 #include "Forwarding/Signal.h"
 #include "Forwarding/Spawn.h"
+#include "HostMetrics.h"
 #include "MirrorDuty.h"
 #include "OrderDuty.h"
 #include "Peers/PeerNetwork.h"
@@ -23,6 +24,8 @@
 
 namespace {
 
+    // Metrics are read here on every machine, as deploy/system.toml says.
+    constexpr std::uint16_t metricsPort = 9464;
     // The balancer takes a host out after two misses, a second apart.
     constexpr Nanoseconds balancerTime = std::chrono::milliseconds(2500);
     // Requests that are still open so long before the process is killed are cut.
@@ -46,13 +49,14 @@
         , m_network(m_loop.get_executor(), m_self, m_settings.seeds, m_mirror,
               { [this] { return ownWork(); }, [this](const PeerWork& work) { setOthersWork(work); } })
         , m_mirrorDuty(m_store, m_mirror, m_self,
-              { [this] { return m_network.reader(); }, [this] { m_network.publish(); },
+              { [this] { return m_network.reader(); }, [this](SharedTable table) { readDone(table); },
                   [this](SharedTable table) { readFailed(table); } })
         , m_orderDuty(m_store, m_pool, m_routes, m_backends, m_settings.host, m_settings.lease,
               { [this] { return m_network.reader(); }, [this] { return totalDemand(); } })
         , m_context { m_loop.get_executor(), m_wire, m_routes, m_backends, m_placement, m_retries, m_demand,
-            m_pool, systemRandom() }
+            m_pool, systemRandom(), {} }
         , m_readyServer(m_loop.get_executor(), { [this] { return ready(); }, [this] { return metrics(); } })
+        , m_metricsServer(m_loop.get_executor(), { [this] { return ready(); }, [this] { return metrics(); } })
         , m_listener(m_loop.get_executor(), [this](tcp::socket socket) { serve(std::move(socket)); })
     {
         m_mirror.sameMeaning = [](SharedTable table, const std::string& before, const std::string& after) {
@@ -65,6 +69,7 @@
         m_mirror.onNews = [this](SharedTable table, const StoredRows& rows, MonotonicTime now) {
             takeNews(table, rows, now);
         };
+        m_context.onRequestEnd = [this](const RequestEnd& end) { m_metrics.onRequestEnd(end); };
         m_directory.onGone = [this](const BackendRecord& record) { m_pool.forget(record.address); };
     }
 
@@ -73,7 +78,8 @@
         for (const auto& [address, error] :
             { std::pair { m_settings.callers, m_listener.start(m_settings.callers) },
                 std::pair { m_settings.ready, m_readyServer.start(m_settings.ready) },
-                std::pair { m_settings.peers, m_network.start() } }) {
+                std::pair { m_settings.peers, m_network.start() },
+                std::pair { metricsAddress(), m_metricsServer.start(metricsAddress()) } }) {
             if (!error)
                 continue;
             LogEvent("listen_failed", LogLevel::Error)
@@ -180,8 +186,15 @@
         LogEvent("hosts").with("count", m_network.hostCount());
     }
 
+    void readDone(SharedTable table)
+    {
+        m_metrics.onStoreReading(sharedTableWord(table), true);
+        m_network.publish();
+    }
+
     void readFailed(SharedTable table)
     {
+        m_metrics.onStoreReading(sharedTableWord(table), false);
         if (table == SharedTable::Backends)
             m_directory.onReadFailed(bootTime());
     }
@@ -201,9 +214,18 @@
         return work.demand;
     }
 
+    Address metricsAddress() const { return Address { m_settings.ready.ip, metricsPort }; }
+
     bool ready() const { return !m_context.stopping && !m_routes.empty() && m_directory.known(); }
 
-    static std::string metrics() { return {}; }
+    std::string metrics()
+    {
+        m_metrics.setOpenRequests(m_context.openRequests);
+        m_metrics.setManifest(m_routes.version());
+        m_metrics.setHosts(m_network.hostCount(), m_network.reader());
+        m_metrics.setBackends(m_backends.all().size());
+        return m_metrics.text();
+    }
 
     void serve(tcp::socket socket)
     {
@@ -258,8 +280,10 @@
     PeerNetwork m_network;
     MirrorDuty m_mirrorDuty;
     OrderDuty m_orderDuty;
+    HostMetrics m_metrics;
     ServingContext m_context;
     ReadyServer m_readyServer;
+    ReadyServer m_metricsServer;
     HttpListener m_listener;
     std::set<std::shared_ptr<CallerSession>> m_sessions;
 };
--- /dev/null
+++ b/Programs/almondscale-host/HostMetrics.cpp
@@ -0,0 +1,87 @@
+#include "HostMetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace almondscale {
+
+namespace {
+
+    // Seconds; around the targets of 150 to 1,500 ms and the time budgets of seconds.
+    const prometheus::Histogram::BucketBoundaries latencyBounds { 0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 0.8, 1.2,
+        2, 3, 5 };
+
+} // namespace
+
+class HostMetrics::Impl {
+public:
+    template <typename Kind>
+    static prometheus::Family<Kind>& family(prometheus::detail::Builder<Kind> builder,
+        prometheus::Registry& registry, const char* name, const char* help)
+    {
+        return builder.Name(name).Help(help).Register(registry);
+    }
+
+    prometheus::Gauge& gauge(const char* name, const char* help)
+    {
+        return family(prometheus::BuildGauge(), registry, name, help).Add({});
+    }
+
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& requests = family(prometheus::BuildCounter(), registry,
+        "almondscale_requests_total", "Requests of callers that ended, by route and outcome.");
+    prometheus::Family<prometheus::Histogram>& latency = family(prometheus::BuildHistogram(), registry,
+        "almondscale_request_seconds", "Time from a request's arrival to its end, by route.");
+    prometheus::Counter& furtherSends = family(prometheus::BuildCounter(), registry,
+        "almondscale_further_sends_total", "Sends to backend servers beyond the first of each request.")
+                                            .Add({});
+    prometheus::Family<prometheus::Counter>& storeReadings = family(prometheus::BuildCounter(), registry,
+        "almondscale_store_readings_total", "Readings of the store, by table and whether it answered.");
+    prometheus::Gauge& openRequests = gauge("almondscale_open_requests", "Requests that are being served.");
+    prometheus::Gauge& manifest = gauge("almondscale_manifest_version", "The manifest in force.");
+    prometheus::Gauge& hosts = gauge("almondscale_hosts", "Entry hosts that are known, this one included.");
+    prometheus::Gauge& reader
+        = gauge("almondscale_reader", "1 if this host reads the store for its data centre.");
+    prometheus::Gauge& backends = gauge("almondscale_backends", "Backend servers that are known.");
+};
+
+HostMetrics::HostMetrics()
+    : m_impl(std::make_unique<Impl>())
+{
+}
+
+HostMetrics::~HostMetrics() = default;
+
+void HostMetrics::onRequestEnd(const RequestEnd& end)
+{
+    m_impl->requests.Add({ { "route", end.route }, { "outcome", end.outcome } }).Increment();
+    m_impl->latency.Add({ { "route", end.route } }, latencyBounds)
+        .Observe(std::chrono::duration<double>(end.taken).count());
+    m_impl->furtherSends.Increment(end.furtherSends);
+}
+
+void HostMetrics::onStoreReading(const char* table, bool answered)
+{
+    m_impl->storeReadings.Add({ { "table", table }, { "answered", answered ? "yes" : "no" } }).Increment();
+}
+
+void HostMetrics::setOpenRequests(int count) { m_impl->openRequests.Set(count); }
+void HostMetrics::setManifest(std::int64_t version) { m_impl->manifest.Set(static_cast<double>(version)); }
+
+void HostMetrics::setHosts(int count, bool reader)
+{
+    m_impl->hosts.Set(count);
+    m_impl->reader.Set(reader ? 1 : 0);
+}
+
+void HostMetrics::setBackends(std::size_t count) { m_impl->backends.Set(static_cast<double>(count)); }
+
+std::string HostMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_impl->registry.Collect());
+}
+
+} // namespace almondscale
--- a/Programs/almondscale-host/MirrorDuty.cpp
+++ b/Programs/almondscale-host/MirrorDuty.cpp
@@ -119,7 +119,7 @@
     // A wait that ended without a change says that there was none until its end.
     const bool waited = !whole && rows.value().rows.empty() && paceOf(table).wait.count() > 0;
     m_mirror.apply(table, rows.value(), waited ? bootTime() - answerAge : askedAt, bootTime());
-    m_hooks.onRead();
+    m_hooks.onRead(table);
     co_return true;
 }
 
--- a/Programs/almondscale-host/MirrorDuty.h
+++ b/Programs/almondscale-host/MirrorDuty.h
@@ -18,7 +18,7 @@
         // Whether this host reads for its data centre.
         std::function<bool()> reader;
         // Something new was read, or the copy is known to be current again.
-        std::function<void()> onRead;
+        std::function<void(SharedTable)> onRead;
         // The store did not answer, or turned this host away.
         std::function<void(SharedTable)> onFailed;
     };
--- a/Programs/almondscale-host/main.cpp
+++ b/Programs/almondscale-host/main.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+// A host of the planned size ends 35 requests a second, a line each; the rest is for troubles.
+constexpr double logLinesPerSecond = 150;
+constexpr double logBurst = 400;
+
 struct Options {
     std::string settings = platform::settingsPath();
     bool check = false;
@@ -64,6 +68,7 @@
         return 0;
     }
     configureLog(LogLevel::Info);
+    limitLog(logLinesPerSecond, logBurst);
     return Host(read.settings).run();
 }
 
--- a/Source/Core/LogEvent.cpp
+++ b/Source/Core/LogEvent.cpp
@@ -1,8 +1,14 @@
 #include "Core/LogEvent.h"
 
+#include "Core/LogGate.h"
+
 #include <easylogging++.h>
 
 #include <algorithm>
+#include <chrono>
+
+#include <poll.h>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -32,6 +38,22 @@
         return text + '"';
     }
 
+    LogGate& logGate()
+    {
+        static LogGate gate;
+        return gate;
+    }
+
+    // Set before the loop starts and only read later.
+    bool checksOutput = false;
+
+    // A pipe that polls as writable takes a line of up to 4,096 bytes without waiting.
+    bool outputTakesLine()
+    {
+        pollfd out { STDOUT_FILENO, POLLOUT, 0 };
+        return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+    }
+
 } // namespace
 
 LogEvent::LogEvent(const char* event, LogLevel level)
@@ -42,6 +64,13 @@
 
 LogEvent::~LogEvent()
 {
+    auto& gate = logGate();
+    const double now
+        = std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+    if (!gate.admit(m_level, now, !checksOutput || outputTakesLine()))
+        return;
+    if (const auto omitted = gate.takeOmitted())
+        m_line += " lines_left_out=" + std::to_string(omitted);
     switch (m_level) {
     case LogLevel::Debug:
         LOG(DEBUG) << m_line;
@@ -67,6 +96,15 @@
     return *this;
 }
 
+void limitLog(double linesPerSecond, double burst)
+{
+    LogBudget budget;
+    budget.linesPerSecond = linesPerSecond;
+    budget.burst = burst;
+    logGate().setBudget(budget);
+    checksOutput = linesPerSecond > 0;
+}
+
 void configureLog(LogLevel lowest)
 {
     el::Configurations configuration;
--- a/Source/Core/LogEvent.h
+++ b/Source/Core/LogEvent.h
@@ -37,4 +37,8 @@
 // Sends the log to standard output; lines below the level are left out.
 void configureLog(LogLevel lowest);
 
+// Bounds the lines a second, with a burst, and never waits for a reader that does
+// not read: lines that cannot be written at once are counted and left out.
+void limitLog(double linesPerSecond, double burst);
+
 } // namespace almondscale
--- /dev/null
+++ b/Source/Forwarding/RequestEnd.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "Core/MonotonicTime.h"
+
+#include <string>
+
+namespace almondscale {
+
+// What became of one request of a caller.
+struct RequestEnd {
+    std::string route;
+    // A word such as "answered" or the kind of error.
+    std::string outcome;
+    Nanoseconds taken {};
+    // Sends beyond the first one.
+    int furtherSends = 0;
+};
+
+} // namespace almondscale
--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -491,6 +491,9 @@
 
     void logEnd() const
     {
+        if (m_context.onRequestEnd)
+            m_context.onRequestEnd({ m_route->name, m_callerGone ? "caller_left" : m_outcome,
+                bootTime() - m_arrivedAt, std::max(0, m_arrivals - 1) });
         LogEvent("request")
             .with("request", m_request.id)
             .with("route", m_route->name)
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -2,12 +2,15 @@
 
 #include "Core/RandomSource.h"
 #include "Forwarding/ConnectionPool.h"
+#include "Forwarding/RequestEnd.h"
 #include "Serving/DemandMeter.h"
 #include "Serving/Placement.h"
 #include "Serving/RetryGate.h"
 #include "Serving/RouteTable.h"
 #include "Serving/ServingWire.h"
 
+#include <functional>
+
 namespace almondscale {
 
 // What all requests of one host share; it outlives them.
@@ -21,6 +24,8 @@
     DemandMeter& demand;
     ConnectionPool& pool;
     RandomSource random;
+    // Told of each request that has ended.
+    std::function<void(const RequestEnd&)> onRequestEnd;
     // The host is shutting down: connections of callers end with their next answer.
     bool stopping = false;
     int openRequests = 0;
