Add a soak of real processes, and let a starting host read the tables after 300 ms

Change: Tests/Soak plays almondscale-host processes between a fake store, fake backend servers and proxies that delay, reset, silence, cut one way and refuse; processes are killed, paused and stopped; it checks the promises from both sides. A starting host reads for itself after 300 ms instead of 900.

--- a/Programs/almondscale-host/MirrorDuty.cpp
+++ b/Programs/almondscale-host/MirrorDuty.cpp
@@ -42,7 +42,7 @@
     constexpr Nanoseconds answerAge = milliseconds(100);
     constexpr Nanoseconds look = milliseconds(50);
     // The hosts start together, and links between them come first.
-    constexpr Nanoseconds startTime = milliseconds(900);
+    constexpr Nanoseconds startTime = milliseconds(300);
 
 } // namespace
 
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -25,7 +25,7 @@
     ConnectionPool& pool;
     RandomSource random;
     // Told of each request that has ended.
-    std::function<void(const RequestEnd&)> onRequestEnd;
+    std::function<void(const RequestEnd&)> onRequestEnd = {};
     // The host is shutting down: connections of callers end with their next answer.
     bool stopping = false;
     int openRequests = 0;
--- /dev/null
+++ b/Tests/Soak/fakes.py
@@ -0,0 +1,279 @@
+"""Fakes of the platform for the soak: a store, backend servers, and a proxy that misbehaves."""
+import asyncio
+import base64
+import json
+import random
+import urllib.parse
+
+
+async def read_message(reader):
+    """A request or response as (first line, fields, body); None at the end of the connection."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            fields[name.lower()] = value.strip()
+    body = b""
+    if fields.get("transfer-encoding") == "chunked":
+        while True:
+            size = int(await reader.readuntil(b"\r\n"), 16)
+            piece = await reader.readexactly(size + 2)
+            if size == 0:
+                break
+            body += piece[:-2]
+    elif "content-length" in fields:
+        body = await reader.readexactly(int(fields["content-length"]))
+    return lines[0], fields, body
+
+
+def response(status, body=b"", **fields):
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in fields.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Server:
+    """An HTTP server whose connections can be broken off all at once."""
+
+    def __init__(self, address):
+        self.address = address
+        self.server = None
+        self.writers = set()
+
+    async def start(self):
+        host, port = self.address.split(":")
+        self.server = await asyncio.start_server(self.serve, host, int(port), reuse_address=True)
+
+    def crash(self):
+        if self.server:
+            self.server.close()
+            self.server = None
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                line, fields, body = await read_message(reader)
+                if not await self.answer(line, fields, body, writer):
+                    break
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError, ValueError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.transport.abort()
+
+
+class Store(Server):
+    """The platform's store: tables of rows with one counter of versions, and a feed."""
+
+    def __init__(self, address):
+        super().__init__(address)
+        self.tables = {}
+        self.version = 0
+        self.changed = asyncio.Event()
+        self.mode = "sound"
+        self.disturbed_at = -1e9
+
+    def put(self, table, key, value):
+        self.version += 1
+        self.tables.setdefault(table, {})[key] = (value, self.version, value is None)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def rows(self, table, after):
+        found = [(key, *row) for key, row in self.tables.get(table, {}).items() if row[1] > after]
+        return [self.row(table, *row) for row in sorted(found, key=lambda row: row[2])]
+
+    @staticmethod
+    def row(table, key, value, version, removed):
+        row = {"table": table, "part": "", "key": key, "rowVersion": version}
+        if removed:
+            row["deleted"] = True
+        else:
+            row["value"] = base64.b64encode(value.encode()).decode()
+        return row
+
+    async def answer(self, line, fields, body, writer):
+        if self.mode == "silent":
+            await asyncio.sleep(60)
+            return False
+        if self.mode == "busy":
+            writer.write(response(503))
+            return True
+        await asyncio.sleep(0.3 if self.mode == "slow" else 0.002)
+        target = urllib.parse.urlsplit(line.split()[1])
+        query = {key: value[0] for key, value in urllib.parse.parse_qs(target.query).items()}
+        if target.path.endswith("rows-tx"):
+            status, answer = self.transact(json.loads(body))
+            if self.mode == "lossy" and random.random() < 0.4:
+                return False
+            writer.write(response(status, json.dumps(answer).encode()))
+            return True
+        table = query["table"]
+        after = int(query.get("after", 0))
+        if target.path.endswith("rows-feed") and not self.rows(table, after):
+            deadline = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
+            while not self.rows(table, after) and asyncio.get_running_loop().time() < deadline:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), deadline - asyncio.get_running_loop().time())
+                except asyncio.TimeoutError:
+                    break
+        rows = self.rows(table, after)
+        if target.path.endswith("rows-get"):
+            rows = [row for row in rows if not row.get("deleted")]
+        answer = {"rows": rows, "hasMore": False, "rowVersion": self.version}
+        writer.write(response(200, json.dumps(answer).encode()))
+        return True
+
+    def transact(self, call):
+        for row in call["expected"]:
+            kept = self.tables.get(row["table"], {}).get(row["key"])
+            version = 0 if kept is None or kept[2] else kept[1]
+            if version != row["rowVersion"]:
+                rows = [] if version == 0 else [self.row(row["table"], row["key"], *kept)]
+                return 412, {"rows": rows, "rowVersion": self.version}
+        for row in call["puts"]:
+            self.put(row["table"], row["key"], base64.b64decode(row["value"]).decode())
+        return 200, {"rowVersion": self.version}
+
+
+class Backend(Server):
+    """A backend server, plain or an engine, that counts what it runs."""
+
+    def __init__(self, world, name, address, seen_at, role):
+        super().__init__(address)
+        self.world, self.name, self.seen_at, self.role = world, name, seen_at, role
+        self.lives = 0
+        self.mode = "sound"
+        self.state = "ready"
+        self.left_at = None
+        self.orders = 0
+
+    @property
+    def identity(self):
+        return f"{self.name}-{self.lives}"
+
+    async def live(self):
+        self.lives += 1
+        self.state, self.left_at = "ready", None
+        await self.start()
+        self.register()
+
+    def register(self):
+        entry = {"service": "llm" if self.role else "desk", "address": self.seen_at, "zone": "a", "version": "v1",
+                 "slots": 64 if self.role else 6, "state": self.state, "coldRemainingMs": 0, "sequence": 1}
+        if self.role:
+            entry["stage"] = self.role
+        self.world.store.put("servers", self.identity, json.dumps(entry))
+
+    async def answer(self, line, fields, body, writer):
+        method, target, _ = line.split()
+        if target.startswith("/almondscale/"):
+            return await self.control(method, target, body, writer)
+        wanted = fields.get("expect-instance")
+        if wanted and wanted != self.identity:
+            writer.write(response(421, Instance_Id=self.identity))
+            return True
+        request = fields["request-id"]
+        if self.left_at is not None:
+            self.world.on_late_arrival(self, request)
+        if self.mode == "shed" and random.random() < 0.5:
+            writer.write(response(503, Not_Executed=1, Request_Id=request))
+            return True
+        if fields.get("serving-stage") == "prefill":
+            handle = json.dumps({"kvHandle": "h" + request, "tokens": 100, "version": 1}).encode()
+            await asyncio.sleep(0.01)
+            writer.write(response(200, handle, Request_Id=request))
+            return True
+        self.world.on_run(request, self)
+        await asyncio.sleep(0.3 if self.mode == "slow" else 0.02)
+        if self.mode == "lose" and random.random() < 0.3:
+            return False
+        if self.role:
+            return await self.stream(request, fields, writer)
+        writer.write(response(200, f"answer to {request}".encode(), Request_Id=request, Response_Signature="s"))
+        return True
+
+    async def stream(self, request, fields, writer):
+        writer.write((f"HTTP/1.1 200 X\r\nRequest-Id: {request}\r\nResponse-Signature: s\r\n"
+                      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
+        for event in range(int(fields.get("last-event-id") or 0) + 1, 7):
+            text = f"id: {event}\ndata: {request}-{event}\n\n".encode()
+            if self.mode == "lose" and random.random() < 0.1:
+                writer.write(b"%x\r\n" % len(text) + text[:9])
+                return False
+            writer.write(b"%x\r\n" % len(text) + text + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    async def control(self, method, target, body, writer):
+        if target.endswith("/report"):
+            report = {"stage": self.role, "busy": False, "sequence": self.orders}
+            writer.write(response(200, json.dumps(report).encode()))
+        elif target.endswith("/order"):
+            order = json.loads(body)
+            status = 409 if order.get("expected", self.orders) != self.orders else 202
+            if status == 202:
+                self.world.on_order(self, order)
+                self.orders += 1
+                self.role = order["stage"]
+                self.register()
+            writer.write(response(status))
+        else:
+            writer.write(response(200))
+        return True
+
+
+class Proxy:
+    """Carries connections to a server, and delays, breaks or silences them when told."""
+
+    def __init__(self, address, target):
+        self.address, self.target = address, target
+        self.mode = "sound"
+        self.writers = set()
+
+    async def start(self):
+        host, port = self.address.split(":")
+        await asyncio.start_server(self.carry, host, int(port), reuse_address=True)
+
+    def reset(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def carry(self, reader, writer):
+        host, port = self.target.split(":")
+        if self.mode == "refuse":
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, far_writer}
+        pumps = [asyncio.create_task(self.pump(reader, far_writer, "in")),
+                 asyncio.create_task(self.pump(far_reader, writer, "out"))]
+        await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        for each in (writer, far_writer):
+            self.writers.discard(each)
+            each.close()
+
+    async def pump(self, reader, writer, direction):
+        try:
+            while data := await reader.read(65536):
+                if self.mode == "delay":
+                    await asyncio.sleep(0.15)
+                # Silenced or cut one way: the bytes vanish and the connection stays.
+                if self.mode == "silent" or (self.mode == "one_way" and direction == "out"):
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
--- /dev/null
+++ b/Tests/Soak/soak.py
@@ -0,0 +1,414 @@
+#!/usr/bin/env python3
+"""A randomized soak: real almondscale-host processes between fake platform, backend servers and callers.
+
+Usage: Tests/Soak/soak.py --program FILE [--seeds FIRST-LAST] [--parallel N] [--hosts N]
+
+Each seed plays about 25 s of traffic, faults that overlap, and a calm end, and checks the promises of
+docs/PROMISES.md from what callers and backend servers see. Processes are ended by their ids only.
+"""
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+
+from fakes import Backend, Proxy, Store, read_message
+
+FAULTS_S = 12.0
+CALM_S = 8.0
+# A server that leaves gets no new request after this; the platform's bound and a slack for this machine.
+DRAIN_S = 2.3
+# Share of the requests of the calm end that are served.
+LEAST_SERVED = 0.95
+
+MANIFEST = {
+    "version": 1,
+    "routes": [
+        {"name": name, "host": "h", "pathPrefix": f"/{name}/", "kind": kind, "timeoutMs": 3000,
+         "targetLatencyMs": 800, "priority": 1, "service": service, "maxAttempts": attempts, "sticky": kind == "stream",
+         "resumable": resumable, "targetGapMs": 400}
+        for name, kind, service, attempts, resumable in [
+            ("safe", "safe", "desk", 2, False), ("unsafe", "unsafe", "desk", 2, False),
+            ("stream", "stream", "llm", 2, True), ("once", "stream", "llm", 1, False)]],
+    "services": [{"name": "desk", "maxConnections": 200},
+                 {"name": "llm", "maxConnections": 200,
+                  "engine": {"slots": 64, "kvCapacityTokens": 400000, "tokenKvBytes": 18432, "handleTtlS": 5.0,
+                             "roleSwitchS": 0.1}}],
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+}
+
+
+class HostProcess:
+    """One almondscale-host that the soak starts, signals and watches."""
+
+    def __init__(self, world, number):
+        self.world, self.number = world, number
+        self.ip = f"{world.net}.1.{number + 1}"
+        self.settings = os.path.join(world.folder, f"host{number}.conf")
+        self.process = None
+        self.ended_by_us = False
+        self.stopping_since = None
+        self.ready = False
+
+    async def start(self):
+        with open(self.settings, "w", encoding="ascii") as file:
+            file.write(f"nodeName=n{self.number}\nzone={'ab'[self.number % 2]}\nip={self.ip}\n"
+                       f"listen.front={self.ip}:8149\nlisten.ready={self.ip}:8141\ninternalPortRange=7380,7395\n"
+                       f"seedNodes={self.world.net}.1.1:8144,{self.world.net}.1.2:8144\n"
+                       f"platform.address={self.world.store_proxies[self.number].address}\nbounds.graceS=6\n"
+                       f"limits.cpuShare=0.25\nlimits.linkMbps={100 + self.number}\n"
+                       "bounds.retryBudgetMin=56\nbounds.leaseMs=3000\n")
+        self.ended_by_us, self.stopping_since = False, None
+        with open(self.settings + ".log", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.world.program, "--settings", self.settings, stdout=log, stderr=log)
+        asyncio.create_task(self.watch(self.process))
+
+    async def watch(self, process):
+        code = await process.wait()
+        if not self.ended_by_us and not self.world.over:
+            self.world.fail(f"host n{self.number} ended by itself with {code}")
+
+    def signal(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def end(self, number):
+        self.ended_by_us = True
+        self.stopping_since = time.monotonic()
+        self.signal(signal.SIGCONT)
+        self.signal(number)
+        if self.process:
+            try:
+                await asyncio.wait_for(self.process.wait(), 8)
+            except asyncio.TimeoutError:
+                self.world.fail(f"host n{self.number} did not end within its grace")
+                self.signal(signal.SIGKILL)
+                await self.process.wait()
+
+
+class World:
+    """One seed's run."""
+
+    def __init__(self, program, seed, hosts, folder):
+        self.program, self.seed, self.folder = program, seed, folder
+        self.random = random.Random(seed)
+        self.net = f"127.{1 + seed % 250}"
+        self.store = Store(f"{self.net}.0.1:7000")
+        self.failures = []
+        self.over = False
+        self.unplanned_until = 0.0
+        self.runs = {}
+        self.refused = set()
+        self.counts = {"asked": 0, "served": 0, "calm_asked": 0, "calm_served": 0}
+        self.calm = False
+        self.orders = []
+        self.store_proxies = [Proxy(f"{self.net}.2.{i + 1}:7000", self.store.address) for i in range(hosts)]
+        self.backends, self.backend_proxies = [], []
+        for i in range(8):
+            role = None if i < 3 else ("prefill" if i < 6 else "decode")
+            proxy = Proxy(f"{self.net}.3.{i + 1}:8080", f"{self.net}.4.{i + 1}:8080")
+            self.backend_proxies.append(proxy)
+            self.backends.append(Backend(self, f"s{i}", proxy.target, proxy.address, role))
+        self.hosts = [HostProcess(self, i) for i in range(hosts)]
+
+    def fail(self, what):
+        self.failures.append(f"{time.monotonic() - self.started:.2f} s: {what}")
+
+    def unplanned(self, seconds):
+        """Promises around planned work and about time do not hold beside unplanned trouble."""
+        self.unplanned_until = max(self.unplanned_until, time.monotonic() + seconds)
+
+    # What the backend servers see.
+    def on_run(self, request, backend):
+        runs = self.runs.setdefault(request, [])
+        runs.append(backend.identity)
+        if request.startswith(("unsafe", "once")) and len(runs) > 1:
+            self.fail(f"request {request} ran {len(runs)} times, at {runs}")
+        if request in self.refused and request.startswith(("unsafe", "once")):
+            self.fail(f"request {request} was refused as not run and ran at {backend.identity}")
+
+    def on_late_arrival(self, backend, request):
+        late = time.monotonic() - backend.left_at
+        if late > DRAIN_S and time.monotonic() > self.unplanned_until + 3:
+            self.fail(f"request {request} reached {backend.identity} {late:.2f} s after it said that it leaves")
+
+    def on_order(self, backend, order):
+        self.orders.append((time.monotonic(), order["holder"], order["fencingToken"], backend.identity))
+        for at, holder, fence, _ in self.orders[:-1]:
+            if holder != order["holder"] and fence >= order["fencingToken"]:
+                self.fail(f"order of {order['holder']} with fence {order['fencingToken']} after fence {fence} of {holder}")
+            if holder != order["holder"] and time.monotonic() - at < 3:
+                self.fail(f"holders {holder} and {order['holder']} gave orders within a lease's time")
+
+    # Callers.
+    async def caller(self, number):
+        reader = writer = host = None
+        sequence = 0
+        rng = random.Random(self.seed * 1000 + number)
+        while not self.over:
+            await asyncio.sleep(rng.uniform(0.02, 0.12))
+            if writer is None or writer.is_closing() or rng.random() < 0.1:
+                if writer:
+                    writer.close()
+                    writer = None
+                hosts = [each for each in self.hosts if each.ready] or self.hosts
+                host = rng.choice(hosts)
+                try:
+                    reader, writer = await asyncio.wait_for(asyncio.open_connection(host.ip, 8149), 1)
+                except (OSError, asyncio.TimeoutError):
+                    writer = None
+                    continue
+            sequence += 1
+            kind = rng.choice(["safe", "unsafe", "stream", "once"])
+            if not await self.request(f"{kind}-{number}-{sequence}", kind, reader, writer, host):
+                writer.close()
+                writer = None
+
+    async def request(self, request, kind, reader, writer, host):
+        body = b"x" * 200 if kind != "safe" else b""
+        head = (f"{'GET' if kind == 'safe' else 'POST'} /{kind}/x HTTP/1.1\r\nHost: h\r\nRequest-Id: {request}\r\n"
+                f"Deadline-Ms: 2500\r\nContent-Length: {len(body)}\r\n")
+        if kind in ("stream", "once"):
+            head += "Model-Id: m\r\nToken-Count: 1000,60\r\nPrefix-Hash: aa:800,bb:200\r\n"
+        calm, asked_at = self.calm, time.monotonic()
+        self.counts["asked"] += 1
+        self.counts["calm_asked"] += calm
+        try:
+            writer.write(head.encode() + b"\r\n" + body)
+            line, fields, answer = await asyncio.wait_for(read_message(reader), 4)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.TimeoutError, ValueError) as error:
+            self.check_cut(request, kind, host, asked_at, error)
+            return False
+        status = int(line.split()[1])
+        self.check_answer(request, kind, status, fields, answer)
+        if status == 200:
+            self.counts["served"] += 1
+            self.counts["calm_served"] += calm
+        return fields.get("connection", "").lower() != "close"
+
+    def check_answer(self, request, kind, status, fields, answer):
+        if status in (429, 503, 408, 421):
+            self.refused.add(request)
+            if self.runs.get(request) and kind in ("unsafe", "once"):
+                self.fail(f"request {request} was answered {status} and had run at {self.runs[request]}")
+        if status != 200:
+            return
+        if fields.get("request-id") != request or "response-signature" not in fields:
+            self.fail(f"request {request} got an answer that is not its own: {fields}")
+        expected = f"answer to {request}"
+        if kind in ("stream", "once"):
+            expected = "".join(f"id: {event}\ndata: {request}-{event}\n\n" for event in range(1, 7))
+        if answer.decode() != expected:
+            self.fail(f"request {request} got another body than its own: {answer[:200]!r}")
+
+    def check_cut(self, request, kind, host, asked_at, error):
+        planned = host.stopping_since is not None and time.monotonic() - host.stopping_since < 7
+        ran = bool(self.runs.get(request))
+        if planned and ran and asked_at < host.stopping_since and asked_at > self.unplanned_until + 3:
+            self.fail(f"request {request} was cut by a planned stop of n{host.number}: {error!r}")
+
+    # Faults.
+    async def faults(self):
+        actions = [self.store_fault, self.host_kill, self.host_pause, self.host_term, self.backend_crash,
+                   self.backend_mode, self.backend_drain, self.link_fault, self.store_link_fault]
+        end = time.monotonic() + FAULTS_S
+        under_way = []
+        while time.monotonic() < end:
+            under_way.append(asyncio.create_task(self.random.choice(actions)()))
+            await asyncio.sleep(self.random.uniform(0.3, 2.0))
+        await asyncio.gather(*under_way)
+
+    def span(self):
+        return self.random.uniform(0.5, 4.0)
+
+    async def store_fault(self):
+        span = self.span()
+        self.unplanned(span)
+        self.store.mode = self.random.choice(["silent", "busy", "slow", "lossy"])
+        await asyncio.sleep(span)
+        self.store.mode = "sound"
+
+    async def host_kill(self):
+        span = self.span()
+        self.unplanned(span + 1)
+        host = self.random.choice(self.hosts)
+        if not host.ended_by_us:
+            await host.end(signal.SIGKILL)
+            await asyncio.sleep(span / 4)
+            await host.start()
+
+    async def host_pause(self):
+        span = self.span()
+        self.unplanned(span + 1)
+        host = self.random.choice(self.hosts)
+        host.signal(signal.SIGSTOP)
+        await asyncio.sleep(span)
+        host.signal(signal.SIGCONT)
+
+    async def host_term(self):
+        host = self.random.choice(self.hosts)
+        if not host.ended_by_us:
+            await host.end(signal.SIGTERM)
+            await host.start()
+
+    async def backend_crash(self):
+        backend = self.random.choice(self.backends)
+        span = self.span()
+        self.unplanned(span)
+        old = backend.identity
+        backend.crash()
+        await asyncio.sleep(span)
+        self.store.put("servers", old, None)
+        await backend.live()
+
+    async def backend_mode(self):
+        backend = self.random.choice(self.backends)
+        span = self.span()
+        self.unplanned(span)
+        backend.mode = self.random.choice(["shed", "lose", "slow"])
+        await asyncio.sleep(span)
+        backend.mode = "sound"
+
+    async def backend_drain(self):
+        backend = self.random.choice(self.backends)
+        if backend.state != "ready" or backend.server is None:
+            return
+        old = backend.identity
+        backend.state, backend.left_at = "draining", time.monotonic()
+        backend.register()
+        await asyncio.sleep(3.5)
+        if backend.server is not None and backend.identity == old:
+            backend.crash()
+            self.store.put("servers", old, None)
+            await backend.live()
+
+    async def link_fault(self):
+        await self.proxy_fault(self.random.choice(self.backend_proxies))
+
+    async def store_link_fault(self):
+        await self.proxy_fault(self.random.choice(self.store_proxies))
+
+    async def proxy_fault(self, proxy):
+        span = self.span()
+        self.unplanned(span)
+        mode = self.random.choice(["delay", "reset", "silent", "one_way", "refuse"])
+        if mode == "reset":
+            proxy.reset()
+            return
+        proxy.mode = mode
+        await asyncio.sleep(span)
+        # Bytes that vanished are not sent again, so connections through a silence cannot go on.
+        if mode in ("silent", "one_way"):
+            proxy.reset()
+        proxy.mode = "sound"
+
+    async def heartbeats(self):
+        while not self.over:
+            await asyncio.sleep(1.2)
+            for backend in self.backends:
+                if backend.server is not None:
+                    backend.register()
+
+    async def rotation(self):
+        """Asks each host whether it is ready, like the platform's balancer."""
+        while not self.over:
+            for host in self.hosts:
+                host.ready = await self.is_ready(host)
+            await asyncio.sleep(0.4)
+
+    @staticmethod
+    async def is_ready(host):
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(host.ip, 8141), 0.5)
+            writer.write(b"GET /almondscale/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            line, _, _ = await asyncio.wait_for(read_message(reader), 0.5)
+            writer.close()
+            return " 200 " in line
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return False
+
+    async def play(self):
+        self.started = time.monotonic()
+        await self.store.start()
+        for proxy in self.store_proxies + self.backend_proxies:
+            await proxy.start()
+        for backend in self.backends:
+            await backend.live()
+        self.store.put("op", "config", json.dumps(MANIFEST))
+        for host in self.hosts:
+            await host.start()
+        tasks = [asyncio.create_task(task) for task in [self.heartbeats(), self.rotation()]]
+        await asyncio.sleep(5.5)
+        tasks += [asyncio.create_task(self.caller(number)) for number in range(12)]
+        await self.faults()
+        await asyncio.sleep(CALM_S / 2)
+        self.calm = True
+        await asyncio.sleep(CALM_S / 2)
+        self.calm = False
+        await asyncio.sleep(0.5)
+        if self.counts["calm_served"] < LEAST_SERVED * self.counts["calm_asked"]:
+            self.fail(f"of {self.counts['calm_asked']} requests after the faults only "
+                      f"{self.counts['calm_served']} were served")
+        if self.counts["calm_asked"] < 50:
+            self.fail(f"only {self.counts['calm_asked']} requests were asked after the faults")
+        self.over = True
+        for host in self.hosts:
+            host.ended_by_us = True
+            host.signal(signal.SIGCONT)
+            host.signal(signal.SIGKILL)
+        await asyncio.sleep(0.2)
+        for task in tasks:
+            task.cancel()
+
+
+def play_seed(arguments, seed):
+    random.seed(seed)
+    folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
+    world = World(arguments.program, seed, arguments.hosts, folder)
+
+    async def run():
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        await world.play()
+
+    asyncio.run(run())
+    verdict = "failed" if world.failures else "passed"
+    print(f"seed={seed} {verdict} asked={world.counts['asked']} served={world.counts['served']} "
+          f"calm={world.counts['calm_served']}/{world.counts['calm_asked']} orders={len(world.orders)}"
+          + (f" logs={folder}" if world.failures else ""), flush=True)
+    for failure in world.failures[:10]:
+        print(f"  {failure}", flush=True)
+    return not world.failures
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--program", required=True, help="the almondscale-host to run")
+    parser.add_argument("--seeds", default="1-1", help="FIRST-LAST")
+    parser.add_argument("--parallel", type=int, default=1)
+    parser.add_argument("--hosts", type=int, default=4)
+    arguments = parser.parse_args()
+    arguments.program = os.path.abspath(arguments.program)
+    first, _, last = arguments.seeds.partition("-")
+    waiting = list(range(int(first), int(last or first) + 1))
+    running, passed, failed = {}, 0, 0
+    while waiting or running:
+        while waiting and len(running) < arguments.parallel:
+            seed = waiting.pop(0)
+            child = os.fork()
+            if child == 0:
+                os._exit(0 if play_seed(arguments, seed) else 1)
+            running[child] = seed
+        child, status = os.wait()
+        running.pop(child)
+        passed, failed = passed + (status == 0), failed + (status != 0)
+    print(f"{passed} passed, {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
