Let the soak lose more answers, and end every run

Change: faults come twice as often, those that lose answers most; one end at a time for each backend server; a run that does not end in 75 s fails, says where its tasks wait, and ends its processes.

--- a/Tests/Forwarding/ForwardingFixture.h
+++ b/Tests/Forwarding/ForwardingFixture.h
@@ -90,7 +90,7 @@
     }
 
     static LoopbackServer::Answer whole(
-        int status, std::string body, std::string more = "Response-Signature: s\r\n")
+        int status, const std::string& body, const std::string& more = "Response-Signature: s\r\n")
     {
         return [=](const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
             co_await LoopbackServer::write(socket, answerText(request, status, body, more));
--- a/Tests/PlatformAdapter/StoreClientTest.cpp
+++ b/Tests/PlatformAdapter/StoreClientTest.cpp
@@ -49,7 +49,7 @@
     template <typename T> T run(awaitable<T> call)
     {
         std::optional<T> result;
-        spawn(loop.get_executor(), store_(std::move(call), result));
+        spawn(loop.get_executor(), storeInto(std::move(call), result));
         while (!result && loop.run_one() > 0) { }
         return std::move(*result);
     }
@@ -64,7 +64,7 @@
     LoopbackServer store;
 
 private:
-    template <typename T> static awaitable<void> store_(awaitable<T> call, std::optional<T>& result)
+    template <typename T> static awaitable<void> storeInto(awaitable<T> call, std::optional<T>& result)
     {
         result.emplace(co_await std::move(call));
     }
--- a/Tests/Soak/fakes.py
+++ b/Tests/Soak/fakes.py
@@ -152,6 +152,8 @@
         self.mode = "sound"
         self.state = "ready"
         self.left_at = None
+        # A crash or a planned end is under way.
+        self.ending = False
         self.orders = 0
 
     @property
@@ -160,7 +162,7 @@
 
     async def live(self):
         self.lives += 1
-        self.state, self.left_at = "ready", None
+        self.state, self.left_at, self.ending = "ready", None, False
         await self.start()
         self.register()
 
@@ -192,7 +194,7 @@
             return True
         self.world.on_run(request, self)
         await asyncio.sleep(0.3 if self.mode == "slow" else 0.02)
-        if self.mode == "lose" and random.random() < 0.3:
+        if self.mode == "lose" and random.random() < 0.5:
             return False
         if self.role:
             return await self.stream(request, fields, writer)
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -20,6 +20,8 @@
 
 FAULTS_S = 12.0
 CALM_S = 8.0
+# A run takes less than half of this.
+LONGEST_S = 75.0
 # A server that leaves gets no new request after this; the platform's bound and a slack for this machine.
 DRAIN_S = 2.3
 # Share of the requests of the calm end that are served.
@@ -214,13 +216,14 @@
 
     # Faults.
     async def faults(self):
-        actions = [self.store_fault, self.host_kill, self.host_pause, self.host_term, self.backend_crash,
-                   self.backend_mode, self.backend_drain, self.link_fault, self.store_link_fault]
+        # Those that lose answers come more often: they are what repeats could go wrong on.
+        actions = [self.store_fault, self.host_kill, self.host_pause, self.host_term, self.backend_drain,
+                   self.store_link_fault] + 2 * [self.backend_crash, self.link_fault] + 4 * [self.backend_mode]
         end = time.monotonic() + FAULTS_S
         under_way = []
         while time.monotonic() < end:
             under_way.append(asyncio.create_task(self.random.choice(actions)()))
-            await asyncio.sleep(self.random.uniform(0.3, 2.0))
+            await asyncio.sleep(self.random.uniform(0.1, 1.0))
         await asyncio.gather(*under_way)
 
     def span(self):
@@ -258,6 +261,9 @@
 
     async def backend_crash(self):
         backend = self.random.choice(self.backends)
+        if backend.ending:
+            return
+        backend.ending = True
         span = self.span()
         self.unplanned(span)
         old = backend.identity
@@ -270,22 +276,22 @@
         backend = self.random.choice(self.backends)
         span = self.span()
         self.unplanned(span)
-        backend.mode = self.random.choice(["shed", "lose", "slow"])
+        backend.mode = self.random.choice(["shed", "lose", "lose", "slow"])
         await asyncio.sleep(span)
         backend.mode = "sound"
 
     async def backend_drain(self):
         backend = self.random.choice(self.backends)
-        if backend.state != "ready" or backend.server is None:
+        if backend.ending:
             return
+        backend.ending = True
         old = backend.identity
         backend.state, backend.left_at = "draining", time.monotonic()
         backend.register()
         await asyncio.sleep(3.5)
-        if backend.server is not None and backend.identity == old:
-            backend.crash()
-            self.store.put("servers", old, None)
-            await backend.live()
+        backend.crash()
+        self.store.put("servers", old, None)
+        await backend.live()
 
     async def link_fault(self):
         await self.proxy_fault(self.random.choice(self.backend_proxies))
@@ -357,11 +363,6 @@
         if self.counts["calm_asked"] < 50:
             self.fail(f"only {self.counts['calm_asked']} requests were asked after the faults")
         self.over = True
-        for host in self.hosts:
-            host.ended_by_us = True
-            host.signal(signal.SIGCONT)
-            host.signal(signal.SIGKILL)
-        await asyncio.sleep(0.2)
         for task in tasks:
             task.cancel()
 
@@ -373,7 +374,22 @@
 
     async def run():
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
-        await world.play()
+        played = asyncio.create_task(world.play())
+        done, _ = await asyncio.wait([played], timeout=LONGEST_S)
+        if not done:
+            world.fail("the run did not end; its tasks wait at:")
+            for task in asyncio.all_tasks():
+                frames = [f"{frame.f_code.co_name}:{frame.f_lineno}" for frame in task.get_stack()]
+                print("  ", task.get_coro().__name__, " ".join(frames), flush=True)
+        elif played.exception():
+            world.fail(f"the soak itself failed: {played.exception()!r}")
+        world.over = True
+        # Only processes that this run started, by their ids.
+        for host in world.hosts:
+            host.ended_by_us = True
+            host.signal(signal.SIGCONT)
+            host.signal(signal.SIGKILL)
+        await asyncio.sleep(0.2)
 
     asyncio.run(run())
     verdict = "failed" if world.failures else "passed"
--- a/Tests/Support/LoopbackServer.h
+++ b/Tests/Support/LoopbackServer.h
@@ -23,7 +23,7 @@
     // Answers one request; the connection is closed afterwards if it says so.
     using Answer = std::function<awaitable<bool>(const Request&, tcp::socket&)>;
 
-    LoopbackServer(const boost::asio::any_io_executor& executor, Address address, Answer answer)
+    LoopbackServer(const boost::asio::any_io_executor& executor, const Address& address, Answer answer)
         : m_answer(std::move(answer))
         , m_listener(executor, [this](tcp::socket socket) {
             const auto executor = socket.get_executor();
