--- /dev/null
+++ b/Source/Forwarding/RequestRunImpl.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "Forwarding/AttemptEnd.h"
+#include "Forwarding/RequestRun.h"
+#include "Serving/EventCutter.h"
+#include "Serving/OpenWork.h"
+
+#include <functional>
+
+namespace almondscale {
+
+// The largest whole answer that is held for a caller, in bytes.
+inline constexpr std::size_t mostAnswerBytes = 8 << 20;
+
+inline Nanoseconds fromMs(double ms) { return Nanoseconds(static_cast<std::int64_t>(ms * 1e6)); }
+
+// The state of one request's run; its parts are in RequestRun.cpp and RequestRunStream.cpp.
+class RequestRun::Impl : public std::enable_shared_from_this<RequestRun::Impl> {
+public:
+    Impl(ServingContext&, CallerRequest, std::shared_ptr<const Route>, AnswerSink);
+    ~Impl() { --m_context.openRequests; }
+
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+
+    awaitable<void> run();
+
+    void abandon() { stop(m_callerGone); }
+
+private:
+    using Attempt = std::function<awaitable<AttemptEnd>()>;
+
+    bool stopped() const { return m_callerGone || m_timeUp; }
+
+    void stop(bool& reason);
+
+    awaitable<void> runAttempts(Attempt attempt);
+
+    // Whether the request may be sent to another server; counts the further attempt if so.
+    bool mayTryAgain();
+
+    awaitable<void> giveUp();
+
+    awaitable<void> refuse(ErrorKind kind);
+
+    // A connection to the server, or null if none could be made; nothing was sent then.
+    awaitable<bool> openConnection(BackendId id, Address address, Deadline deadline);
+
+    // Sends the request and reads the head of the answer to it.
+    awaitable<Result<BackendReply>> exchange(const BackendCall& call, Deadline deadline);
+
+    BackendCall callTo(const BackendId& id) const;
+
+    void dropConnection();
+
+    void note(const BackendId& id, BackendOutcome outcome);
+
+    // What a refusal or a failure before any byte of the answer means for the request.
+    AttemptEnd endOfError(const BackendId& id, const std::error_code& error);
+
+    // Takes over an answer that says the request did not run.
+    awaitable<AttemptEnd> endOfRefusal(const BackendId& id, const BackendReply& reply, Deadline deadline);
+
+    // Delivers a whole answer, or keeps it if it is a failure after which another server may be tried.
+    awaitable<AttemptEnd> takeWhole(const BackendId& id, BackendReply reply, Deadline deadline);
+
+    awaitable<AttemptEnd> attemptPlain();
+
+    AttemptEnd noServer();
+
+    awaitable<AttemptEnd> attemptStream();
+
+    awaitable<std::optional<std::string>> prefillAt(PlacementChoice choice, Address address);
+
+    static awaitable<void> freeAt(ServingContext& context, KvSource source);
+
+    void freeHandle(const KvSource&);
+
+    awaitable<AttemptEnd> decode(std::optional<KvSource> source, DataCentre prefilledIn);
+
+    // Until when the next part of a stream is waited for.
+    Deadline silenceDeadline() const;
+
+    awaitable<AttemptEnd> forwardStream(BackendId id, BackendReply reply);
+
+    AttemptEnd leftMidway();
+
+    void logEnd() const;
+
+    std::int64_t msSince(MonotonicTime at) const;
+
+    ServingContext& m_context;
+    CallerRequest m_request;
+    std::shared_ptr<const Route> m_route;
+    AnswerSink m_sink;
+    ServiceName m_service;
+    std::optional<EngineSpec> m_engine;
+    MonotonicTime m_arrivedAt;
+    Deadline m_deadline;
+    // The last choice of an engine for the prefill, and when it was done.
+    std::optional<PlacementChoice> m_prefill;
+    MonotonicTime m_prefilledAt {};
+
+    Placement::Excluded m_excluded;
+    Placement::Excluded m_prefillExcluded;
+    std::unique_ptr<BackendConnection> m_connection;
+    BackendId m_backend;
+    EventCutter m_cutter;
+    // The event after which a further attempt goes on.
+    std::string m_lastEvent;
+    // The answer of a server that failed, for want of a better one.
+    std::optional<OwnAnswer> m_failure;
+    ErrorKind m_error = ErrorKind::NoEngine;
+    const char* m_outcome = "";
+    // Sends that count as attempts, and servers that may have run the request.
+    int m_arrivals = 0;
+    // Attempts after the first, those that did not run included.
+    int m_cycles = 0;
+    // An engine accepted a prefill, or did not.
+    bool m_prefilled = false;
+    bool m_prefillFailed = false;
+    int m_runs = 0;
+    bool m_headSent = false;
+    bool m_mayHaveRun = false;
+    bool m_outOfServers = false;
+    bool m_callerGone = false;
+    bool m_timeUp = false;
+};
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -0,0 +1,196 @@
+#include "Forwarding/RequestRunImpl.h"
+
+#include "Core/LogEvent.h"
+#include "Forwarding/BootClock.h"
+#include "Forwarding/HttpCaller.h"
+#include "Forwarding/Spawn.h"
+
+#include <algorithm>
+
+namespace almondscale {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    // A call for a prefill is taken as lost after three times what it should take and this.
+    constexpr Nanoseconds prefillSlack = milliseconds(700);
+    // From the end of a prefill to the first event of the answer.
+    constexpr Nanoseconds decodeTime = milliseconds(150);
+    // A decode engine that is silent for this long, where the request may go elsewhere.
+    constexpr Nanoseconds streamSilence = milliseconds(1000);
+    // Time for freeing a KV cache, which expires by itself.
+    constexpr Nanoseconds freeTime = milliseconds(500);
+
+} // namespace
+
+awaitable<AttemptEnd> RequestRun::Impl::attemptStream()
+{
+    const auto& prompt = *m_request.prompt;
+    const auto prefill = m_context.placement.choosePrefill(m_service, prompt, m_prefillExcluded,
+        Deadline(m_arrivedAt + m_route->target - decodeTime), bootTime());
+    std::optional<KvSource> source;
+    DataCentre prefilledIn;
+    if (prefill) {
+        if (fromMs(prefill->expectedMs) > m_deadline.remaining(bootTime())) {
+            m_outOfServers = true;
+            m_error = ErrorKind::DeadlineUnreachable;
+            co_return AttemptEnd::NotRun;
+        }
+        const auto* engine = m_context.backends.find(prefill->backend);
+        prefilledIn = engine->record.dataCentre;
+        const auto address = engine->record.address;
+        auto handle = co_await prefillAt(*prefill, address);
+        if (!handle)
+            co_return AttemptEnd::NotRun;
+        source = KvSource { address, *handle };
+    }
+    const auto end = co_await decode(source, prefilledIn);
+    if (source && end == AttemptEnd::NotRun)
+        freeHandle(*source);
+    co_return end;
+}
+
+awaitable<std::optional<std::string>> RequestRun::Impl::prefillAt(PlacementChoice choice, Address address)
+{
+    const auto id = choice.backend;
+    m_prefill = choice;
+    m_prefillExcluded.insert(id);
+    m_backend = id;
+    const OpenWork work(m_context.backends, id, BackendLoad { choice.workMs, 0, 0 });
+    m_context.backends.notePart(id, m_request.prompt->sharedKey, bootTime());
+    const auto sentAt = bootTime();
+    const auto deadline
+        = std::min(m_deadline, Deadline::after(sentAt, 3 * fromMs(choice.expectedMs) + prefillSlack));
+    const bool connected = co_await openConnection(id, address, deadline);
+    if (!connected)
+        co_return std::nullopt;
+    auto call = callTo(id);
+    call.prefillOnly = true;
+    call.lastEvent.clear();
+    auto reply = co_await exchange(call, deadline);
+    if (!reply) {
+        m_prefillFailed = true;
+        note(id, BackendOutcome::Broken);
+        dropConnection();
+        co_return std::nullopt;
+    }
+    if (!reply.value().success()) {
+        m_prefillFailed = true;
+        co_await endOfRefusal(id, reply.value(), deadline);
+        co_return std::nullopt;
+    }
+    auto body = co_await m_connection->readWholeBody(mostAnswerBytes, deadline);
+    if (!body) {
+        m_prefillFailed = true;
+        note(id, BackendOutcome::Broken);
+        dropConnection();
+        co_return std::nullopt;
+    }
+    m_context.pool.giveBack(std::move(m_connection));
+    dropConnection();
+    note(id, BackendOutcome::Answered);
+    m_prefilled = true;
+    m_context.backends.noteSpeed(id, bootTime() - sentAt, fromMs(choice.ordinaryMs));
+    m_prefilledAt = bootTime();
+    co_return m_context.wire.decodeKvHandle(body.value());
+}
+
+awaitable<void> RequestRun::Impl::freeAt(ServingContext& context, KvSource source)
+{
+    const auto freed = co_await callHttp(context.pool, source.engine,
+        context.wire.encodeFreeHandle(source.handle), std::string(), Deadline::after(bootTime(), freeTime));
+    if (!freed)
+        LogEvent("kv_not_freed").with("engine", source.engine.text()).with("error", freed.error().message());
+}
+
+void RequestRun::Impl::freeHandle(const KvSource& source)
+{
+    spawn(m_context.executor, freeAt(m_context, source));
+}
+
+awaitable<AttemptEnd> RequestRun::Impl::decode(std::optional<KvSource> source, DataCentre prefilledIn)
+{
+    const auto& prompt = *m_request.prompt;
+    const auto choice
+        = m_context.placement.chooseDecode(m_service, *m_engine, prompt, prefilledIn, m_excluded, bootTime());
+    if (!choice)
+        co_return noServer();
+    const auto id = choice->backend;
+    m_excluded.insert(id);
+    m_backend = id;
+    const OpenWork work(
+        m_context.backends, id, BackendLoad { 0, 1, static_cast<double>(prompt.prompt.count()) });
+    const bool connected
+        = co_await openConnection(id, m_context.backends.find(id)->record.address, m_deadline);
+    if (!connected)
+        co_return AttemptEnd::NotRun;
+    ++m_arrivals;
+    auto call = callTo(id);
+    call.source = std::move(source);
+    const auto deadline = silenceDeadline();
+    auto reply = co_await exchange(call, deadline);
+    if (!reply)
+        co_return endOfError(id, reply.error());
+    if (reply.value().notRun || reply.value().wrongBackend)
+        co_return co_await endOfRefusal(id, reply.value(), deadline);
+    if (!reply.value().success()) {
+        if (!m_headSent)
+            co_return co_await takeWhole(id, std::move(reply.value()), deadline);
+        co_return endOfError(id, std::make_error_code(std::errc::bad_message));
+    }
+    co_return co_await forwardStream(id, std::move(reply.value()));
+}
+
+Deadline RequestRun::Impl::silenceDeadline() const
+{
+    if (!m_route->repeatable() || m_runs + 1 >= m_route->maxAttempts)
+        return m_deadline;
+    return std::min(m_deadline, Deadline::after(bootTime(), streamSilence));
+}
+
+awaitable<AttemptEnd> RequestRun::Impl::forwardStream(BackendId id, BackendReply reply)
+{
+    m_cutter.dropUnfinished();
+    for (;;) {
+        auto piece = co_await m_connection->readBody(silenceDeadline());
+        if (!piece)
+            co_return endOfError(id, piece.error());
+        const bool last = piece.value().last;
+        auto events = m_cutter.take(piece.value().bytes);
+        if (!m_cutter.lastId().empty())
+            m_lastEvent = m_cutter.lastId();
+        // The head waits for the first event, so that the request can go elsewhere until then.
+        if (!m_headSent && (!events.empty() || last)) {
+            m_headSent = true;
+            HttpResponseHead head { reply.head.status, m_context.wire.answerFields(reply) };
+            const bool there = co_await m_sink.beginStream(std::move(head));
+            if (!there)
+                co_return leftMidway();
+        }
+        if (!events.empty()) {
+            const bool there = co_await m_sink.sendPiece(std::move(events));
+            if (!there)
+                co_return leftMidway();
+        }
+        if (last)
+            break;
+    }
+    if (m_cutter.unfinished())
+        co_return endOfError(id, std::make_error_code(std::errc::message_size));
+    m_context.pool.giveBack(std::move(m_connection));
+    dropConnection();
+    note(id, BackendOutcome::Answered);
+    m_outcome = "answered";
+    co_await m_sink.endStream();
+    co_return AttemptEnd::Delivered;
+}
+
+AttemptEnd RequestRun::Impl::leftMidway()
+{
+    m_callerGone = true;
+    dropConnection();
+    return AttemptEnd::Delivered;
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Serving/OpenWork.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "Serving/BackendTable.h"
+
+#include <utility>
+
+namespace almondscale {
+
+// Counts work as open at a server while it exists.
+class OpenWork {
+public:
+    OpenWork(BackendTable& backends, BackendId id, BackendLoad load)
+        : m_backends(backends)
+        , m_id(std::move(id))
+        , m_load(load)
+    {
+        m_backends.open(m_id, m_load);
+    }
+    ~OpenWork() { m_backends.close(m_id, m_load); }
+    OpenWork(const OpenWork&) = delete;
+    OpenWork& operator=(const OpenWork&) = delete;
+
+private:
+    BackendTable& m_backends;
+    BackendId m_id;
+    BackendLoad m_load;
+};
+
+} // namespace almondscale
