Do not pass on a success that lacks its server's proof

Cause: read in the last look through the change: an answer with neither an id nor a proof was taken for the request's own. The test failed before (200 where 502 is due).

--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -226,6 +226,9 @@
     auto body = co_await m_connection->readWholeBody(mostAnswerBytes, deadline);
     if (!body)
         co_return endOfError(id, body.error());
+    // A success without its server's proof is not that server's answer.
+    if (reply.success() && !reply.proven)
+        co_return endOfError(id, std::make_error_code(std::errc::bad_message));
     m_context.pool.giveBack(std::move(m_connection));
     dropConnection();
     ++m_runs;
--- a/Source/Forwarding/RequestRunStream.cpp
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -134,7 +134,7 @@
         co_return endOfError(id, reply.error());
     if (reply.value().notRun || reply.value().wrongBackend)
         co_return co_await endOfRefusal(id, reply.value(), deadline);
-    if (!reply.value().success()) {
+    if (!reply.value().success() || !reply.value().proven) {
         if (!m_headSent)
             co_return co_await takeWhole(id, std::move(reply.value()), deadline);
         co_return endOfError(id, std::make_error_code(std::errc::bad_message));
--- a/Tests/Forwarding/RequestRunTest.cpp
+++ b/Tests/Forwarding/RequestRunTest.cpp
@@ -226,3 +226,11 @@
     CHECK(further() > 0);
     CHECK(further() <= 0.2 * requests + bounds().least);
 }
+
+TEST_CASE_METHOD(ForwardingFixture, "Success without its server's proof is not passed on as an answer")
+{
+    addServer("s1", std::nullopt, whole(200, "forged", ""));
+    const auto reply = ask("POST", "/unsafe/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().head.status == 502);
+}
