Serve lost attempts, refusals and answer heads by one piece each

Found in a last look through the change: three copies of what a lost attempt means (two of them, those of a prefill, without a log line), two copies of when a refused caller comes back, two of the head of an answer, a second lowering of letters beside lowerCase, and accessors and members that nothing used. The error kinds' times to come back are as they were; a lost prefill is logged now. Two flags that were always read together are one.

Checks: Serving, Forwarding, Peers, PlatformAdapter and Core tests pass; format and lint of the changed files clean.

--- a/Source/Forwarding/BackendConnection.cpp
+++ b/Source/Forwarding/BackendConnection.cpp
@@ -118,7 +118,6 @@
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, pieceBytes> m_piece {};
     bool m_closed = false;
-    bool m_sent = false;
     bool m_whole = false;
     bool m_keep = false;
     MonotonicTime m_keptUntil {};
@@ -169,7 +168,6 @@
     const std::string text = serialized(head, body.size());
     const std::array<boost::asio::const_buffer, 2> buffers { boost::asio::buffer(text),
         boost::asio::buffer(body) };
-    impl->m_sent = true;
     const auto [error, size] = co_await boost::asio::async_write(impl->m_socket, buffers, noThrow);
     co_return error ? impl->failure(error) : std::error_code();
 }
@@ -244,8 +242,6 @@
     }
 }
 
-bool BackendConnection::sentAnything() const { return m_impl->m_sent; }
-
 bool BackendConnection::reusable() const
 {
     // Bytes after a whole answer belong to no request and spoil the connection.
--- a/Source/Forwarding/BackendConnection.h
+++ b/Source/Forwarding/BackendConnection.h
@@ -37,8 +37,6 @@
     // The rest of the body, at most so many bytes.
     awaitable<Result<std::string>> readWholeBody(std::size_t most, Deadline);
 
-    // Bytes of the last request may have reached the server.
-    bool sentAnything() const;
     // The last response is whole and the server keeps the connection.
     bool reusable() const;
     // Until when the server keeps the idle connection.
--- a/Source/Forwarding/CallerSession.cpp
+++ b/Source/Forwarding/CallerSession.cpp
@@ -6,6 +6,7 @@
 #include "Forwarding/RequestRun.h"
 #include "Forwarding/Signal.h"
 #include "Forwarding/Spawn.h"
+#include "Serving/RetryAdvice.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -195,7 +196,8 @@
         if (!m_gone)
             co_await m_run->run();
         m_run.reset();
-        co_return m_answered&& m_keepAlive && !m_gone;
+        const bool goesOn = m_answered && m_keepAlive && !m_gone;
+        co_return goesOn;
     }
 
     AnswerSink sink()
@@ -221,13 +223,16 @@
         co_return !error;
     }
 
+    // The start of an answer; it ends the connection where the caller or the host does.
+    std::string beginAnswer(const HttpResponseHead& head)
+    {
+        m_keepAlive = m_keepAlive && !m_context.stopping;
+        return startOf(head) + (m_keepAlive ? "" : "Connection: close\r\n");
+    }
+
     awaitable<bool> sendWhole(HttpResponseHead head, std::string body)
     {
-        auto text = startOf(head);
-        if (!m_keepAlive || m_context.stopping) {
-            m_keepAlive = false;
-            text += "Connection: close\r\n";
-        }
+        auto text = beginAnswer(head);
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
         if (m_answerHasBody)
             text += body;
@@ -237,11 +242,7 @@
 
     awaitable<bool> beginStream(HttpResponseHead head)
     {
-        auto text = startOf(head);
-        if (!m_keepAlive || m_context.stopping) {
-            m_keepAlive = false;
-            text += "Connection: close\r\n";
-        }
+        auto text = beginAnswer(head);
         m_pending = text + "Transfer-Encoding: chunked\r\n\r\n";
         co_return !m_gone;
     }
@@ -264,19 +265,17 @@
 
     awaitable<bool> refuse(ErrorKind kind)
     {
-        const auto& row = errorAnswer(kind);
         m_answerHasBody = true;
         // What could not be read leaves the connection in an unknown state.
         if (kind == ErrorKind::RequestTimeout || kind == ErrorKind::HeaderTooLarge
             || kind == ErrorKind::BodyTooLarge || kind == ErrorKind::BadRequest)
             m_keepAlive = false;
-        constexpr Nanoseconds retryAfterOther = std::chrono::milliseconds(500);
-        auto answer = m_context.wire.encodeError(
-            kind, row.retryable ? std::optional<Nanoseconds>(retryAfterOther) : std::nullopt);
+        auto answer = m_context.wire.encodeError(kind, retryAfter(kind));
         if (kind != ErrorKind::NotFound)
             LogEvent("refused").with("reason", errorWord(kind)).with("manifest", m_context.routes.version());
         co_await sendWhole(std::move(answer.head), std::move(answer.body));
-        co_return m_answered&& m_keepAlive;
+        const bool goesOn = m_answered && m_keepAlive;
+        co_return goesOn;
     }
 
     ServingContext& m_context;
--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/LogEvent.h"
 #include "Forwarding/BootClock.h"
+#include "Serving/RetryAdvice.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -15,9 +16,6 @@
 
     // Backend servers are in the same region; a connection that is not made by then is lost.
     constexpr Nanoseconds connectTime = milliseconds(400);
-    // What a caller waits before it comes back, when a server is expected to have room again.
-    constexpr Nanoseconds retryAfterFull = milliseconds(300);
-    constexpr Nanoseconds retryAfterNone = milliseconds(800);
 
     std::uint64_t drawOf(const CallerRequestId& id) { return std::hash<std::string>()(id.text()); }
 
@@ -86,8 +84,8 @@
         return false;
     if (m_runs >= m_route->maxAttempts || ++m_cycles > m_route->maxAttempts)
         return false;
-    // Another prefill counts like another run, unless none was accepted so far.
-    const int sends = (m_arrivals > 0 ? 1 : 0) + (m_prefilled || m_prefillFailed ? 1 : 0);
+    // Another prefill counts like another run.
+    const int sends = (m_arrivals > 0 ? 1 : 0) + (m_prefillSent ? 1 : 0);
     if (sends > 0 && !m_context.retries.tryRetry(m_service, bootTime(), sends)) {
         m_error = ErrorKind::RetryBudgetSpent;
         return false;
@@ -118,11 +116,7 @@
 awaitable<void> RequestRun::Impl::refuse(ErrorKind kind)
 {
     m_outcome = errorWord(kind);
-    const auto& row = errorAnswer(kind);
-    std::optional<Nanoseconds> retryAfter;
-    if (row.run == RunKnowledge::NotRun && row.retryable)
-        retryAfter = kind == ErrorKind::NoEngine ? retryAfterNone : retryAfterFull;
-    auto answer = m_context.wire.encodeError(kind, retryAfter);
+    auto answer = m_context.wire.encodeError(kind, retryAfter(kind));
     co_await m_sink.sendWhole(std::move(answer.head), std::move(answer.body));
 }
 
@@ -195,7 +189,7 @@
         id, stopped() && outcome == BackendOutcome::Broken ? BackendOutcome::Abandoned : outcome, bootTime());
 }
 
-AttemptEnd RequestRun::Impl::endOfError(const BackendId& id, const std::error_code& error)
+void RequestRun::Impl::noteLost(const BackendId& id, const std::error_code& error)
 {
     note(id, BackendOutcome::Broken);
     if (!stopped()) {
@@ -205,6 +199,11 @@
             .with("error", error.message());
     }
     dropConnection();
+}
+
+AttemptEnd RequestRun::Impl::endOfError(const BackendId& id, const std::error_code& error)
+{
+    noteLost(id, error);
     ++m_runs;
     return AttemptEnd::MayHaveRun;
 }
--- a/Source/Forwarding/RequestRunImpl.h
+++ b/Source/Forwarding/RequestRunImpl.h
@@ -43,7 +43,7 @@
 
     awaitable<void> refuse(ErrorKind kind);
 
-    // A connection to the server, or null if none could be made; nothing was sent then.
+    // Whether there is a connection to the server now; nothing was sent if not.
     awaitable<bool> openConnection(BackendId id, Address address, Deadline deadline);
 
     // Sends the request and reads the head of the answer to it.
@@ -55,7 +55,10 @@
 
     void note(const BackendId& id, BackendOutcome outcome);
 
-    // What a refusal or a failure before any byte of the answer means for the request.
+    // The attempt broke, for want of a whole and proper answer.
+    void noteLost(const BackendId& id, const std::error_code& error);
+
+    // The same for an attempt that may have run the request.
     AttemptEnd endOfError(const BackendId& id, const std::error_code& error);
 
     // Takes over an answer that says the request did not run.
@@ -112,14 +115,13 @@
     std::optional<OwnAnswer> m_failure;
     ErrorKind m_error = ErrorKind::NoEngine;
     const char* m_outcome = "";
-    // Sends that count as attempts, and servers that may have run the request.
+    // Sends to servers that were to run the request, and servers that may have run it.
     int m_arrivals = 0;
+    int m_runs = 0;
     // Attempts after the first, those that did not run included.
     int m_cycles = 0;
-    // An engine accepted a prefill, or did not.
-    bool m_prefilled = false;
-    bool m_prefillFailed = false;
-    int m_runs = 0;
+    // A prefill was sent, whatever came of it.
+    bool m_prefillSent = false;
     bool m_headSent = false;
     bool m_mayHaveRun = false;
     bool m_outOfServers = false;
--- a/Source/Forwarding/RequestRunStream.cpp
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -68,29 +68,24 @@
     auto call = callTo(id);
     call.prefillOnly = true;
     call.lastEvent.clear();
+    m_prefillSent = true;
     auto reply = co_await exchange(call, deadline);
     if (!reply) {
-        m_prefillFailed = true;
-        note(id, BackendOutcome::Broken);
-        dropConnection();
+        noteLost(id, reply.error());
         co_return std::nullopt;
     }
     if (!reply.value().success()) {
-        m_prefillFailed = true;
         co_await endOfRefusal(id, reply.value(), deadline);
         co_return std::nullopt;
     }
     auto body = co_await m_connection->readWholeBody(mostAnswerBytes, deadline);
     if (!body) {
-        m_prefillFailed = true;
-        note(id, BackendOutcome::Broken);
-        dropConnection();
+        noteLost(id, body.error());
         co_return std::nullopt;
     }
     m_context.pool.giveBack(std::move(m_connection));
     dropConnection();
     note(id, BackendOutcome::Answered);
-    m_prefilled = true;
     m_context.backends.noteSpeed(id, bootTime() - sentAt, fromMs(choice.ordinaryMs));
     m_prefilledAt = bootTime();
     co_return m_context.wire.decodeKvHandle(body.value());
--- a/Source/Serving/BackendDirectory.h
+++ b/Source/Serving/BackendDirectory.h
@@ -17,10 +17,8 @@
 public:
     explicit BackendDirectory(BackendTable&);
 
-    // The version after which changes are wanted; 0 until a whole reading came.
-    RowVersion version() const { return m_version; }
+    // A whole reading has come.
     bool known() const { return m_known; }
-    const std::map<BackendId, BackendRecord>& records() const { return m_records; }
 
     // All registrations as of a version; older than what is known is ignored.
     void onSnapshot(const std::vector<BackendChange>&, RowVersion, MonotonicTime now);
--- /dev/null
+++ b/Source/Serving/RetryAdvice.cpp
@@ -0,0 +1,35 @@
+#include "Serving/RetryAdvice.h"
+
+#include "Core/ErrorAnswer.h"
+
+namespace almondscale {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    // A server is expected to have room again, or to have come back, by then.
+    constexpr Nanoseconds afterFull = milliseconds(300);
+    constexpr Nanoseconds afterNone = milliseconds(800);
+    // This host is expected to know the manifest by then.
+    constexpr Nanoseconds afterStart = milliseconds(500);
+
+} // namespace
+
+std::optional<Nanoseconds> retryAfter(ErrorKind kind)
+{
+    const auto& row = errorAnswer(kind);
+    if (row.run != RunKnowledge::NotRun || !row.retryable)
+        return std::nullopt;
+    switch (kind) {
+    case ErrorKind::NoEngine:
+        return afterNone;
+    case ErrorKind::NoRules:
+    case ErrorKind::RequestTimeout:
+        return afterStart;
+    default:
+        return afterFull;
+    }
+}
+
+} // namespace almondscale
--- a/Source/Serving/RouteTable.cpp
+++ b/Source/Serving/RouteTable.cpp
@@ -1,5 +1,7 @@
 #include "Serving/RouteTable.h"
 
+#include "Http/LowerCase.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,13 +9,7 @@
 
 namespace {
 
-    std::string lowerHost(const std::string& host)
-    {
-        std::string name = host.substr(0, host.find(':'));
-        std::transform(name.begin(), name.end(), name.begin(),
-            [](unsigned char c) { return c >= 'A' && c <= 'Z' ? c - 'A' + 'a' : c; });
-        return name;
-    }
+    std::string lowerHost(const std::string& host) { return lowerCase(host.substr(0, host.find(':'))); }
 
     // The path of a request target, which may be in absolute form and have a query.
     std::string pathOf(const std::string& target)
