Make one piece of what stood twice, and forget prompt parts that are no longer sent

The times of prompt parts were never removed from a server's entry and would have piled up on a long run; those past their lifetime, which no decision reads, are forgotten now, with a test.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -240,6 +240,7 @@
             co_await sleepFor(sweepPause);
             m_pool.sweep();
             m_directory.sweep(bootTime());
+            m_backends.forgetPartsBefore(bootTime() - m_placement.options().partLifetime);
         }
     }
 
--- a/Programs/almondscale-host/MirrorDuty.cpp
+++ b/Programs/almondscale-host/MirrorDuty.cpp
@@ -105,9 +105,9 @@
         m_historyGone.insert(table);
         co_return true;
     }
-    if (rows.ok() != m_reachable) {
-        m_reachable = rows.ok();
-        LogEvent(m_reachable ? "store_regained" : "store_lost", LogLevel::Warning)
+    const bool changed = rows.ok() ? m_lost.erase(table) > 0 : m_lost.insert(table).second;
+    if (changed) {
+        LogEvent(rows.ok() ? "store_regained" : "store_lost", LogLevel::Warning)
             .with("table", sharedTableWord(table))
             .with("error", rows.ok() ? std::string() : rows.error().message());
     }
--- a/Programs/almondscale-host/MirrorDuty.h
+++ b/Programs/almondscale-host/MirrorDuty.h
@@ -42,7 +42,8 @@
     MonotonicTime m_startedAt;
     // Tables of which changes were missed, until all of their rows were read.
     std::set<SharedTable> m_historyGone;
-    bool m_reachable = true;
+    // Tables whose last reading failed.
+    std::set<SharedTable> m_lost;
 };
 
 } // namespace almondscale
--- /dev/null
+++ b/Source/Core/TextHash.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace almondscale {
+
+// Where a hash over several texts begins (FNV-1a).
+inline constexpr std::uint64_t emptyTextHash = 0xcbf29ce484222325ULL;
+
+// The hash with the text added; the same in all processes.
+inline std::uint64_t addToTextHash(std::uint64_t hash, const std::string& text)
+{
+    constexpr std::uint64_t prime = 0x100000001b3ULL;
+    for (const unsigned char c : text)
+        hash = (hash ^ c) * prime;
+    return hash;
+}
+
+} // namespace almondscale
--- a/Source/Forwarding/BackendConnection.cpp
+++ b/Source/Forwarding/BackendConnection.cpp
@@ -1,6 +1,7 @@
 #include "Forwarding/BackendConnection.h"
 
 #include "Forwarding/BootClock.h"
+#include "Forwarding/SocketOptions.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/connect.hpp>
@@ -9,8 +10,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -25,7 +24,7 @@
 
     // A peer that acknowledges no byte for this long is taken as gone: several
     // retransmissions of the kernel on links of a few milliseconds.
-    constexpr int unacknowledgedMs = 1500;
+    constexpr Nanoseconds unacknowledged = std::chrono::milliseconds(1500);
     constexpr std::size_t pieceBytes = 16 << 10;
     constexpr std::uint32_t mostHeaderBytes = 64 << 10;
     // An idle connection is used until so long before the server closes it.
@@ -138,23 +137,17 @@
 {
     const auto impl = m_impl;
     boost::system::error_code error;
-    const auto ip = boost::asio::ip::make_address_v4(impl->m_address.ip, error);
+    const auto endpoint = endpointOf(impl->m_address, error);
     if (error)
         co_return brokenCode(error);
     const Impl::Guard guard(impl, deadline);
     impl->m_socket.open(tcp::v4(), error);
     if (error)
         co_return impl->failure(error);
-    std::tie(error) = co_await impl->m_socket.async_connect(tcp::endpoint(ip, impl->m_address.port), noThrow);
+    std::tie(error) = co_await impl->m_socket.async_connect(endpoint, noThrow);
     if (error)
         co_return impl->failure(error);
-    impl->m_socket.set_option(tcp::no_delay(true), error);
-    const int milliseconds = unacknowledgedMs;
-    if (setsockopt(
-            impl->m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds)
-        != 0)
-        co_return std::error_code(errno, std::generic_category());
-    co_return std::error_code();
+    co_return tuneSocket(impl->m_socket, unacknowledged);
 }
 
 awaitable<std::error_code> BackendConnection::send(
--- a/Source/Forwarding/CallerSession.cpp
+++ b/Source/Forwarding/CallerSession.cpp
@@ -5,16 +5,13 @@
 #include "Forwarding/RequestReader.h"
 #include "Forwarding/RequestRun.h"
 #include "Forwarding/Signal.h"
+#include "Forwarding/SocketOptions.h"
 #include "Forwarding/Spawn.h"
 #include "Serving/RetryAdvice.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <array>
 
 namespace almondscale {
@@ -25,7 +22,7 @@
     // Bytes of later requests that are taken while one is under way.
     constexpr std::size_t mostAhead = 64 << 10;
     // A caller that acknowledges nothing for this long has left.
-    constexpr int unacknowledgedMs = 4000;
+    constexpr Nanoseconds unacknowledged = std::chrono::seconds(4);
     // A caller's connection stays open for this long beyond the limit that callers
     // keep to, so that none is closed while a request is on its way.
     constexpr Nanoseconds idleSlack = std::chrono::seconds(2);
@@ -74,12 +71,9 @@
         , m_arrived(m_socket.get_executor())
         , m_drained(m_socket.get_executor())
     {
-        boost::system::error_code ignored;
-        m_socket.set_option(tcp::no_delay(true), ignored);
-        const int milliseconds = unacknowledgedMs;
         // Without it a vanished caller is still found by the deadline of its request.
-        (void)setsockopt(
-            m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
+        if (const auto error = tuneSocket(m_socket, unacknowledged))
+            LogEvent("socket_not_tuned", LogLevel::Warning).with("error", error.message());
     }
 
     awaitable<void> serve()
--- a/Source/Forwarding/HttpListener.cpp
+++ b/Source/Forwarding/HttpListener.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/LogEvent.h"
 #include "Forwarding/Signal.h"
+#include "Forwarding/SocketOptions.h"
 #include "Forwarding/Spawn.h"
 
 namespace almondscale {
@@ -24,13 +25,13 @@
     std::error_code start(const Address& address)
     {
         boost::system::error_code error;
-        const auto ip = boost::asio::ip::make_address_v4(address.ip, error);
+        const auto endpoint = endpointOf(address, error);
         if (!error)
             m_acceptor.open(tcp::v4(), error);
         if (!error)
             m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
         if (!error)
-            m_acceptor.bind(tcp::endpoint(ip, address.port), error);
+            m_acceptor.bind(endpoint, error);
         if (!error)
             m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
         if (error)
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -4,6 +4,7 @@
 #include "Forwarding/BootClock.h"
 #include "Forwarding/HttpListener.h"
 #include "Forwarding/Signal.h"
+#include "Forwarding/SocketOptions.h"
 #include "Peers/PeerLink.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -35,7 +36,7 @@
         const auto shared = std::make_shared<tcp::socket>(co_await boost::asio::this_coro::executor);
         auto& socket = *shared;
         boost::system::error_code error;
-        const auto ip = boost::asio::ip::make_address_v4(address.ip, error);
+        const auto endpoint = endpointOf(address, error);
         if (error)
             co_return std::nullopt;
         socket.open(tcp::v4(), error);
@@ -46,7 +47,7 @@
             if (!stopped)
                 shared->close(ignored);
         });
-        const auto [failed] = co_await socket.async_connect(tcp::endpoint(ip, address.port), noThrow);
+        const auto [failed] = co_await socket.async_connect(endpoint, noThrow);
         const bool inTime = timer.cancel() > 0;
         if (failed || !inTime) {
             LogEvent("peer_unreachable", LogLevel::Warning)
--- a/Source/Serving/BackendId.h
+++ b/Source/Serving/BackendId.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Identifier.h"
+#include "Core/TextHash.h"
 
 #include <cstdint>
 
@@ -10,12 +11,6 @@
 using BackendId = Identifier<struct BackendIdTag>;
 
 // The same on all hosts.
-inline std::uint64_t backendHash(const BackendId& id)
-{
-    std::uint64_t hash = 0xcbf29ce484222325ULL;
-    for (const unsigned char c : id.text())
-        hash = (hash ^ c) * 0x100000001b3ULL;
-    return hash;
-}
+inline std::uint64_t backendHash(const BackendId& id) { return addToTextHash(emptyTextHash, id.text()); }
 
 } // namespace almondscale
--- a/Source/Serving/BackendTable.cpp
+++ b/Source/Serving/BackendTable.cpp
@@ -126,6 +126,15 @@
         found->second.parts[part] = now;
 }
 
+void BackendTable::forgetPartsBefore(MonotonicTime oldest)
+{
+    for (auto& entry : m_backends) {
+        auto& parts = entry.second.parts;
+        for (auto part = parts.begin(); part != parts.end();)
+            part = part->second < oldest ? parts.erase(part) : std::next(part);
+    }
+}
+
 BackendTable::Loads BackendTable::ownLoads() const
 {
     Loads loads;
--- a/Source/Serving/BackendTable.h
+++ b/Source/Serving/BackendTable.h
@@ -34,6 +34,8 @@
     // What an attempt took against what was expected of an ordinary server.
     void noteSpeed(const BackendId&, Nanoseconds taken, Nanoseconds expected);
     void notePart(const BackendId&, std::uint64_t part, MonotonicTime now);
+    // Forgets the parts that were last sent before.
+    void forgetPartsBefore(MonotonicTime);
 
     // What this host tells its peers.
     Loads ownLoads() const;
--- a/Source/Serving/RoleSplit.cpp
+++ b/Source/Serving/RoleSplit.cpp
@@ -25,7 +25,7 @@
 {
 }
 
-int RoleSplit::decodeTarget(int engines, const EngineDemand&) const
+int RoleSplit::decodeTarget(int engines) const
 {
     const int share = static_cast<int>(std::lround(engines * m_options.decodeShare));
     const int least = engines >= enginesForSecond ? 2 : 1;
@@ -52,7 +52,7 @@
         (role == EngineRole::Prefill ? prefill : decode).push_back(&backend);
     }
     const int engines = static_cast<int>(prefill.size() + decode.size());
-    const int lacking = decodeTarget(engines, demand) - static_cast<int>(decode.size());
+    const int lacking = decodeTarget(engines) - static_cast<int>(decode.size());
     if (engines < 2 || lacking == 0) {
         m_wrongSince.erase(service);
         return {};
--- a/Source/Serving/RoleSplit.h
+++ b/Source/Serving/RoleSplit.h
@@ -45,7 +45,7 @@
     void onRefused(const BackendId&);
 
     // Engines that should decode out of so many.
-    int decodeTarget(int engines, const EngineDemand&) const;
+    int decodeTarget(int engines) const;
 
 private:
     struct Order {
--- a/Tests/Serving/BackendTableTest.cpp
+++ b/Tests/Serving/BackendTableTest.cpp
@@ -73,3 +73,12 @@
     CHECK(table.usable(model, testStart, EngineRole::Decode).size() == 2);
     CHECK(table.usable(model, testStart, EngineRole::Prefill).size() == 1);
 }
+
+TEST_CASE_METHOD(BackendTableFixture, "Prompt parts, not sent for long, are forgotten and do not pile up")
+{
+    for (std::uint64_t part = 1; part <= 1000; ++part)
+        table.notePart(first, part, testStart + part * 1ms);
+    table.forgetPartsBefore(testStart + 991ms);
+    CHECK(table.find(first)->parts.size() == 10);
+    CHECK(table.find(first)->parts.count(1000) == 1);
+}
--- a/Tests/Serving/RoleSplitTest.cpp
+++ b/Tests/Serving/RoleSplitTest.cpp
@@ -97,9 +97,9 @@
 {
     const BackendTable empty;
     const RoleSplit split(empty);
-    CHECK(split.decodeTarget(1, {}) == 0);
+    CHECK(split.decodeTarget(1) == 0);
     for (int engines = 2; engines <= 90; ++engines) {
-        CHECK(split.decodeTarget(engines, {}) >= 1);
-        CHECK(split.decodeTarget(engines, {}) < engines);
+        CHECK(split.decodeTarget(engines) >= 1);
+        CHECK(split.decodeTarget(engines) < engines);
     }
 }
