Refuse at once what no reachable server can serve, and try lost servers one attempt at a time

Ruled out: the common bound of retries as too small (the whole fleet used a third of it), admission by deadline (1 refusal). Change: attempts without a connection are not counted; a server that broke is tried by one attempt at a time, within 1.2 s at most; attempts that break together count once; a reset connection drops the kept ones to that address; a finished prefill is kept until a reachable engine takes it; a request whose servers cannot be reached is refused before any prefill. Connections are given up after 250 ms instead of 400 ms.

--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace almondscale {
 
@@ -15,7 +16,7 @@
     using std::chrono::milliseconds;
 
     // Backend servers are in the same region; a connection that is not made by then is lost.
-    constexpr Nanoseconds connectTime = milliseconds(400);
+    constexpr Nanoseconds connectTime = milliseconds(250);
 
     std::uint64_t drawOf(const CallerRequestId& id) { return std::hash<std::string>()(id.text()); }
 
@@ -82,11 +83,13 @@
 {
     if (m_mayHaveRun && !m_route->repeatable())
         return false;
-    if (m_runs >= m_route->maxAttempts || ++m_cycles > m_route->maxAttempts)
+    // An attempt that found no connection sent nothing; each server is tried once at most.
+    const bool sent = std::exchange(m_sent, false);
+    if (m_runs >= m_route->maxAttempts || (sent && ++m_cycles > m_route->maxAttempts))
         return false;
     // Another prefill counts like another run.
     const int sends = (m_arrivals > 0 ? 1 : 0) + (m_prefillSent ? 1 : 0);
-    if (sends > 0 && !m_context.retries.tryRetry(m_service, bootTime(), sends)) {
+    if (sent && sends > 0 && !m_context.retries.tryRetry(m_service, bootTime(), sends)) {
         m_error = ErrorKind::RetryBudgetSpent;
         return false;
     }
@@ -122,6 +125,7 @@
 
 awaitable<bool> RequestRun::Impl::openConnection(BackendId id, Address address, Deadline deadline)
 {
+    m_context.backends.noteAttempt(id, bootTime());
     m_connection = m_context.pool.take(address);
     if (m_connection)
         co_return true;
@@ -132,7 +136,7 @@
         co_return true;
     m_connection.reset();
     if (!stopped()) {
-        m_context.backends.noteOutcome(id, BackendOutcome::Broken, bootTime());
+        m_context.backends.noteOutcome(id, BackendOutcome::Unreachable, bootTime());
         LogEvent("connect_failed", LogLevel::Warning)
             .with("request", m_request.id)
             .with("backend", id)
@@ -145,6 +149,7 @@
 awaitable<Result<BackendReply>> RequestRun::Impl::exchange(const BackendCall& call, Deadline deadline)
 {
     const auto head = m_context.wire.encodeCall(m_request, call);
+    m_sent = true;
     const auto error = co_await m_connection->send(head, m_request.body, deadline);
     if (error)
         co_return error;
@@ -193,6 +198,9 @@
 {
     note(id, BackendOutcome::Broken);
     if (!stopped()) {
+        // What resets one kept connection mostly resets them all.
+        if (m_connection && error == std::errc::connection_reset)
+            m_context.pool.forget(m_connection->address());
         LogEvent("attempt_lost", LogLevel::Warning)
             .with("request", m_request.id)
             .with("backend", id)
--- a/Source/Forwarding/RequestRunImpl.h
+++ b/Source/Forwarding/RequestRunImpl.h
@@ -120,6 +120,8 @@
     int m_runs = 0;
     // Attempts after the first, those that did not run included.
     int m_cycles = 0;
+    // The last attempt sent something to a server.
+    bool m_sent = false;
     // A prefill was sent, whatever came of it.
     bool m_prefillSent = false;
     bool m_headSent = false;
--- a/Source/Forwarding/RequestRunStream.cpp
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -27,6 +27,9 @@
 awaitable<AttemptEnd> RequestRun::Impl::attemptStream()
 {
     const auto& prompt = *m_request.prompt;
+    // Without an engine to decode, a prefill would be work for nothing.
+    if (!m_context.placement.chooseDecode(m_service, *m_engine, prompt, DataCentre(), m_excluded, bootTime()))
+        co_return noServer();
     const auto prefill = m_context.placement.choosePrefill(m_service, prompt, m_prefillExcluded,
         Deadline(m_arrivedAt + m_route->target - decodeTime), bootTime());
     std::optional<KvSource> source;
@@ -107,19 +110,23 @@
 awaitable<AttemptEnd> RequestRun::Impl::decode(std::optional<KvSource> source, DataCentre prefilledIn)
 {
     const auto& prompt = *m_request.prompt;
-    const auto choice
-        = m_context.placement.chooseDecode(m_service, *m_engine, prompt, prefilledIn, m_excluded, bootTime());
-    if (!choice)
-        co_return noServer();
-    const auto id = choice->backend;
-    m_excluded.insert(id);
-    m_backend = id;
-    const OpenWork work(
-        m_context.backends, id, BackendLoad { 0, 1, static_cast<double>(prompt.prompt.count()) });
-    const bool connected
-        = co_await openConnection(id, m_context.backends.find(id)->record.address, m_deadline);
-    if (!connected)
-        co_return AttemptEnd::NotRun;
+    std::optional<OpenWork> work;
+    // The cache of a prefill stays where it is until an engine that can be reached takes it.
+    for (bool connected = false; !connected;) {
+        const auto choice = m_context.placement.chooseDecode(
+            m_service, *m_engine, prompt, prefilledIn, m_excluded, bootTime());
+        if (!choice)
+            co_return noServer();
+        m_backend = choice->backend;
+        m_excluded.insert(m_backend);
+        work.emplace(
+            m_context.backends, m_backend, BackendLoad { 0, 1, static_cast<double>(prompt.prompt.count()) });
+        connected = co_await openConnection(
+            m_backend, m_context.backends.find(m_backend)->record.address, m_deadline);
+        if (stopped())
+            co_return AttemptEnd::NotRun;
+    }
+    const auto id = m_backend;
     ++m_arrivals;
     auto call = callTo(id);
     call.source = std::move(source);
--- a/Source/Serving/Backend.h
+++ b/Source/Serving/Backend.h
@@ -16,10 +16,14 @@
     BackendLoad own;
     BackendLoad others;
 
-    // Broken connections without an answer between them.
+    // Trials that broke without an answer between them.
     int breaksInRow = 0;
     // No new work before this, after it broke or refused.
     MonotonicTime avoidUntil {};
+    // The last attempt found no connection.
+    bool unreachable = false;
+    // One attempt is under way to see whether a broken server is back.
+    bool onTrial = false;
     // Share of the recent attempts that it failed, 0 to 1.
     double failureShare = 0;
     // Measured time over expected time of recent attempts, 1 for an ordinary server.
--- a/Source/Serving/BackendOutcome.h
+++ b/Source/Serving/BackendOutcome.h
@@ -10,7 +10,9 @@
     Refused,
     // The server answered that it failed.
     Failed,
-    // The connection was refused, broke off or stayed silent.
+    // No connection could be made.
+    Unreachable,
+    // The connection broke off or stayed silent.
     Broken,
     // The caller left or its time was over; nothing is known of the server.
     Abandoned,
--- a/Source/Serving/BackendTable.cpp
+++ b/Source/Serving/BackendTable.cpp
@@ -10,9 +10,12 @@
 
     // Weight of the newest attempt in the averages: about the last ten attempts count.
     constexpr double newestWeight = 0.1;
-    // A server that broke is left alone for this long, doubled with each further break.
+    // A server that broke is left alone for this long, doubled with each trial that breaks,
+    // up to 1.2 s: a trial costs little, and a server that is back is missed.
     constexpr Nanoseconds firstAvoidance = std::chrono::milliseconds(300);
-    constexpr int mostDoublings = 4;
+    constexpr int mostDoublings = 2;
+    // A trial without an outcome by then leaves the server to others.
+    constexpr Nanoseconds trialTime = std::chrono::milliseconds(600);
     // A refusal says that the server is full now; it drains a request in about this time.
     constexpr Nanoseconds refusalAvoidance = std::chrono::milliseconds(50);
     // Bounds of one measurement, so that a single stall does not shut a server out.
@@ -61,7 +64,10 @@
             continue;
         if (role && backend.record.role != role)
             continue;
-        (backend.avoidUntil > now ? avoided : sound).push_back(&backend);
+        if (backend.avoidUntil <= now)
+            sound.push_back(&backend);
+        else if (!backend.unreachable)
+            avoided.push_back(&backend);
     }
     return sound.empty() ? avoided : sound;
 }
@@ -80,6 +86,15 @@
         found->second.own -= load;
 }
 
+void BackendTable::noteAttempt(const BackendId& id, MonotonicTime now)
+{
+    const auto found = m_backends.find(id);
+    if (found == m_backends.end() || found->second.breaksInRow == 0 || found->second.avoidUntil > now)
+        return;
+    found->second.onTrial = true;
+    found->second.avoidUntil = now + trialTime;
+}
+
 void BackendTable::noteOutcome(const BackendId& id, BackendOutcome outcome, MonotonicTime now)
 {
     const auto found = m_backends.find(id);
@@ -89,19 +104,30 @@
     switch (outcome) {
     case BackendOutcome::Answered:
         backend.breaksInRow = 0;
+        backend.onTrial = false;
+        backend.unreachable = false;
         backend.avoidUntil = {};
         backend.failureShare = mixed(backend.failureShare, 0);
         return;
     case BackendOutcome::Refused:
+        backend.unreachable = false;
         backend.failureShare = mixed(backend.failureShare, 1);
         backend.avoidUntil = std::max(backend.avoidUntil, now + refusalAvoidance);
         return;
     case BackendOutcome::Failed:
         backend.breaksInRow = 0;
+        backend.onTrial = false;
+        backend.unreachable = false;
         backend.failureShare = mixed(backend.failureShare, 1);
         return;
+    case BackendOutcome::Unreachable:
     case BackendOutcome::Broken:
+        backend.unreachable = backend.unreachable || outcome == BackendOutcome::Unreachable;
         backend.failureShare = mixed(backend.failureShare, 1);
+        // Attempts that were under way break together; they tell no more than the first.
+        if (backend.avoidUntil > now && !backend.onTrial)
+            return;
+        backend.onTrial = false;
         backend.avoidUntil = now + firstAvoidance * (1 << std::min(backend.breaksInRow, mostDoublings));
         ++backend.breaksInRow;
         return;
--- a/Source/Serving/BackendTable.h
+++ b/Source/Serving/BackendTable.h
@@ -24,12 +24,17 @@
     const Backend* find(const BackendId&) const;
     const std::map<BackendId, Backend>& all() const { return m_backends; }
     // The servers of the service, and of the role if there is one, that may get new
-    // work now; those to be avoided only if there are no others.
+    // work now. Those that broke count only if there are no others, and those that
+    // cannot be reached not at all before their next trial: a request that only they
+    // could serve is better refused at once.
     std::vector<const Backend*> usable(
         const ServiceName&, MonotonicTime now, std::optional<EngineRole> = std::nullopt) const;
 
     void open(const BackendId&, const BackendLoad&);
     void close(const BackendId&, const BackendLoad&);
+    // An attempt begins. The first one at a server that broke is a trial: others wait for
+    // its outcome, so that a server that is still away costs one attempt at a time.
+    void noteAttempt(const BackendId&, MonotonicTime now);
     void noteOutcome(const BackendId&, BackendOutcome, MonotonicTime now);
     // What an attempt took against what was expected of an ordinary server.
     void noteSpeed(const BackendId&, Nanoseconds taken, Nanoseconds expected);
--- a/Tests/Forwarding/ForwardingFixture.h
+++ b/Tests/Forwarding/ForwardingFixture.h
@@ -64,9 +64,8 @@
         return made;
     }
 
-    // Adds a server; engines have a role.
-    LoopbackServer& addServer(
-        const std::string& id, std::optional<EngineRole> role, LoopbackServer::Answer answer)
+    // Registers a server at an address where nothing listens.
+    Address addAbsentServer(const std::string& id, std::optional<EngineRole> role = std::nullopt)
     {
         BackendRecord record;
         record.id = BackendId(id);
@@ -76,8 +75,15 @@
         record.slots = 6;
         record.role = role;
         backends.put(record);
-        servers.push_back(
-            std::make_unique<LoopbackServer>(loop.get_executor(), record.address, std::move(answer)));
+        return record.address;
+    }
+
+    // Adds a server; engines have a role.
+    LoopbackServer& addServer(
+        const std::string& id, std::optional<EngineRole> role, LoopbackServer::Answer answer)
+    {
+        servers.push_back(std::make_unique<LoopbackServer>(
+            loop.get_executor(), addAbsentServer(id, role), std::move(answer)));
         return *servers.back();
     }
 
--- a/Tests/Forwarding/RequestRunTest.cpp
+++ b/Tests/Forwarding/RequestRunTest.cpp
@@ -99,6 +99,18 @@
     CHECK(first.requests + second.requests == 1);
 }
 
+TEST_CASE_METHOD(ForwardingFixture,
+    "Unsafe request, with most servers refusing connections, is answered by the one that is there")
+{
+    for (const char* id : { "a1", "a2", "a3" })
+        addAbsentServer(id);
+    auto& sound = addServer("s1", std::nullopt, whole(200, "fine"));
+    const auto reply = ask("POST", "/unsafe/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().head.status == 200);
+    CHECK(sound.requests == 1);
+}
+
 TEST_CASE_METHOD(ForwardingFixture, "Request without any server is refused at once, with a time to come back")
 {
     const auto before = bootTime();
@@ -161,6 +173,34 @@
     CHECK(reply.value().head.status == 503);
 }
 
+TEST_CASE_METHOD(StreamFixture,
+    "Stream, with a decode engine that refuses connections, goes to another with the same prefill")
+{
+    addAbsentServer("a1", EngineRole::Decode);
+    addAbsentServer("a2", EngineRole::Decode);
+    addServer("d", EngineRole::Decode, stream(2, 2));
+    const auto reply = ask("POST", "/once/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().head.status == 200);
+    CHECK(servers.front()->requests == 1);
+    CHECK(sources.size() == 1);
+}
+
+TEST_CASE_METHOD(
+    StreamFixture, "Stream without a decode engine in reach is refused at once and not prefilled")
+{
+    addAbsentServer("a1", EngineRole::Decode);
+    ask("POST", "/once/x");
+    const int prefills = servers.front()->requests;
+    const auto before = bootTime();
+    const auto reply = ask("POST", "/once/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().head.status == 503);
+    CHECK(reply.value().head.fields.has("Retry-After"));
+    CHECK(bootTime() - before < 100ms);
+    CHECK(servers.front()->requests == prefills);
+}
+
 TEST_CASE_METHOD(StreamFixture, "Stream, prefilled at one engine, goes on from there at another")
 {
     addServer("d", EngineRole::Decode, stream(3, 3));
--- a/Tests/Serving/BackendTableTest.cpp
+++ b/Tests/Serving/BackendTableTest.cpp
@@ -35,6 +35,51 @@
     CHECK(table.usable(model, testStart + 900ms).size() == 2);
 }
 
+TEST_CASE_METHOD(
+    BackendTableFixture, "Server, with many attempts broken at once, is left alone as after one of them")
+{
+    for (int attempt = 0; attempt < 20; ++attempt)
+        table.noteOutcome(first, BackendOutcome::Broken, testStart + attempt * 1ms);
+    CHECK(table.usable(model, testStart + 250ms).size() == 1);
+    CHECK(table.usable(model, testStart + 350ms).size() == 2);
+}
+
+TEST_CASE_METHOD(BackendTableFixture, "Server, tried after it broke, gets one attempt until its outcome")
+{
+    table.noteOutcome(first, BackendOutcome::Broken, testStart);
+    table.noteAttempt(first, testStart + 400ms);
+    CHECK(table.usable(model, testStart + 401ms).size() == 1);
+    SECTION("and all others once it answers")
+    {
+        table.noteOutcome(first, BackendOutcome::Answered, testStart + 420ms);
+        CHECK(table.usable(model, testStart + 421ms).size() == 2);
+    }
+    SECTION("and none for twice the time if that breaks too")
+    {
+        table.noteOutcome(first, BackendOutcome::Broken, testStart + 420ms);
+        CHECK(table.usable(model, testStart + 1000ms).size() == 1);
+        CHECK(table.usable(model, testStart + 1100ms).size() == 2);
+    }
+    SECTION("and others when the outcome does not come")
+    {
+        CHECK(table.usable(model, testStart + 1100ms).size() == 2);
+    }
+}
+
+TEST_CASE_METHOD(BackendTableFixture, "Server, away for seconds and back, is tried again within 1.2 s")
+{
+    auto now = testStart;
+    for (int trial = 0; trial < 6; ++trial) {
+        table.noteAttempt(first, now);
+        table.noteOutcome(first, BackendOutcome::Broken, now);
+        while (table.usable(model, now).size() == 1)
+            now += 50ms;
+    }
+    table.noteAttempt(first, now);
+    table.noteOutcome(first, BackendOutcome::Broken, now);
+    CHECK(table.usable(model, now + 1250ms).size() == 2);
+}
+
 TEST_CASE_METHOD(BackendTableFixture, "Servers, all broken, are used all the same")
 {
     table.noteOutcome(first, BackendOutcome::Broken, testStart);
@@ -42,6 +87,19 @@
     CHECK(table.usable(model, testStart).size() == 2);
 }
 
+TEST_CASE_METHOD(BackendTableFixture, "Servers, none of which can be reached, get no work before their trial")
+{
+    table.noteOutcome(first, BackendOutcome::Unreachable, testStart);
+    table.noteOutcome(second, BackendOutcome::Unreachable, testStart);
+    table.noteOutcome(second, BackendOutcome::Broken, testStart + 1ms);
+    CHECK(table.usable(model, testStart + 2ms).empty());
+    CHECK(table.usable(model, testStart + 400ms).size() == 2);
+    table.noteAttempt(first, testStart + 400ms);
+    table.noteOutcome(first, BackendOutcome::Answered, testStart + 410ms);
+    table.noteOutcome(first, BackendOutcome::Broken, testStart + 420ms);
+    CHECK(table.usable(model, testStart + 430ms, EngineRole::Decode).size() == 1);
+}
+
 TEST_CASE_METHOD(BackendTableFixture, "Server, started anew under its id, begins without history")
 {
     auto record = engineRecord("e1", EngineRole::Decode, "a", 1);
