Leave callers to other data centres while a service has no server in reach

Change: a host that can reach no server that a service needs, while its data centre has none, says it is not ready, so that the balancer uses the nearest data centre; it tries one missing server each 0.4 s. Hosts beside such servers stay ready. A connection without acknowledgement is lost after 600 ms instead of 1500, and its server counts as out of reach.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -12,6 +12,7 @@
 #include "Peers/PeerNetwork.h"
 #include "ReadyServer.h"
 #include "Serving/BackendDirectory.h"
+#include "Serving/ServiceReach.h"
 #include "platform/RequestWire.h"
 
 #include <boost/asio/io_context.hpp>
@@ -32,6 +33,10 @@
     constexpr Nanoseconds shutdownMargin = std::chrono::milliseconds(600);
     constexpr Nanoseconds shutdownPoll = std::chrono::milliseconds(50);
     constexpr Nanoseconds sweepPause = std::chrono::milliseconds(250);
+    // While callers are sent elsewhere, one missing server is tried this often.
+    constexpr Nanoseconds reachPause = std::chrono::milliseconds(400);
+    // A connection within the region takes a few milliseconds.
+    constexpr Nanoseconds reachTime = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -43,6 +48,7 @@
         , m_wire(platform::makeServingWire())
         , m_directory(m_backends)
         , m_placement(m_backends, m_settings.dataCentre)
+        , m_reach(m_backends, m_settings.dataCentre)
         , m_retries(m_settings.retries, initialHosts)
         , m_self { m_settings.host, m_settings.dataCentre, m_settings.peers, m_settings.strength }
         , m_store(m_pool, m_settings.store)
@@ -94,6 +100,7 @@
         start(m_network.run());
         start(m_orderDuty.run());
         start(sweep());
+        start(watchReach());
         boost::asio::signal_set signals(m_loop, SIGTERM, SIGINT);
         signals.async_wait([this](const boost::system::error_code& error, int) {
             if (!error)
@@ -216,7 +223,10 @@
 
     Address metricsAddress() const { return Address { m_settings.ready.ip, metricsPort }; }
 
-    bool ready() const { return !m_context.stopping && !m_routes.empty() && m_directory.known(); }
+    bool ready() const
+    {
+        return !m_context.stopping && !m_routes.empty() && m_directory.known() && !m_servedElsewhere;
+    }
 
     std::string metrics()
     {
@@ -244,6 +254,28 @@
         }
     }
 
+    // Leaves new callers to other data centres while a service has no server in reach.
+    awaitable<void> watchReach()
+    {
+        for (std::size_t turn = 0;; ++turn) {
+            co_await sleepFor(reachPause);
+            const auto missing = m_reach.missing();
+            if (missing.empty() == m_servedElsewhere) {
+                m_servedElsewhere = !missing.empty();
+                LogEvent(m_servedElsewhere ? "service_out_of_reach" : "services_in_reach", LogLevel::Warning)
+                    .with("missing", missing.size())
+                    .with("service", missing.empty() ? ServiceName() : missing.front()->record.service);
+            }
+            if (missing.empty())
+                continue;
+            const auto record = missing[turn % missing.size()]->record;
+            const auto connection = m_pool.make(record.address);
+            const auto error = co_await connection->connect(Deadline::after(bootTime(), reachTime));
+            if (!error)
+                m_backends.noteOutcome(record.id, BackendOutcome::Reached, bootTime());
+        }
+    }
+
     awaitable<void> shutDown()
     {
         LogEvent("shutdown").with("open_requests", m_context.openRequests);
@@ -272,6 +304,8 @@
     BackendTable m_backends;
     BackendDirectory m_directory;
     Placement m_placement;
+    ServiceReach m_reach;
+    bool m_servedElsewhere = false;
     RetryGate m_retries;
     DemandMeter m_demand;
     HostRecord m_self;
--- a/Source/Forwarding/BackendConnection.cpp
+++ b/Source/Forwarding/BackendConnection.cpp
@@ -22,9 +22,9 @@
 
     namespace http = boost::beast::http;
 
-    // A peer that acknowledges no byte for this long is taken as gone: several
-    // retransmissions of the kernel on links of a few milliseconds.
-    constexpr Nanoseconds unacknowledged = std::chrono::milliseconds(1500);
+    // A peer that acknowledges no byte for this long is taken as gone: two
+    // retransmissions of the kernel (200 and 400 ms) on links of a few milliseconds.
+    constexpr Nanoseconds unacknowledged = std::chrono::milliseconds(600);
     constexpr std::size_t pieceBytes = 16 << 10;
     constexpr std::uint32_t mostHeaderBytes = 64 << 10;
     // An idle connection is used until so long before the server closes it.
--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -190,16 +190,18 @@
 
 void RequestRun::Impl::note(const BackendId& id, BackendOutcome outcome)
 {
-    m_context.backends.noteOutcome(
-        id, stopped() && outcome == BackendOutcome::Broken ? BackendOutcome::Abandoned : outcome, bootTime());
+    // A caller's leaving breaks a connection too.
+    const bool broken = outcome == BackendOutcome::Broken || outcome == BackendOutcome::Unreachable;
+    m_context.backends.noteOutcome(id, stopped() && broken ? BackendOutcome::Abandoned : outcome, bootTime());
 }
 
 void RequestRun::Impl::noteLost(const BackendId& id, const std::error_code& error)
 {
-    note(id, BackendOutcome::Broken);
+    const bool unacknowledged = error == std::errc::timed_out;
+    note(id, unacknowledged ? BackendOutcome::Unreachable : BackendOutcome::Broken);
     if (!stopped()) {
-        // What resets one kept connection mostly resets them all.
-        if (m_connection && error == std::errc::connection_reset)
+        // What loses one kept connection mostly loses them all.
+        if (m_connection && (unacknowledged || error == std::errc::connection_reset))
             m_context.pool.forget(m_connection->address());
         LogEvent("attempt_lost", LogLevel::Warning)
             .with("request", m_request.id)
--- a/Source/Serving/BackendOutcome.h
+++ b/Source/Serving/BackendOutcome.h
@@ -10,7 +10,9 @@
     Refused,
     // The server answered that it failed.
     Failed,
-    // No connection could be made.
+    // A connection was made; nothing was sent yet.
+    Reached,
+    // No connection could be made, or its other end acknowledges nothing.
     Unreachable,
     // The connection broke off or stayed silent.
     Broken,
--- a/Source/Serving/BackendTable.cpp
+++ b/Source/Serving/BackendTable.cpp
@@ -102,6 +102,10 @@
         return;
     auto& backend = found->second;
     switch (outcome) {
+    case BackendOutcome::Reached:
+        backend.unreachable = false;
+        backend.avoidUntil = {};
+        return;
     case BackendOutcome::Answered:
         backend.breaksInRow = 0;
         backend.onTrial = false;
--- /dev/null
+++ b/Tests/Serving/ServiceReachTest.cpp
@@ -0,0 +1,65 @@
+#include "Serving/ServiceReach.h"
+
+#include "ServingFixtures.h"
+
+#include <catch2/catch.hpp>
+
+using namespace almondscale;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Prefill engines in all three data centres, decode engines in two of them.
+class ReachFixture {
+public:
+    ReachFixture()
+    {
+        for (const char* dataCentre : { "a", "b", "c" }) {
+            table.put(engineRecord(std::string("p-") + dataCentre, EngineRole::Prefill, dataCentre));
+            if (std::string(dataCentre) != "a")
+                table.put(engineRecord(std::string("d-") + dataCentre, EngineRole::Decode, dataCentre));
+        }
+    }
+
+    void lose(const char* id) { table.noteOutcome(BackendId(id), BackendOutcome::Unreachable, testStart); }
+
+    std::size_t missingIn(const char* dataCentre) const
+    {
+        return ServiceReach(table, DataCentre(dataCentre)).missing().size();
+    }
+
+    BackendTable table;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    ReachFixture, "Data centre without a decode engine, cut off from all, misses them until one is back")
+{
+    lose("p-b");
+    lose("d-b");
+    CHECK(missingIn("a") == 0);
+    lose("d-c");
+    CHECK(missingIn("a") == 2);
+    table.noteOutcome(BackendId("d-c"), BackendOutcome::Reached, testStart + 10ms);
+    CHECK(missingIn("a") == 0);
+    CHECK(table.usable(model, testStart + 10ms, EngineRole::Decode).size() == 1);
+}
+
+TEST_CASE_METHOD(ReachFixture, "Data centre with a decode engine misses none, even when all have crashed")
+{
+    lose("d-b");
+    lose("d-c");
+    CHECK(missingIn("b") == 0);
+    CHECK(missingIn("c") == 0);
+}
+
+TEST_CASE_METHOD(ReachFixture, "Engine that is leaving counts for no data centre")
+{
+    auto leaving = engineRecord("d-a", EngineRole::Decode, "a");
+    leaving.draining = true;
+    table.put(leaving);
+    lose("d-b");
+    lose("d-c");
+    CHECK(missingIn("a") == 2);
+}
