Give up decode engines later, and none for registrations that lapsed

With one decode engine, prefills pile up and decodes are refused. Ruled out: the lease (held all the while). Change: a lack of decode engines is mended after 1.5 s whatever was ordered before; a surplus has to last 3 s and is counted against the most engines of the last 12 s.

--- a/Source/Serving/RoleSplit.cpp
+++ b/Source/Serving/RoleSplit.cpp
@@ -32,6 +32,18 @@
     return std::clamp(std::max(share, least), 0, std::max(0, engines - 1));
 }
 
+int RoleSplit::lackingDecode(const ServiceName& service, int engines, int decoding, MonotonicTime now)
+{
+    auto& peak = m_peaks[service];
+    if (engines >= peak.engines || now - peak.at > m_options.lapseTime)
+        peak = Peak { engines, now };
+    const int lacking = decodeTarget(engines) - decoding;
+    if (lacking >= 0)
+        return lacking;
+    // None is given up for want of engines that may come back.
+    return std::min(0, decodeTarget(peak.engines) - decoding);
+}
+
 std::vector<RoleAssignment> RoleSplit::decide(
     const ServiceName& service, const EngineDemand& demand, MonotonicTime now)
 {
@@ -52,14 +64,18 @@
         (role == EngineRole::Prefill ? prefill : decode).push_back(&backend);
     }
     const int engines = static_cast<int>(prefill.size() + decode.size());
-    const int lacking = decodeTarget(engines) - static_cast<int>(decode.size());
-    if (engines < 2 || lacking == 0) {
-        m_wrongSince.erase(service);
+    const int lacking = lackingDecode(service, engines, static_cast<int>(decode.size()), now);
+    if (lacking <= 0)
+        m_lackSince.erase(service);
+    if (lacking >= 0)
+        m_surplusSince.erase(service);
+    if (engines < 2 || lacking == 0)
         return {};
-    }
-    const auto since = m_wrongSince.emplace(service, now).first->second;
     const bool traffic = demand.requests > leastRequests;
-    if (traffic && (now - since < m_options.dwell || now - m_lastOrderAt < m_options.pause))
+    const auto since = (lacking > 0 ? m_lackSince : m_surplusSince).emplace(service, now).first->second;
+    if (traffic && now - since < (lacking > 0 ? m_options.lackDwell : m_options.surplusDwell))
+        return {};
+    if (traffic && lacking < 0 && now - m_lastOrderAt < m_options.pause)
         return {};
 
     auto& from = lacking > 0 ? prefill : decode;
--- a/Source/Serving/RoleSplit.h
+++ b/Source/Serving/RoleSplit.h
@@ -15,10 +15,15 @@
     // Part of the engines that decode while no demand is known: long prompts and
     // short answers need few.
     double decodeShare = 0.22;
-    // A surplus or a lack has to last this long before it is worth an order, so that
-    // an engine that restarts is not replaced.
-    Nanoseconds dwell = std::chrono::seconds(2);
-    // Time after an order in which no other follows, but for those before any traffic.
+    // A lack of decode engines has to last this long before it is worth an order, so
+    // that an engine that restarts is not replaced.
+    Nanoseconds lackDwell = std::chrono::milliseconds(1500);
+    // The same for a surplus, which costs less: while servers are replaced there are
+    // often more of them for some seconds.
+    Nanoseconds surplusDwell = std::chrono::seconds(3);
+    // Engines whose registrations lapsed are still counted for this long: most come back.
+    Nanoseconds lapseTime = std::chrono::seconds(12);
+    // Time after an order in which no further decode engine is turned, but before any traffic.
     Nanoseconds pause = std::chrono::seconds(5);
     // An order without effect is given up after this.
     Nanoseconds orderTime = std::chrono::seconds(9);
@@ -53,11 +58,22 @@
         MonotonicTime at {};
     };
 
+    // The most engines that a service had of late.
+    struct Peak {
+        int engines = 0;
+        MonotonicTime at {};
+    };
+
+    // Decode engines too few, or too many if below 0.
+    int lackingDecode(const ServiceName&, int engines, int decoding, MonotonicTime now);
+
     const BackendTable& m_backends;
     RoleSplitOptions m_options;
     std::map<BackendId, Order> m_orders;
-    // Since when each service has had another split than it should.
-    std::map<ServiceName, MonotonicTime> m_wrongSince;
+    std::map<ServiceName, Peak> m_peaks;
+    // Since when each service has had too few decode engines, or too many.
+    std::map<ServiceName, MonotonicTime> m_lackSince;
+    std::map<ServiceName, MonotonicTime> m_surplusSince;
     MonotonicTime m_lastOrderAt {};
 };
 
