Let a starting host read the tables after 60 ms

Ruled out: the store (its answer took 10 ms), the start of the process. Change: a host without a copy reads for itself after 60 ms. The number of hosts is logged when it changes only.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -189,8 +189,8 @@
             }
         }
         m_network.setHosts(std::move(hosts));
-        m_retries.setHosts(m_network.hostCount());
-        LogEvent("hosts").with("count", m_network.hostCount());
+        if (m_retries.setHosts(m_network.hostCount()))
+            LogEvent("hosts").with("count", m_network.hostCount());
     }
 
     void readDone(SharedTable table)
--- a/Programs/almondscale-host/MirrorDuty.cpp
+++ b/Programs/almondscale-host/MirrorDuty.cpp
@@ -41,8 +41,9 @@
     // The store's answer that nothing changed is at most this old when it arrives.
     constexpr Nanoseconds answerAge = milliseconds(100);
     constexpr Nanoseconds look = milliseconds(50);
-    // The hosts start together, and links between them come first.
-    constexpr Nanoseconds startTime = milliseconds(300);
+    // A link to a reader that is up brings the tables sooner than this; a host that waits
+    // longer refuses its callers.
+    constexpr Nanoseconds startTime = milliseconds(60);
 
 } // namespace
 
--- a/Source/Serving/RetryGate.cpp
+++ b/Source/Serving/RetryGate.cpp
@@ -18,13 +18,14 @@
 {
 }
 
-void RetryGate::setHosts(int hosts)
+bool RetryGate::setHosts(int hosts)
 {
     if (hosts == m_hosts || hosts < 1)
-        return;
+        return false;
     m_hosts = hosts;
     for (auto& entry : m_budgets)
         entry.second.setLeastRetries(static_cast<int>(usedPart * m_bounds.least / m_hosts));
+    return true;
 }
 
 void RetryGate::onRequest(const ServiceName& service, MonotonicTime now) { budget(service).onRequest(now); }
--- a/Source/Serving/RetryGate.h
+++ b/Source/Serving/RetryGate.h
@@ -23,8 +23,8 @@
 public:
     RetryGate(RetryBounds, int hosts);
 
-    // Hosts come and go; the shares follow.
-    void setHosts(int);
+    // Hosts come and go; the shares follow. Whether their number changed.
+    bool setHosts(int);
     void onRequest(const ServiceName&, MonotonicTime now);
     // Whether so many further sends are allowed now; if so they are counted.
     bool tryRetry(const ServiceName&, MonotonicTime now, int sends = 1);
