--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -240,7 +240,7 @@
 
     bool ready() const
     {
-        return !m_context.stopping && !m_routes.empty() && m_directory.known() && !m_servedElsewhere;
+        return !m_context.stopping && !m_routes.empty() && m_directory.known() && !m_context.servedElsewhere;
     }
 
     std::string metrics()
@@ -275,9 +275,9 @@
         for (std::size_t turn = 0;; ++turn) {
             co_await sleepFor(reachPause);
             const auto missing = m_reach.missing();
-            if (missing.empty() == m_servedElsewhere) {
-                m_servedElsewhere = !missing.empty();
-                LogEvent(m_servedElsewhere ? "service_out_of_reach" : "services_in_reach", LogLevel::Warning)
+            if (missing.empty() == m_context.servedElsewhere) {
+                m_context.servedElsewhere = !missing.empty();
+                LogEvent(missing.empty() ? "servers_in_reach" : "servers_out_of_reach", LogLevel::Warning)
                     .with("missing", missing.size())
                     .with("service", missing.empty() ? ServiceName() : missing.front()->record.service);
             }
@@ -286,8 +286,13 @@
             const auto record = missing[turn % missing.size()]->record;
             const auto connection = m_pool.make(record.address);
             const auto error = co_await connection->connect(Deadline::after(bootTime(), reachTime));
-            if (!error)
-                m_backends.noteOutcome(record.id, BackendOutcome::Reached, bootTime());
+            if (error)
+                continue;
+            // What brought back one server of a data centre mostly brought back all.
+            for (const auto* other : m_reach.missing()) {
+                if (other->record.dataCentre == record.dataCentre)
+                    m_backends.noteOutcome(BackendId(other->record.id), BackendOutcome::Reached, bootTime());
+            }
         }
     }
 
@@ -320,7 +325,6 @@
     BackendDirectory m_directory;
     Placement m_placement;
     ServiceReach m_reach;
-    bool m_servedElsewhere = false;
     RetryGate m_retries;
     DemandMeter m_demand;
     HostRecord m_self;
--- a/Source/Forwarding/CallerSession.cpp
+++ b/Source/Forwarding/CallerSession.cpp
@@ -170,7 +170,7 @@
 
     awaitable<bool> answer(ReceivedRequest received)
     {
-        m_keepAlive = received.keepAlive && !m_context.stopping;
+        m_keepAlive = received.keepAlive && !m_context.leavesCallers();
         const auto method = received.head.method;
         auto decoded = m_context.wire.decodeRequest(std::move(received.head), std::move(received.body));
         if (!decoded)
@@ -220,7 +220,7 @@
     // The start of an answer; it ends the connection where the caller or the host does.
     std::string beginAnswer(const HttpResponseHead& head)
     {
-        m_keepAlive = m_keepAlive && !m_context.stopping;
+        m_keepAlive = m_keepAlive && !m_context.leavesCallers();
         return startOf(head) + (m_keepAlive ? "" : "Connection: close\r\n");
     }
 
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -28,7 +28,12 @@
     std::function<void(const RequestEnd&)> onRequestEnd = {};
     // The host is shutting down: connections of callers end with their next answer.
     bool stopping = false;
+    // Callers are better served in another data centre: their connections end likewise,
+    // so that they come back through the balancer.
+    bool servedElsewhere = false;
     int openRequests = 0;
+
+    bool leavesCallers() const { return stopping || servedElsewhere; }
 };
 
 } // namespace almondscale
--- a/Source/Serving/BackendTable.cpp
+++ b/Source/Serving/BackendTable.cpp
@@ -106,6 +106,10 @@
     if (found == m_backends.end())
         return;
     auto& backend = found->second;
+    if (outcome == BackendOutcome::Unreachable)
+        ++m_lossesInRow[backend.record.dataCentre];
+    else if (outcome != BackendOutcome::Broken && outcome != BackendOutcome::Abandoned)
+        m_lossesInRow.erase(backend.record.dataCentre);
     switch (outcome) {
     case BackendOutcome::Reached:
         backend.unreachable = false;
@@ -145,6 +149,12 @@
     }
 }
 
+int BackendTable::lossesInRow(const DataCentre& dataCentre) const
+{
+    const auto found = m_lossesInRow.find(dataCentre);
+    return found == m_lossesInRow.end() ? 0 : found->second;
+}
+
 void BackendTable::noteSpeed(const BackendId& id, Nanoseconds taken, Nanoseconds expected)
 {
     const auto found = m_backends.find(id);
--- a/Source/Serving/BackendTable.h
+++ b/Source/Serving/BackendTable.h
@@ -41,6 +41,8 @@
     void noteOutcome(const BackendId&, BackendOutcome, MonotonicTime now);
     // What an attempt took against what was expected of an ordinary server.
     void noteSpeed(const BackendId&, Nanoseconds taken, Nanoseconds expected);
+    // Attempts at servers of the data centre, one after the other, that found no connection.
+    int lossesInRow(const DataCentre&) const;
     // The part was sent to the server, which keeps it.
     void notePart(const BackendId&, std::uint64_t part, MonotonicTime now);
     // Forgets the parts that were last sent before.
@@ -63,6 +65,7 @@
     };
 
     std::map<BackendId, Backend> m_backends;
+    std::map<DataCentre, int> m_lossesInRow;
     // In the order of time.
     std::deque<ToldPart> m_toldParts;
 };
--- a/Source/Serving/ServiceReach.cpp
+++ b/Source/Serving/ServiceReach.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+    // A single server that is gone is no sign that its data centre is.
+    constexpr int lossesOfCut = 2;
+
     // The servers that a service cannot do without.
     struct NeededServers {
         std::vector<const Backend*> unreachable;
@@ -21,18 +24,36 @@
 {
 }
 
+bool ServiceReach::cutOff() const
+{
+    std::map<DataCentre, int> sizes;
+    for (const auto& entry : m_backends.all())
+        ++sizes[entry.second.record.dataCentre];
+    bool larger = false;
+    for (const auto& [dataCentre, servers] : sizes) {
+        if (dataCentre == m_dataCentre)
+            continue;
+        if (m_backends.lossesInRow(dataCentre) < lossesOfCut)
+            return false;
+        const int own = sizes[m_dataCentre];
+        larger = larger || servers > own || (servers == own && dataCentre < m_dataCentre);
+    }
+    return larger;
+}
+
 std::vector<const Backend*> ServiceReach::missing() const
 {
+    const bool alone = cutOff();
     std::map<ServiceName, NeededServers> services;
     for (const auto& entry : m_backends.all()) {
         const auto& backend = entry.second;
         // An engine that decodes can prefill too, but not the other way round.
-        if (backend.record.draining || backend.record.role == EngineRole::Prefill)
+        if (backend.record.draining || (backend.record.role == EngineRole::Prefill && !alone))
             continue;
         auto& needed = services[backend.record.service];
-        if (backend.record.dataCentre == m_dataCentre || !backend.unreachable)
+        if (!alone && (backend.record.dataCentre == m_dataCentre || !backend.unreachable))
             needed.inReach = true;
-        else
+        else if (backend.unreachable)
             needed.unreachable.push_back(&backend);
     }
     std::vector<const Backend*> all;
--- a/Source/Serving/ServiceReach.h
+++ b/Source/Serving/ServiceReach.h
@@ -8,18 +8,21 @@
 namespace almondscale {
 
 // Tells when the callers of this data centre are better served by another one. It
-// answers a data centre that is cut off and has no server of its own for a service:
-// what would be refused here is served where the balancer sends it next.
+// answers a data centre that is cut off: its own servers lack the prompt parts that the
+// others keep, and it may have none for a service. What still comes is served here.
 class ServiceReach {
 public:
     ServiceReach(const BackendTable&, DataCentre);
 
-    // Servers of other data centres, none of which can be reached, although their
-    // service has none here; empty while each service has a server in reach. Hosts beside
-    // those servers never miss them, so that some data centre goes on taking callers.
+    // Servers of other data centres that are missed; empty while callers are well served
+    // here. Either none of a service can be reached, and there is none here, or no other
+    // data centre can be reached at all. Some data centre never misses any: the one that
+    // has the service, and the largest, so that callers always have one to go to.
     std::vector<const Backend*> missing() const;
 
 private:
+    bool cutOff() const;
+
     const BackendTable& m_backends;
     DataCentre m_dataCentre;
 };
--- a/Tests/Serving/ServiceReachTest.cpp
+++ b/Tests/Serving/ServiceReachTest.cpp
@@ -46,6 +46,23 @@
     CHECK(table.usable(model, testStart + 10ms, EngineRole::Decode).size() == 1);
 }
 
+TEST_CASE_METHOD(
+    ReachFixture, "Data centre that reaches no other one leaves its callers to them until one is back")
+{
+    lose("p-a");
+    lose("p-a");
+    lose("p-b");
+    CHECK(missingIn("c") == 0);
+    lose("d-b");
+    CHECK(missingIn("c") == 3);
+    // The largest data centre, or the first of these, keeps its callers whatever it reaches.
+    lose("p-c");
+    lose("d-c");
+    CHECK(missingIn("b") == 0);
+    table.noteOutcome(BackendId("d-b"), BackendOutcome::Answered, testStart + 1s);
+    CHECK(missingIn("c") == 0);
+}
+
 TEST_CASE_METHOD(ReachFixture, "Data centre with a decode engine misses none, even when all have crashed")
 {
     lose("d-b");
