Let prefills that come late everywhere yield to those that can be in time

Change: a prefill that is expected to be late at every engine gets the engines' least urgent priority and is counted apart, so that it neither delays nor scares off those that can be in time; it is refused at once when even so it cannot be done within its caller's time.

--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -302,6 +302,7 @@
         .with("prefill", m_prefill ? m_prefill->backend : BackendId())
         .with("expected_ms", m_prefill ? static_cast<int>(m_prefill->expectedMs) : 0)
         .with("work_ms", m_prefill ? static_cast<int>(m_prefill->workMs) : 0)
+        .with("deferred", m_prefill && m_prefill->deferred)
         .with("shared", m_request.prompt ? m_request.prompt->shared.count() : 0)
         .with("prompt", m_request.prompt ? m_request.prompt->prompt.count() : 0)
         .with("prefill_ms", m_prefilledAt == MonotonicTime() ? -1 : msSince(m_prefilledAt))
--- a/Source/Forwarding/RequestRunStream.cpp
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -19,6 +19,8 @@
     constexpr Nanoseconds decodeTime = milliseconds(150);
     // A decode engine that is silent for this long, where the request may go elsewhere.
     constexpr Nanoseconds streamSilence = milliseconds(1000);
+    // Of the priorities that engines know, 0 to 9, the one that yields to all others.
+    constexpr Priority leastUrgent { 9 };
     // Time for freeing a KV cache, which expires by itself.
     constexpr Nanoseconds freeTime = milliseconds(500);
 
@@ -60,7 +62,8 @@
     m_prefill = choice;
     m_prefillExcluded.insert(id);
     m_backend = id;
-    const OpenWork work(m_context.backends, id, BackendLoad { choice.workMs, 0, 0 });
+    const BackendLoad load { choice.deferred ? 0 : choice.workMs, 0, 0, choice.deferred ? choice.workMs : 0 };
+    const OpenWork work(m_context.backends, id, load);
     m_context.backends.notePart(id, m_request.prompt->sharedKey, bootTime());
     const auto sentAt = bootTime();
     const auto deadline
@@ -70,6 +73,8 @@
         co_return std::nullopt;
     auto call = callTo(id);
     call.prefillOnly = true;
+    if (choice.deferred)
+        call.priority = leastUrgent;
     call.lastEvent.clear();
     m_prefillSent = true;
     auto reply = co_await exchange(call, deadline);
--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -51,7 +51,7 @@
         if (frame.loads()) {
             for (const auto* load : *frame.loads())
                 work.loads[load->backend()]
-                    = { load->prefill_ms(), load->requests(), load->context_tokens() };
+                    = { load->prefill_ms(), load->requests(), load->context_tokens(), load->deferred_ms() };
         }
         if (frame.demand()) {
             for (const auto* demand : *frame.demand())
@@ -102,9 +102,10 @@
             parts.emplace_back(part.backend, part.part);
         for (const auto& entry : frame.work->loads) {
             const auto& load = entry.second;
-            if (load.requests != 0 || std::abs(load.prefillMs) >= leastPrefillMs)
+            if (load.requests != 0 || std::abs(load.prefillMs) + std::abs(load.deferredMs) >= leastPrefillMs)
                 loads.emplace_back(entry.first, static_cast<float>(load.prefillMs),
-                    static_cast<float>(load.contextTokens), load.requests);
+                    static_cast<float>(load.contextTokens), load.requests,
+                    static_cast<float>(load.deferredMs));
         }
         for (const auto& entry : frame.work->demand)
             demands.push_back(peerwire::CreateDemand(builder, builder.CreateString(entry.first.text()),
--- a/Source/Peers/PeerFrames_generated.h
+++ b/Source/Peers/PeerFrames_generated.h
@@ -38,7 +38,7 @@
   float prefill_ms_;
   float context_tokens_;
   int32_t requests_;
-  int32_t padding0__;
+  float deferred_ms_;
 
  public:
   Load()
@@ -46,16 +46,14 @@
         prefill_ms_(0),
         context_tokens_(0),
         requests_(0),
-        padding0__(0) {
-    (void)padding0__;
+        deferred_ms_(0) {
   }
-  Load(uint64_t _backend, float _prefill_ms, float _context_tokens, int32_t _requests)
+  Load(uint64_t _backend, float _prefill_ms, float _context_tokens, int32_t _requests, float _deferred_ms)
       : backend_(flatbuffers::EndianScalar(_backend)),
         prefill_ms_(flatbuffers::EndianScalar(_prefill_ms)),
         context_tokens_(flatbuffers::EndianScalar(_context_tokens)),
         requests_(flatbuffers::EndianScalar(_requests)),
-        padding0__(0) {
-    (void)padding0__;
+        deferred_ms_(flatbuffers::EndianScalar(_deferred_ms)) {
   }
   uint64_t backend() const {
     return flatbuffers::EndianScalar(backend_);
@@ -69,6 +67,9 @@
   int32_t requests() const {
     return flatbuffers::EndianScalar(requests_);
   }
+  float deferred_ms() const {
+    return flatbuffers::EndianScalar(deferred_ms_);
+  }
 };
 FLATBUFFERS_STRUCT_END(Load, 24);
 
--- a/Source/Serving/BackendLoad.h
+++ b/Source/Serving/BackendLoad.h
@@ -10,12 +10,15 @@
     int requests = 0;
     // Tokens that the running requests keep in the engine's memory.
     double contextTokens = 0;
+    // Prefill work that yields to all other, in the same milliseconds.
+    double deferredMs = 0;
 
     BackendLoad& operator+=(const BackendLoad& other)
     {
         prefillMs += other.prefillMs;
         requests += other.requests;
         contextTokens += other.contextTokens;
+        deferredMs += other.deferredMs;
         return *this;
     }
     BackendLoad& operator-=(const BackendLoad& other)
@@ -23,6 +26,7 @@
         prefillMs -= other.prefillMs;
         requests -= other.requests;
         contextTokens -= other.contextTokens;
+        deferredMs -= other.deferredMs;
         return *this;
     }
 };
--- a/Source/Serving/BackendTable.cpp
+++ b/Source/Serving/BackendTable.cpp
@@ -211,7 +211,7 @@
     Loads loads;
     for (const auto& entry : m_backends) {
         const auto& own = entry.second.own;
-        if (own.requests != 0 || std::abs(own.prefillMs) > 0.5)
+        if (own.requests != 0 || std::abs(own.prefillMs) + std::abs(own.deferredMs) > 0.5)
             loads[backendHash(entry.first)] = own;
     }
     return loads;
--- a/Source/Serving/Placement.cpp
+++ b/Source/Serving/Placement.cpp
@@ -40,28 +40,46 @@
 {
 }
 
+struct Placement::PrefillQuery {
+    const PromptShape& prompt;
+    // The engines by their rank for the prompt's shared part.
+    std::vector<std::pair<std::uint64_t, const Backend*>> ranked;
+    double leftMs = 0;
+    MonotonicTime now;
+};
+
 std::optional<PlacementChoice> Placement::choosePrefill(const ServiceName& service, const PromptShape& prompt,
     const Excluded& excluded, Deadline timely, MonotonicTime now) const
 {
-    std::vector<std::pair<std::uint64_t, const Backend*>> ranked;
+    PrefillQuery query { prompt, {}, static_cast<double>(timely.remaining(now).count()) / 1e6, now };
     for (const auto* backend : m_backends.usable(service, now, EngineRole::Prefill)) {
         if (excluded.count(backend->record.id) == 0)
-            ranked.emplace_back(homeRank(prompt.sharedKey, backend->record.id), backend);
+            query.ranked.emplace_back(homeRank(prompt.sharedKey, backend->record.id), backend);
     }
-    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
-    const double leftMs = static_cast<double>(timely.remaining(now).count()) / 1e6;
+    std::sort(query.ranked.begin(), query.ranked.end(),
+        [](const auto& a, const auto& b) { return a.first > b.first; });
+    const auto best = bestPrefill(query, false);
+    if (!best || best->expectedMs <= m_options.deferFactor * query.leftMs)
+        return best;
+    return bestPrefill(query, true);
+}
+
+std::optional<PlacementChoice> Placement::bestPrefill(const PrefillQuery& query, bool deferred) const
+{
+    const auto& prompt = query.prompt;
     const double rereadMs = m_options.rereadFactor * m_options.speed.prefillMs(prompt.shared, TokenCount(0));
     std::optional<PlacementChoice> best;
     double bestCost = 0;
-    for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
-        const auto* backend = ranked[rank].second;
+    for (std::size_t rank = 0; rank < query.ranked.size(); ++rank) {
+        const auto* backend = query.ranked[rank].second;
         const bool shares = prompt.sharedKey != 0;
         const bool home = rank < m_options.copies;
-        const bool cached = shares && keepsPart(*backend, prompt, home, now);
+        const bool cached = shares && keepsPart(*backend, prompt, home, query.now);
         const double work = m_options.speed.prefillMs(prompt.prompt, cached ? prompt.shared : TokenCount(0));
-        const double wait = std::max(0.0, backend->load().prefillMs);
+        const auto load = backend->load();
+        const double wait = std::max(0.0, load.prefillMs) + (deferred ? std::max(0.0, load.deferredMs) : 0);
         const double expected = (wait + work) * backend->delayFactor() + failureMs * backend->failureShare;
-        double cost = expected + (expected > leftMs ? m_options.lateMs : 0);
+        double cost = expected + (expected > query.leftMs ? m_options.lateMs : 0);
         // Its own engine has to read the part once in any case.
         if (shares && !cached && !home)
             cost += rereadMs;
@@ -70,7 +88,7 @@
         if (backend->record.dataCentre != m_dataCentre)
             cost += m_options.otherDataCentreMs;
         if (!best || cost < bestCost) {
-            best = PlacementChoice { backend->record.id, expected, work, wait + work };
+            best = PlacementChoice { backend->record.id, expected, work, wait + work, deferred };
             bestCost = cost;
         }
     }
--- a/Source/Serving/Placement.h
+++ b/Source/Serving/Placement.h
@@ -24,6 +24,9 @@
     // What an answer that comes late weighs, in milliseconds. Later still weighs no
     // more: a request that is late everywhere stays where its part is.
     double lateMs = 600;
+    // A prefill yields to others when it is expected to take more than this part of what
+    // is left for it. Above 1 a crowd's queue settles where all of it is late.
+    double deferFactor = 1;
     // All hosts prefer the same engine for a part's second copy, and so on.
     double rankMs = 10;
     // A part is believed to be cached for this long after it was last sent there.
@@ -46,12 +49,16 @@
     // Milliseconds of work at an ordinary server, without and with what waits there.
     double workMs = 0;
     double ordinaryMs = 0;
+    // The prefill comes late everywhere and yields to those that can be in time.
+    bool deferred = false;
 };
 
 // Chooses backend servers by expected completion. It answers a load of long
 // prompts whose shared parts do not fit into one engine's memory: each part has
 // an order of prefill engines, the same at all hosts; a request leaves the first
-// one when its answer would be late there, and then mostly for the second.
+// one when its answer would be late there, and then mostly for the second. Under a
+// crowd that is too much for all engines, requests that come late in any case yield to
+// those that can be in time.
 class Placement {
 public:
     using Excluded = std::set<BackendId>;
@@ -70,6 +77,8 @@
     const PlacementOptions& options() const { return m_options; }
 
 private:
+    struct PrefillQuery;
+    std::optional<PlacementChoice> bestPrefill(const PrefillQuery&, bool deferred) const;
     bool keepsPart(const Backend&, const PromptShape&, bool home, MonotonicTime now) const;
 
     const BackendTable& m_backends;
--- a/Tests/Peers/PeerFrameTest.cpp
+++ b/Tests/Peers/PeerFrameTest.cpp
@@ -11,7 +11,7 @@
     frame.host = HostId("n1");
     frame.dataCentre = DataCentre("a");
     frame.work.emplace();
-    frame.work->loads[42] = BackendLoad { 120.5, 3, 51000 };
+    frame.work->loads[42] = BackendLoad { 120.5, 3, 51000, 80.5 };
     frame.work->demand[ServiceName("llm")] = EngineDemand { 2400, 41, 355000 };
     frame.work->parts = { { 42, 7 }, { 43, 8 } };
     PeerNews news;
@@ -27,6 +27,7 @@
     CHECK(decoded->host == frame.host);
     CHECK(decoded->work->loads.at(42).requests == 3);
     CHECK(decoded->work->loads.at(42).prefillMs == Approx(120.5));
+    CHECK(decoded->work->loads.at(42).deferredMs == Approx(80.5));
     CHECK(decoded->work->demand.at(ServiceName("llm")).requests == Approx(41));
     REQUIRE(decoded->work->parts.size() == 2);
     CHECK(decoded->work->parts.begin()->part == 7);
