--- a/Programs/almondscale-bench/Load/LoadCaller.cpp
+++ b/Programs/almondscale-bench/Load/LoadCaller.cpp
@@ -81,7 +81,7 @@
                 return failed("no answer to a booking");
             if (result.response->status == statusOk)
                 return completeOutcome(settings, plannedAt);
-            const CallOutcome outcome = refusalOutcome(*result.response);
+            CallOutcome outcome = refusalOutcome(*result.response);
             const bool underWay = outcome.refusal == errorWord(ErrorKind::BookingInProgress);
             if (!underWay
                 || Deadline(plannedAt + settings.deadline).passed(monotonicClock()() + askAgainInterval))
--- a/Source/Serving/Placement.cpp
+++ b/Source/Serving/Placement.cpp
@@ -58,7 +58,7 @@
     }
     std::sort(query.ranked.begin(), query.ranked.end(),
         [](const auto& a, const auto& b) { return a.first > b.first; });
-    const auto best = bestPrefill(query, false);
+    auto best = bestPrefill(query, false);
     if (!best || best->expectedMs <= m_options.deferFactor * query.leftMs)
         return best;
     return bestPrefill(query, true);
