--- a/Source/Serving/BackendCall.h
+++ b/Source/Serving/BackendCall.h
@@ -18,6 +18,7 @@
     // The prompt is only prefilled, and its KV cache kept for a decode engine.
     bool prefillOnly = false;
     std::optional<KvSource> source;
+    // As engines count it: 0 is the most urgent.
     std::optional<Priority> priority;
     // The last event that has arrived, where a stream goes on; empty for a new one.
     std::string lastEvent;
