End a cut with the first server of another data centre that is reached

Change: while a data centre counts as cut off, all servers of the others are tried in turn; one test fails without it.

--- a/Source/Serving/ServiceReach.cpp
+++ b/Source/Serving/ServiceReach.cpp
@@ -41,19 +41,31 @@
     return larger;
 }
 
-std::vector<const Backend*> ServiceReach::missing() const
+std::vector<const Backend*> ServiceReach::missing() const { return cutOff() ? elsewhere() : unserved(); }
+
+// All of them, flagged or not: the first that is reached ends the cut.
+std::vector<const Backend*> ServiceReach::elsewhere() const
+{
+    std::vector<const Backend*> servers;
+    for (const auto& entry : m_backends.all()) {
+        if (!entry.second.record.draining && entry.second.record.dataCentre != m_dataCentre)
+            servers.push_back(&entry.second);
+    }
+    return servers;
+}
+
+std::vector<const Backend*> ServiceReach::unserved() const
 {
-    const bool alone = cutOff();
     std::map<ServiceName, NeededServers> services;
     for (const auto& entry : m_backends.all()) {
         const auto& backend = entry.second;
         // An engine that decodes can prefill too, but not the other way round.
-        if (backend.record.draining || (backend.record.role == EngineRole::Prefill && !alone))
+        if (backend.record.draining || backend.record.role == EngineRole::Prefill)
             continue;
         auto& needed = services[backend.record.service];
-        if (!alone && (backend.record.dataCentre == m_dataCentre || !backend.unreachable))
+        if (backend.record.dataCentre == m_dataCentre || !backend.unreachable)
             needed.inReach = true;
-        else if (backend.unreachable)
+        else
             needed.unreachable.push_back(&backend);
     }
     std::vector<const Backend*> all;
--- a/Source/Serving/ServiceReach.h
+++ b/Source/Serving/ServiceReach.h
@@ -22,6 +22,8 @@
 
 private:
     bool cutOff() const;
+    std::vector<const Backend*> elsewhere() const;
+    std::vector<const Backend*> unserved() const;
 
     const BackendTable& m_backends;
     DataCentre m_dataCentre;
--- a/Tests/Serving/ServiceReachTest.cpp
+++ b/Tests/Serving/ServiceReachTest.cpp
@@ -63,6 +63,17 @@
     CHECK(missingIn("c") == 0);
 }
 
+TEST_CASE_METHOD(ReachFixture,
+    "Data centre that lost one server of each other one is cut off until any of theirs is reached")
+{
+    for (const char* id : { "p-a", "p-a", "p-b", "p-b" })
+        lose(id);
+    REQUIRE(missingIn("c") == 3);
+    // The decode engine was never lost, so it is among those that are tried.
+    table.noteOutcome(BackendId("d-b"), BackendOutcome::Reached, testStart + 10ms);
+    CHECK(missingIn("c") == 0);
+}
+
 TEST_CASE_METHOD(ReachFixture, "Data centre with a decode engine misses none, even when all have crashed")
 {
     lose("d-b");
