--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -12,6 +12,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -24,6 +25,10 @@
 LONGEST_S = 75.0
 # A server that leaves gets no new request after this; the platform's bound and a slack for this machine.
 DRAIN_S = 2.3
+# Loopback nets that runs choose from; 127.0 and the last ones are left to others.
+NETS = 250
+# A run keeps this port of its net bound while it lasts; no program of the soak uses it.
+GUARD_PORT = 6999
 # Share of the requests of the calm end that are served.
 LEAST_SERVED = 0.95
 
@@ -43,6 +48,19 @@
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 }
 
+def take_net(seed):
+    """A /16 of loopback that no other run uses, as its first two numbers, and what keeps others out of it."""
+    for offset in range(NETS):
+        net = f"127.{1 + (seed + offset) % NETS}"
+        guard = socket.socket()
+        try:
+            guard.bind((f"{net}.0.1", GUARD_PORT))
+            return net, guard
+        except OSError:
+            guard.close()
+    sys.exit(f"all {NETS} loopback nets are in use; end other runs of the soak first")
+
+
 
 class HostProcess:
     """One almondscale-host that the soak starts, signals and watches."""
@@ -99,7 +117,10 @@
     def __init__(self, program, seed, hosts, folder):
         self.program, self.seed, self.folder = program, seed, folder
         self.random = random.Random(seed)
-        self.net = f"127.{1 + seed % 250}"
+        # Of their own, so that a seed's other faults stay as they were.
+        self.row_random, self.clock_random = random.Random(f"rows {seed}"), random.Random(f"clocks {seed}")
+        self.manifest_version = 1
+        self.net, self.guard = take_net(seed)
         self.store = Store(f"{self.net}.0.1:7000")
         self.failures = []
         self.over = False
