Soak: rows that cannot be read, and a wrong time of day

Until now the soak left the clocks alone and kept every row readable. Now the manifest or a registration is broken for 0.3 to 2 s at a time, hosts get a time of day that is up to an hour off at each start, and servers register starts that are as wrong. Both draw from generators of their own, so the other faults of a seed stay as they were.

--- a/Tests/Soak/fakes.py
+++ b/Tests/Soak/fakes.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import random
+import time
 import urllib.parse
 
 
@@ -155,6 +156,8 @@
         # A crash or a planned end is under way.
         self.ending = False
         self.orders = 0
+        # When it started by its own clock, which may be wrong.
+        self.born = 0
 
     @property
     def identity(self):
@@ -162,13 +165,15 @@
 
     async def live(self):
         self.lives += 1
+        self.born = int(1000 * (time.time() + self.world.clock_random.uniform(-3600, 3600)))
         self.state, self.left_at, self.ending = "ready", None, False
         await self.start()
         self.register()
 
     def register(self):
         entry = {"service": "llm" if self.role else "desk", "address": self.seen_at, "zone": "a", "version": "v1",
-                 "slots": 64 if self.role else 6, "state": self.state, "coldRemainingMs": 0, "sequence": 1}
+                 "slots": 64 if self.role else 6, "state": self.state, "coldRemainingMs": 0, "sequence": 1,
+                 "born": self.born}
         if self.role:
             entry["stage"] = self.role
         self.world.store.put("servers", self.identity, json.dumps(entry))
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """A randomized soak: real almondscale-host processes between fake platform, backend servers and callers.
 
-Usage: Tests/Soak/soak.py --program FILE [--seeds FIRST-LAST] [--parallel N] [--hosts N]
+Usage: Tests/Soak/soak.py --program FILE [--clock FILE] [--seeds FIRST-LAST] [--parallel N] [--hosts N]
 
 Each seed plays about 25 s of traffic, faults that overlap, and a calm end, and checks the promises of
 docs/PROMISES.md from what callers and backend servers see. Processes are ended by their ids only.
@@ -33,7 +33,6 @@
 LEAST_SERVED = 0.95
 
 MANIFEST = {
-    "version": 1,
     "routes": [
         {"name": name, "host": "h", "pathPrefix": f"/{name}/", "kind": kind, "timeoutMs": 3000,
          "targetLatencyMs": 800, "priority": 1, "service": service, "maxAttempts": attempts, "sticky": kind == "stream",
@@ -48,6 +47,7 @@
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 }
 
+
 def take_net(seed):
     """A /16 of loopback that no other run uses, as its first two numbers, and what keeps others out of it."""
     for offset in range(NETS):
@@ -61,7 +61,6 @@
     sys.exit(f"all {NETS} loopback nets are in use; end other runs of the soak first")
 
 
-
 class HostProcess:
     """One almondscale-host that the soak starts, signals and watches."""
 
@@ -85,9 +84,15 @@
         self.ended_by_us, self.stopping_since = False, None
         with open(self.settings + ".log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                self.world.program, "--settings", self.settings, stdout=log, stderr=log)
+                self.world.program, "--settings", self.settings, stdout=log, stderr=log, env=self.environment())
         asyncio.create_task(self.watch(self.process))
 
+    def environment(self):
+        """A time of day that is wrong by up to an hour, another one at each start."""
+        shift = self.world.clock_random.uniform(-3600, 3600)
+        clock = {"LD_PRELOAD": self.world.clock, "SOAK_CLOCK_SHIFT_S": f"{shift:.3f}"} if self.world.clock else {}
+        return {**os.environ, **clock}
+
     async def watch(self, process):
         code = await process.wait()
         if not self.ended_by_us and not self.world.over:
@@ -114,8 +119,8 @@
 class World:
     """One seed's run."""
 
-    def __init__(self, program, seed, hosts, folder):
-        self.program, self.seed, self.folder = program, seed, folder
+    def __init__(self, program, clock, seed, hosts, folder):
+        self.program, self.clock, self.seed, self.folder = program, clock, seed, folder
         self.random = random.Random(seed)
         # Of their own, so that a seed's other faults stay as they were.
         self.row_random, self.clock_random = random.Random(f"rows {seed}"), random.Random(f"clocks {seed}")
@@ -280,6 +285,30 @@
             await host.end(signal.SIGTERM)
             await host.start()
 
+    async def row_faults(self):
+        """Rows of the store that nobody can read, for a while each."""
+        end = time.monotonic() + FAULTS_S
+        while time.monotonic() < end:
+            await asyncio.sleep(self.row_random.uniform(0.5, 3.0))
+            span = self.row_random.uniform(0.3, 2.0)
+            backend = self.row_random.choice([None] + self.backends)
+            self.unplanned(span)
+            broken = self.row_random.choice(["", "{", "\x01\x02", "[]", '{"version":"x"}', "null"])
+            if backend is None:
+                self.store.put("op", "config", broken)
+                await asyncio.sleep(span)
+                self.put_manifest()
+            elif not backend.ending:
+                identity = backend.identity
+                self.store.put("servers", identity, broken)
+                await asyncio.sleep(span)
+                if backend.identity == identity and not backend.ending:
+                    backend.register()
+
+    def put_manifest(self):
+        self.store.put("op", "config", json.dumps({**MANIFEST, "version": self.manifest_version}))
+        self.manifest_version += 1
+
     async def backend_crash(self):
         backend = self.random.choice(self.backends)
         if backend.ending:
@@ -366,13 +395,13 @@
             await proxy.start()
         for backend in self.backends:
             await backend.live()
-        self.store.put("op", "config", json.dumps(MANIFEST))
+        self.put_manifest()
         for host in self.hosts:
             await host.start()
         tasks = [asyncio.create_task(task) for task in [self.heartbeats(), self.rotation()]]
         await asyncio.sleep(5.5)
         tasks += [asyncio.create_task(self.caller(number)) for number in range(12)]
-        await self.faults()
+        await asyncio.gather(self.faults(), self.row_faults())
         await asyncio.sleep(CALM_S / 2)
         self.calm = True
         await asyncio.sleep(CALM_S / 2)
@@ -391,7 +420,7 @@
 def play_seed(arguments, seed):
     random.seed(seed)
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
-    world = World(arguments.program, seed, arguments.hosts, folder)
+    world = World(arguments.program, arguments.clock, seed, arguments.hosts, folder)
 
     async def run():
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
@@ -425,11 +454,13 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--program", required=True, help="the almondscale-host to run")
+    parser.add_argument("--clock", default="", help="the library that shifts the hosts' time of day")
     parser.add_argument("--seeds", default="1-1", help="FIRST-LAST")
     parser.add_argument("--parallel", type=int, default=1)
     parser.add_argument("--hosts", type=int, default=4)
     arguments = parser.parse_args()
     arguments.program = os.path.abspath(arguments.program)
+    arguments.clock = arguments.clock and os.path.abspath(arguments.clock)
     first, _, last = arguments.seeds.partition("-")
     waiting = list(range(int(first), int(last or first) + 1))
     running, passed, failed = {}, 0, 0
