Log rows of the store that cannot be read, and use the newest manifest that can

Cause: an unreadable manifest was passed over without a line in the log, and an unreadable registration was logged as removed. A list of changes with a readable manifest before an unreadable one gave none. Ruled out: keeping the old registration of an unreadable row, since it may say that the server leaves. Test: 'Manifest, unreadable in its newest row ...' (none before, version 5 now).

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -163,10 +163,10 @@
     static void logChanges(const std::vector<BackendChange>& changes, RowVersion version)
     {
         for (const auto& change : changes) {
-            LogEvent event("backend");
+            LogEvent event("backend", change.unreadable ? LogLevel::Warning : LogLevel::Info);
             event.with("backend", change.id).with("store_version", version);
             if (!change.record) {
-                event.with("state", "removed");
+                event.with("state", change.unreadable ? "unreadable" : "removed");
                 continue;
             }
             event.with("state", change.record->draining ? "draining" : "ready")
@@ -179,8 +179,13 @@
 
     void takeManifest(const StoredRows& rows)
     {
-        auto manifest = platform::manifestIn(rows);
-        if (!manifest || !m_routes.adopt(std::move(*manifest)))
+        auto reading = platform::manifestIn(rows);
+        if (reading.unreadable) {
+            LogEvent("manifest_unreadable", LogLevel::Warning)
+                .with("store_version", *reading.unreadable)
+                .with("in_force", m_routes.version());
+        }
+        if (!reading.manifest || !m_routes.adopt(std::move(*reading.manifest)))
             return;
         LogEvent("manifest_in_force")
             .with("version", m_routes.version())
--- a/Source/Serving/BackendChange.h
+++ b/Source/Serving/BackendChange.h
@@ -11,6 +11,7 @@
     BackendId id;
     // Nothing if the entry was removed or cannot be read.
     std::optional<BackendRecord> record;
+    bool unreadable = false;
 };
 
 } // namespace almondscale
--- a/Tests/PlatformAdapter/ManifestCodecTest.cpp
+++ b/Tests/PlatformAdapter/ManifestCodecTest.cpp
@@ -62,6 +62,19 @@
 {
     StoredRows rows;
     rows.rows = { manifestRow(5, 57), manifestRow(9, 59) };
-    REQUIRE(platform::manifestIn(rows));
-    CHECK(platform::manifestIn(rows)->version == 9);
+    const auto reading = platform::manifestIn(rows);
+    REQUIRE(reading.manifest);
+    CHECK(reading.manifest->version == 9);
+    CHECK_FALSE(reading.unreadable);
+}
+
+TEST_CASE("Manifest, unreadable in its newest row, is the newest readable one and tells the row")
+{
+    StoredRows rows;
+    rows.rows = { manifestRow(5, 57), manifestRow(9, 59) };
+    rows.rows.back().value = "{\"version\":";
+    const auto reading = platform::manifestIn(rows);
+    REQUIRE(reading.manifest);
+    CHECK(reading.manifest->version == 5);
+    CHECK(reading.unreadable == RowVersion(59));
 }
--- a/Tests/PlatformAdapter/RegistrationCodecTest.cpp
+++ b/Tests/PlatformAdapter/RegistrationCodecTest.cpp
@@ -24,11 +24,13 @@
     CHECK(change.record->role == EngineRole::Prefill);
     CHECK(change.record->startedAtMs == 1700000000123);
     CHECK_FALSE(change.record->draining);
+    CHECK_FALSE(change.unreadable);
 }
 
 TEST_CASE("Registration of another writer, unreadable or incomplete, names no server")
 {
     CHECK_FALSE(platform::decodeRegistration("i", "\x01\x02").record);
+    CHECK(platform::decodeRegistration("i", "\x01\x02").unreadable);
     CHECK_FALSE(platform::decodeRegistration("i", "{}").record);
     CHECK_FALSE(platform::decodeRegistration("i", registration(R"("state":"sleeping")")).record);
     CHECK_FALSE(platform::decodeRegistration("i", registration(R"("state":1)")).record);
