Apply changed settings on SIGHUP

SIGHUP was logged only, so new retry bounds, seeds or time to end waited for a restart. They are applied now; what else differs is logged as needing a restart, and a file with errors changes nothing.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -13,6 +13,7 @@
 #include "ReadyServer.h"
 #include "Serving/BackendDirectory.h"
 #include "Serving/ServiceReach.h"
+#include "SettingsChange.h"
 #include "StatusPages.h"
 #include "platform/RequestWire.h"
 
@@ -41,8 +42,9 @@
 
 class Host::Impl {
 public:
-    explicit Impl(platform::NodeSettings settings)
+    Impl(platform::NodeSettings settings, Reader readSettings)
         : m_settings(std::move(settings))
+        , m_readSettings(std::move(readSettings))
         , m_pool(m_loop.get_executor())
         , m_wire(platform::makeServingWire())
         , m_directory(m_backends)
@@ -135,11 +137,30 @@
         signals.async_wait([this, &signals](const boost::system::error_code& error, int) {
             if (error)
                 return;
-            LogEvent("reload").with("host", m_settings.host);
+            reload();
             awaitReload(signals);
         });
     }
 
+    // Applies what a running host can; settings with errors change nothing.
+    void reload()
+    {
+        const auto read = m_readSettings();
+        for (const auto& error : read.errors)
+            LogEvent("reload_refused", LogLevel::Error).with("error", error);
+        if (!read.errors.empty())
+            return;
+        const auto change = compareSettings(m_settings, read.settings);
+        LogEvent("reload").with("applied", change.applied()).with("needs_restart", change.needsRestart);
+        if (change.retries)
+            m_retries.setBounds(read.settings.retries);
+        if (change.seeds)
+            m_network.setSeeds(read.settings.seeds);
+        m_settings.retries = read.settings.retries;
+        m_settings.seeds = read.settings.seeds;
+        m_settings.shutdownTime = read.settings.shutdownTime;
+    }
+
     void takeNews(SharedTable table, const StoredRows& rows, MonotonicTime now)
     {
         switch (table) {
@@ -324,6 +345,7 @@
     }
 
     platform::NodeSettings m_settings;
+    Reader m_readSettings;
     boost::asio::io_context m_loop { 1 };
     ConnectionPool m_pool;
     ServingWire m_wire;
@@ -350,8 +372,8 @@
     std::set<std::shared_ptr<CallerSession>> m_sessions;
 };
 
-Host::Host(platform::NodeSettings settings)
-    : m_impl(std::make_unique<Impl>(std::move(settings)))
+Host::Host(platform::NodeSettings settings, Reader readSettings)
+    : m_impl(std::make_unique<Impl>(std::move(settings), std::move(readSettings)))
 {
 }
 
--- a/Programs/almondscale-host/Host.h
+++ b/Programs/almondscale-host/Host.h
@@ -2,6 +2,7 @@
 
 #include "platform/NodeSettings.h"
 
+#include <functional>
 #include <memory>
 
 namespace almondscale {
@@ -9,7 +10,10 @@
 // One entry host on the platform: everything that its process does, on one loop.
 class Host {
 public:
-    explicit Host(platform::NodeSettings);
+    // Reads the settings file again.
+    using Reader = std::function<platform::ReadNodeSettings()>;
+
+    Host(platform::NodeSettings, Reader);
     ~Host();
 
     // Serves until it is told to stop; the exit status of the process.
--- a/Programs/almondscale-host/main.cpp
+++ b/Programs/almondscale-host/main.cpp
@@ -48,17 +48,19 @@
     return options;
 }
 
-int serve(const Options& options)
+platform::ReadNodeSettings readFile(const std::string& name)
 {
-    std::ifstream file(options.settings);
-    if (!file) {
-        std::cerr << "almondscale-host: the settings file \"" << options.settings
-                  << "\" does not open; name it with --settings FILE\n";
-        return 2;
-    }
+    std::ifstream file(name);
+    if (!file)
+        return { {}, { "the settings file \"" + name + "\" does not open; name it with --settings FILE" } };
     std::ostringstream text;
     text << file.rdbuf();
-    const auto read = platform::readNodeSettings(text.str(), options.settings);
+    return platform::readNodeSettings(text.str(), name);
+}
+
+int serve(const Options& options)
+{
+    const auto read = readFile(options.settings);
     for (const auto& error : read.errors)
         std::cerr << error << '\n';
     if (!read.errors.empty())
@@ -69,7 +71,7 @@
     }
     configureLog(LogLevel::Info);
     limitLog(logLinesPerSecond, logBurst);
-    return Host(read.settings).run();
+    return Host(read.settings, [name = options.settings] { return readFile(name); }).run();
 }
 
 } // namespace
--- a/Source/Dispatch/RetryBudget.h
+++ b/Source/Dispatch/RetryBudget.h
@@ -29,8 +29,8 @@
     void onRequest(MonotonicTime now);
     // Whether so many further attempts may be made now; if so they are counted.
     bool tryRetry(MonotonicTime now, int count = 1);
-    // Follows the number of hosts that share a bound.
-    void setLeastRetries(int count) { m_options.leastRetries = count; }
+    // Bounds that change count for what was sent before, too.
+    void setOptions(const RetryBudgetOptions& options) { m_options = options; }
 
 private:
     void forgetBefore(MonotonicTime);
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -313,6 +313,8 @@
     m_impl->m_hostsKnown = true;
 }
 
+void PeerNetwork::setSeeds(std::vector<Address> seeds) { m_impl->m_seeds = std::move(seeds); }
+
 int PeerNetwork::hostCount() const { return std::max<int>(1, static_cast<int>(m_impl->m_hosts.size())); }
 
 bool PeerNetwork::reader() const { return m_impl->reader(); }
--- a/Source/Peers/PeerNetwork.h
+++ b/Source/Peers/PeerNetwork.h
@@ -34,6 +34,7 @@
     // The hosts as the table of hosts tells; this host always counts.
     void setHosts(std::vector<HostRecord>);
     int hostCount() const;
+    void setSeeds(std::vector<Address>);
     // This host reads the store for its data centre.
     bool reader() const;
     // News came that the others may lack.
--- a/Source/Serving/RetryGate.cpp
+++ b/Source/Serving/RetryGate.cpp
@@ -23,11 +23,22 @@
     if (hosts == m_hosts || hosts < 1)
         return false;
     m_hosts = hosts;
-    for (auto& entry : m_budgets)
-        entry.second.setLeastRetries(static_cast<int>(usedPart * m_bounds.least / m_hosts));
+    applyShare();
     return true;
 }
 
+void RetryGate::setBounds(const RetryBounds& bounds)
+{
+    m_bounds = bounds;
+    applyShare();
+}
+
+void RetryGate::applyShare()
+{
+    for (auto& entry : m_budgets)
+        entry.second.setOptions(share());
+}
+
 void RetryGate::onRequest(const ServiceName& service, MonotonicTime now) { budget(service).onRequest(now); }
 
 bool RetryGate::tryRetry(const ServiceName& service, MonotonicTime now, int sends)
@@ -40,12 +51,17 @@
     const auto found = m_budgets.find(service);
     if (found != m_budgets.end())
         return found->second;
+    return m_budgets.emplace(service, RetryBudget(share())).first->second;
+}
+
+RetryBudgetOptions RetryGate::share() const
+{
     RetryBudgetOptions options;
     options.window = m_bounds.window;
     options.share = m_bounds.ratio * usedPart;
     options.earned = m_bounds.ratio * usedPart;
     options.leastRetries = static_cast<int>(usedPart * m_bounds.least / m_hosts);
-    return m_budgets.emplace(service, RetryBudget(options)).first->second;
+    return options;
 }
 
 } // namespace almondscale
--- a/Source/Serving/RetryGate.h
+++ b/Source/Serving/RetryGate.h
@@ -14,6 +14,11 @@
     // Further attempts in a window whatever the number of requests.
     int least = 0;
     Nanoseconds window = std::chrono::seconds(10);
+
+    friend bool operator==(const RetryBounds& a, const RetryBounds& b)
+    {
+        return a.ratio == b.ratio && a.least == b.least && a.window == b.window;
+    }
 };
 
 // Keeps this host's share of the further attempts at each service: its part of
@@ -23,6 +28,8 @@
 public:
     RetryGate(RetryBounds, int hosts);
 
+    // The operators' bounds have changed.
+    void setBounds(const RetryBounds&);
     // Hosts come and go; the shares follow. Whether their number changed.
     bool setHosts(int);
     void onRequest(const ServiceName&, MonotonicTime now);
@@ -31,6 +38,9 @@
 
 private:
     RetryBudget& budget(const ServiceName&);
+    // This host's share of the bounds.
+    RetryBudgetOptions share() const;
+    void applyShare();
 
     RetryBounds m_bounds;
     int m_hosts;
--- a/Tests/Serving/RetryGateTest.cpp
+++ b/Tests/Serving/RetryGateTest.cpp
@@ -49,3 +49,19 @@
         retries += gate.tryRetry(service, MonotonicTime(100s)) ? 1 : 0;
     CHECK(retries == 0);
 }
+
+TEST_CASE("Retries of a host, whose bounds are lowered under way, follow the new bounds at once")
+{
+    RetryBounds bounds;
+    bounds.least = 56;
+    RetryGate gate(bounds, 1);
+    const ServiceName service("model");
+    REQUIRE(gate.tryRetry(service, MonotonicTime(100s)));
+    bounds.least = 0;
+    bounds.ratio = 0;
+    gate.setBounds(bounds);
+    CHECK_FALSE(gate.tryRetry(service, MonotonicTime(101s)));
+    bounds.least = 56;
+    gate.setBounds(bounds);
+    CHECK(gate.tryRetry(service, MonotonicTime(102s)));
+}
