--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """A randomized soak: real almondscale-host processes between fake platform, backend servers and callers.
 
-Usage: Tests/Soak/soak.py --program FILE [--clock FILE] [--seeds FIRST-LAST] [--parallel N] [--hosts N]
+Usage: Tests/Soak/soak.py --program FILE [--seeds FIRST-LAST] [--parallel N] [--hosts N]
 
 Each seed plays about 25 s of traffic, faults that overlap, and a calm end, and checks the promises of
 docs/PROMISES.md from what callers and backend servers see. Processes are ended by their ids only.
@@ -84,15 +84,9 @@
         self.ended_by_us, self.stopping_since = False, None
         with open(self.settings + ".log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                self.world.program, "--settings", self.settings, stdout=log, stderr=log, env=self.environment())
+                self.world.program, "--settings", self.settings, stdout=log, stderr=log)
         asyncio.create_task(self.watch(self.process))
 
-    def environment(self):
-        """A time of day that is wrong by up to an hour, another one at each start."""
-        shift = self.world.clock_random.uniform(-3600, 3600)
-        clock = {"LD_PRELOAD": self.world.clock, "SOAK_CLOCK_SHIFT_S": f"{shift:.3f}"} if self.world.clock else {}
-        return {**os.environ, **clock}
-
     async def watch(self, process):
         code = await process.wait()
         if not self.ended_by_us and not self.world.over:
@@ -119,8 +113,8 @@
 class World:
     """One seed's run."""
 
-    def __init__(self, program, clock, seed, hosts, folder):
-        self.program, self.clock, self.seed, self.folder = program, clock, seed, folder
+    def __init__(self, program, seed, hosts, folder):
+        self.program, self.seed, self.folder = program, seed, folder
         self.random = random.Random(seed)
         # Of their own, so that a seed's other faults stay as they were.
         self.row_random, self.clock_random = random.Random(f"rows {seed}"), random.Random(f"clocks {seed}")
@@ -420,7 +414,7 @@
 def play_seed(arguments, seed):
     random.seed(seed)
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
-    world = World(arguments.program, arguments.clock, seed, arguments.hosts, folder)
+    world = World(arguments.program, seed, arguments.hosts, folder)
 
     async def run():
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
@@ -454,13 +448,11 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--program", required=True, help="the almondscale-host to run")
-    parser.add_argument("--clock", default="", help="the library that shifts the hosts' time of day")
     parser.add_argument("--seeds", default="1-1", help="FIRST-LAST")
     parser.add_argument("--parallel", type=int, default=1)
     parser.add_argument("--hosts", type=int, default=4)
     arguments = parser.parse_args()
     arguments.program = os.path.abspath(arguments.program)
-    arguments.clock = arguments.clock and os.path.abspath(arguments.clock)
     first, _, last = arguments.seeds.partition("-")
     waiting = list(range(int(first), int(last or first) + 1))
     running, passed, failed = {}, 0, 0
