Pace the frames between hosts by their bytes, from 20 to 200 ms

A host hears of the others' open work by frames of 200 ms over up to three links, so that several hosts send to the same engine before they know of each other. Ruled out: wrong speeds (the engine alone is as expected), caches believed in vain (1,882 of 2,698 cached). Frames now follow each other after what both sides' last frames weigh at 15 KB/s.

--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -4,6 +4,7 @@
 #include "Forwarding/BootClock.h"
 #include "Forwarding/Signal.h"
 #include "Forwarding/Spawn.h"
+#include "Peers/FramePace.h"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -16,9 +17,7 @@
 
 namespace {
 
-    // How often the work is told; the choice of a backend server tolerates news of this age.
-    constexpr Nanoseconds tick = std::chrono::milliseconds(200);
-    // Five frames that did not come; the other host is frozen, cut off or gone.
+    // Five frames of the longest pause did not come; the other host is frozen, cut off or gone.
     constexpr Nanoseconds silence = std::chrono::milliseconds(1000);
     // A manifest with hundreds of routes and all registrations stay far below.
     constexpr std::uint32_t mostFrameBytes = 8 << 20;
@@ -95,6 +94,7 @@
                     .with("bytes", bytes.size());
                 break;
             }
+            self->m_receivedBytes = bytes.size();
             self->m_host = frame->host;
             self->m_dataCentre = frame->dataCentre;
             if (frame->work)
@@ -115,7 +115,8 @@
             const auto [error, size] = co_await boost::asio::async_write(self->m_socket, buffers, noThrow);
             if (error)
                 break;
-            co_await self->m_wake.waitUntil(Deadline::after(bootTime(), tick));
+            const auto pause = framePause(body.size(), self->m_receivedBytes);
+            co_await self->m_wake.waitUntil(Deadline::after(bootTime(), pause));
         }
         self->close();
     }
@@ -126,6 +127,8 @@
     Signal m_wake;
     boost::asio::steady_timer m_watch;
     bool m_open = true;
+    // The length of the last frame that came.
+    std::size_t m_receivedBytes = 0;
     HostId m_host;
     DataCentre m_dataCentre;
     PeerWork m_work;
