Tell open work alone in most frames between hosts

With the pace bound to bytes, shorter frames come sooner. Names, demand, sent prompt parts and the ages of unchanged tables go into one frame each 200 ms; the others carry 24 bytes an engine with open work and new rows.

--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -98,8 +98,6 @@
     std::vector<flatbuffers::Offset<peerwire::Demand>> demands;
     std::vector<peerwire::Part> parts;
     if (frame.work) {
-        for (const auto& part : frame.work->parts)
-            parts.emplace_back(part.backend, part.part);
         for (const auto& entry : frame.work->loads) {
             const auto& load = entry.second;
             if (load.requests != 0 || std::abs(load.prefillMs) + std::abs(load.deferredMs) >= leastPrefillMs)
@@ -107,6 +105,17 @@
                     static_cast<float>(load.contextTokens), load.requests,
                     static_cast<float>(load.deferredMs));
         }
+    }
+    const auto loadList = builder.CreateVectorOfStructs(loads);
+    if (!frame.whole) {
+        const auto newsList = news.empty() ? 0 : builder.CreateVector(news);
+        builder.Finish(peerwire::CreatePeerFrame(
+            builder, 0, 0, frame.work.has_value(), loadList, 0, newsList, 0, false));
+        return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+    }
+    if (frame.work) {
+        for (const auto& part : frame.work->parts)
+            parts.emplace_back(part.backend, part.part);
         for (const auto& entry : frame.work->demand)
             demands.push_back(peerwire::CreateDemand(builder, builder.CreateString(entry.first.text()),
                 static_cast<float>(entry.second.prefillMs), static_cast<float>(entry.second.requests),
@@ -114,12 +123,11 @@
     }
     const auto host = builder.CreateString(frame.host.text());
     const auto dataCentre = builder.CreateString(frame.dataCentre.text());
-    const auto loadList = builder.CreateVectorOfStructs(loads);
     const auto demandList = builder.CreateVector(demands);
     const auto newsList = builder.CreateVector(news);
     const auto partList = builder.CreateVectorOfStructs(parts);
     builder.Finish(peerwire::CreatePeerFrame(
-        builder, host, dataCentre, frame.work.has_value(), loadList, demandList, newsList, partList));
+        builder, host, dataCentre, frame.work.has_value(), loadList, demandList, newsList, partList, true));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -130,6 +138,7 @@
         return std::nullopt;
     const auto* from = peerwire::GetPeerFrame(bytes.data());
     PeerFrame frame;
+    frame.whole = from->whole();
     frame.host = HostId(textOf(from->host()));
     frame.dataCentre = DataCentre(textOf(from->data_centre()));
     if (from->has_work())
--- a/Source/Peers/PeerFrame.h
+++ b/Source/Peers/PeerFrame.h
@@ -37,8 +37,10 @@
     Nanoseconds age {};
 };
 
-// One frame between two hosts.
+// One frame between two hosts. Most tell the open loads only, so that they can come often.
 struct PeerFrame {
+    // Has all of what the host tells; names, demand and parts are in such frames only.
+    bool whole = false;
     HostId host;
     DataCentre dataCentre;
     std::optional<PeerWork> work;
--- a/Source/Peers/PeerFrames_generated.h
+++ b/Source/Peers/PeerFrames_generated.h
@@ -381,7 +381,8 @@
     VT_LOADS = 10,
     VT_DEMAND = 12,
     VT_NEWS = 14,
-    VT_PARTS = 16
+    VT_PARTS = 16,
+    VT_WHOLE = 18
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -404,6 +405,9 @@
   const flatbuffers::Vector<const almondscale::peerwire::Part *> *parts() const {
     return GetPointer<const flatbuffers::Vector<const almondscale::peerwire::Part *> *>(VT_PARTS);
   }
+  bool whole() const {
+    return GetField<uint8_t>(VT_WHOLE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -421,6 +425,7 @@
            verifier.VerifyVectorOfTables(news()) &&
            VerifyOffset(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
            verifier.EndTable();
   }
 };
@@ -450,6 +455,9 @@
   void add_parts(flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::Part *>> parts) {
     fbb_.AddOffset(PeerFrame::VT_PARTS, parts);
   }
+  void add_whole(bool whole) {
+    fbb_.AddElement<uint8_t>(PeerFrame::VT_WHOLE, static_cast<uint8_t>(whole), 0);
+  }
   explicit PeerFrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -469,7 +477,8 @@
     flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::Load *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Demand>>> demand = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::TableNews>>> news = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::Part *>> parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::Part *>> parts = 0,
+    bool whole = false) {
   PeerFrameBuilder builder_(_fbb);
   builder_.add_parts(parts);
   builder_.add_news(news);
@@ -477,6 +486,7 @@
   builder_.add_loads(loads);
   builder_.add_data_centre(data_centre);
   builder_.add_host(host);
+  builder_.add_whole(whole);
   builder_.add_has_work(has_work);
   return builder_.Finish();
 }
@@ -489,7 +499,8 @@
     const std::vector<almondscale::peerwire::Load> *loads = nullptr,
     const std::vector<flatbuffers::Offset<almondscale::peerwire::Demand>> *demand = nullptr,
     const std::vector<flatbuffers::Offset<almondscale::peerwire::TableNews>> *news = nullptr,
-    const std::vector<almondscale::peerwire::Part> *parts = nullptr) {
+    const std::vector<almondscale::peerwire::Part> *parts = nullptr,
+    bool whole = false) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<almondscale::peerwire::Load>(*loads) : 0;
@@ -504,7 +515,8 @@
       loads__,
       demand__,
       news__,
-      parts__);
+      parts__,
+      whole);
 }
 
 inline const almondscale::peerwire::PeerFrame *GetPeerFrame(const void *buf) {
--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+    // What changes slowly is told in whole frames; copies of tables stay fresh by them.
+    constexpr Nanoseconds wholePause = std::chrono::milliseconds(200);
     // Five frames of the longest pause did not come; the other host is frozen, cut off or gone.
     constexpr Nanoseconds silence = std::chrono::milliseconds(1000);
     // A manifest with hundreds of routes and all registrations stay far below.
@@ -73,6 +75,20 @@
         });
     }
 
+    void take(const PeerFrame& frame)
+    {
+        if (frame.whole) {
+            m_host = frame.host;
+            m_dataCentre = frame.dataCentre;
+        }
+        if (!frame.work)
+            return;
+        if (frame.whole)
+            m_work = *frame.work;
+        else
+            m_work.loads = frame.work->loads;
+    }
+
     static awaitable<void> receive(std::shared_ptr<Impl> self, std::shared_ptr<PeerLink> link)
     {
         while (self->m_open) {
@@ -95,10 +111,7 @@
                 break;
             }
             self->m_receivedBytes = bytes.size();
-            self->m_host = frame->host;
-            self->m_dataCentre = frame->dataCentre;
-            if (frame->work)
-                self->m_work = *frame->work;
+            self->take(*frame);
             self->m_hooks.onFrame(*link, *frame);
         }
         self->close();
@@ -108,7 +121,10 @@
     static awaitable<void> send(std::shared_ptr<Impl> self, std::shared_ptr<PeerLink> link)
     {
         while (self->m_open) {
-            const auto body = encodePeerFrame(self->m_hooks.makeFrame(*link));
+            const bool whole = self->m_nextWhole.passed(bootTime());
+            if (whole)
+                self->m_nextWhole = Deadline::after(bootTime(), wholePause);
+            const auto body = encodePeerFrame(self->m_hooks.makeFrame(*link, whole));
             const auto length = encodeLength(body.size());
             const std::array<boost::asio::const_buffer, 2> buffers { boost::asio::buffer(length),
                 boost::asio::buffer(body) };
@@ -129,6 +145,7 @@
     bool m_open = true;
     // The length of the last frame that came.
     std::size_t m_receivedBytes = 0;
+    Deadline m_nextWhole;
     HostId m_host;
     DataCentre m_dataCentre;
     PeerWork m_work;
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -13,8 +13,8 @@
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
 public:
     struct Hooks {
-        // The frame to send now.
-        std::function<PeerFrame(PeerLink&)> makeFrame;
+        // The frame to send now, and whether it is to be a whole one.
+        std::function<PeerFrame(PeerLink&, bool whole)> makeFrame;
         std::function<void(PeerLink&, const PeerFrame&)> onFrame;
         std::function<void(PeerLink&)> onClosed;
     };
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -94,7 +94,7 @@
     std::shared_ptr<PeerLink> addLink(tcp::socket socket, bool initiated)
     {
         PeerLink::Hooks hooks;
-        hooks.makeFrame = [this](PeerLink& link) { return makeFrame(link); };
+        hooks.makeFrame = [this](PeerLink& link, bool whole) { return makeFrame(link, whole); };
         hooks.onFrame = [this](PeerLink& link, const PeerFrame& frame) { onFrame(link, frame); };
         hooks.onClosed = [this](PeerLink& link) { onClosed(link); };
         auto link = std::make_shared<PeerLink>(std::move(socket), initiated, std::move(hooks));
@@ -221,9 +221,10 @@
         return !link.initiated() && link.dataCentre() == m_self.dataCentre;
     }
 
-    PeerFrame makeFrame(PeerLink& link)
+    PeerFrame makeFrame(PeerLink& link, bool whole)
     {
         PeerFrame frame;
+        frame.whole = whole;
         frame.host = m_self.id;
         frame.dataCentre = m_self.dataCentre;
         frame.work = m_hooks.ownWork();
@@ -236,11 +237,14 @@
         for (const auto table : sharedTables) {
             if (m_mirror.empty(table))
                 continue;
+            auto rows = m_mirror.newsSince(table, link.known(table));
+            if (!rows && !whole)
+                continue;
             PeerNews news;
             news.table = table;
             news.age = now - m_mirror.currentAt(table);
             news.rows.newest = m_mirror.version(table);
-            if (auto rows = m_mirror.newsSince(table, link.known(table)))
+            if (rows)
                 news.rows = std::move(*rows);
             link.setKnown(table, m_mirror.version(table));
             frame.news.push_back(std::move(news));
--- a/Tests/Peers/PeerFrameTest.cpp
+++ b/Tests/Peers/PeerFrameTest.cpp
@@ -8,6 +8,7 @@
 TEST_CASE("Frame between hosts, encoded and decoded, is the same")
 {
     PeerFrame frame;
+    frame.whole = true;
     frame.host = HostId("n1");
     frame.dataCentre = DataCentre("a");
     frame.work.emplace();
@@ -39,6 +40,32 @@
     CHECK(decoded->news[0].rows.rows[1].removed);
 }
 
+TEST_CASE("Frame that is not whole, encoded, has the loads and the new rows alone and is short")
+{
+    PeerFrame frame;
+    frame.host = HostId("frontend-kolkata-depot-1");
+    frame.work.emplace();
+    for (std::uint64_t engine = 0; engine < 12; ++engine)
+        frame.work->loads[engine] = BackendLoad { 120.5, 3, 51000, 80.5 };
+    frame.work->demand[ServiceName("llm")] = EngineDemand { 2400, 41, 355000 };
+    frame.work->parts = { { 42, 7 }, { 43, 8 } };
+    // 24 bytes an engine, and little else.
+    CHECK(encodePeerFrame(frame).size() < 12 * 24 + 100);
+    PeerNews news;
+    news.rows.newest = RowVersion(17);
+    news.rows.rows = { { "i-1", "{}", RowVersion(17), false } };
+    frame.news.push_back(news);
+    const auto decoded = decodePeerFrame(encodePeerFrame(frame));
+    REQUIRE(decoded);
+    CHECK_FALSE(decoded->whole);
+    CHECK(decoded->host.empty());
+    CHECK(decoded->work->loads.size() == 12);
+    CHECK(decoded->work->demand.empty());
+    CHECK(decoded->work->parts.empty());
+    REQUIRE(decoded->news.size() == 1);
+    CHECK(decoded->news[0].rows.rows.size() == 1);
+}
+
 TEST_CASE("Bytes that are no frame are told as such")
 {
     CHECK_FALSE(decodePeerFrame(""));
