Add up the links' work once, and pace a reader's frames over all its links

A reader of 35 links added up the work of all others for each frame that came and for each frame that it sent. It is added up at most each 10 ms now, and a link's own part taken off.

--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -106,6 +106,17 @@
     return *this;
 }
 
+PeerWork& PeerWork::operator-=(const PeerWork& other)
+{
+    for (const auto& load : other.loads)
+        loads[load.first] -= load.second;
+    for (const auto& entry : other.demand) {
+        auto less = entry.second;
+        demand[entry.first] += (less *= -1);
+    }
+    return *this;
+}
+
 std::string encodePeerFrame(const PeerFrame& frame)
 {
     flatbuffers::FlatBufferBuilder builder(1024);
--- a/Source/Peers/PeerFrame.h
+++ b/Source/Peers/PeerFrame.h
@@ -27,6 +27,8 @@
     std::set<SentPart> parts;
 
     PeerWork& operator+=(const PeerWork&);
+    // Takes back what was added; the parts stay, which say no more than that they were sent.
+    PeerWork& operator-=(const PeerWork&);
 };
 
 // New rows of one table.
--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -131,7 +131,7 @@
             const auto [error, size] = co_await boost::asio::async_write(self->m_socket, buffers, noThrow);
             if (error)
                 break;
-            const auto pause = framePause(body.size(), self->m_receivedBytes);
+            const auto pause = framePause(body.size(), self->m_receivedBytes, self->m_hooks.links());
             co_await self->m_wake.waitUntil(Deadline::after(bootTime(), pause));
         }
         self->close();
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -17,6 +17,8 @@
         std::function<PeerFrame(PeerLink&, bool whole)> makeFrame;
         std::function<void(PeerLink&, const PeerFrame&)> onFrame;
         std::function<void(PeerLink&)> onClosed;
+        // How many links share this host's bytes.
+        std::function<std::size_t()> links;
     };
 
     // Whether this host made the connection.
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -27,6 +27,9 @@
     // A host that did not answer is asked again after this.
     constexpr Nanoseconds retryTime = std::chrono::seconds(3);
 
+    // A reader hears from many hosts; their sum is this old at most, and one frame more.
+    constexpr Nanoseconds sumPause = std::chrono::milliseconds(10);
+
     // Seeds are tried one after the other with this pause.
     constexpr Nanoseconds seedTime = std::chrono::milliseconds(400);
 
@@ -96,6 +99,7 @@
         PeerLink::Hooks hooks;
         hooks.makeFrame = [this](PeerLink& link, bool whole) { return makeFrame(link, whole); };
         hooks.onFrame = [this](PeerLink& link, const PeerFrame& frame) { onFrame(link, frame); };
+        hooks.links = [this] { return m_links.size(); };
         hooks.onClosed = [this](PeerLink& link) { onClosed(link); };
         auto link = std::make_shared<PeerLink>(std::move(socket), initiated, std::move(hooks));
         m_links.insert(link);
@@ -227,13 +231,13 @@
         frame.whole = whole;
         frame.host = m_self.id;
         frame.dataCentre = m_self.dataCentre;
-        frame.work = m_hooks.ownWork();
-        for (const auto& other : m_links) {
-            // Work of hosts elsewhere is told to those below only, or it would go round in a circle.
-            if (other.get() != &link && (isDown(link) || isDown(*other)))
-                *frame.work += other->work();
-        }
         const auto now = bootTime();
+        sumWork(now);
+        frame.work = m_hooks.ownWork();
+        // Work of hosts elsewhere is told to those below only, or it would go round in a circle.
+        *frame.work += isDown(link) ? m_sum.all : m_sum.below;
+        if (isDown(link))
+            *frame.work -= link.work();
         for (const auto table : sharedTables) {
             if (m_mirror.empty(table))
                 continue;
@@ -264,24 +268,41 @@
         }
         if (news)
             publish();
-        tellOthersWork();
+        m_sum.stale = true;
+        sumWork(now);
     }
 
     void onClosed(PeerLink& link)
     {
         m_links.erase(link.shared_from_this());
-        tellOthersWork();
+        m_sum.stale = true;
+        sumWork(bootTime());
     }
 
-    void tellOthersWork()
+    // Adds up what the links told, at most as often as a single link may tell news.
+    void sumWork(MonotonicTime now)
     {
-        PeerWork others;
-        for (const auto& link : m_links)
-            others += link->work();
-        m_hooks.onOthersWork(others);
+        if (!m_sum.stale || now < m_sum.at + sumPause)
+            return;
+        m_sum = WorkSum { {}, {}, now, false };
+        for (const auto& link : m_links) {
+            m_sum.all += link->work();
+            if (isDown(*link))
+                m_sum.below += link->work();
+        }
+        m_hooks.onOthersWork(m_sum.all);
     }
 
+    // The work of the other hosts, and of those whose only link is to this one.
+    struct WorkSum {
+        PeerWork all;
+        PeerWork below;
+        MonotonicTime at {};
+        bool stale = false;
+    };
+
     std::set<std::shared_ptr<PeerLink>> m_links;
+    WorkSum m_sum;
     std::shared_ptr<PeerLink> m_seedLink;
     Deadline m_nextSeed;
     std::shared_ptr<PeerLink> m_up;
