Leave a surplus of decode engines below a tenth of the time only

It is left below a tenth now, larger fleets change more than one engine at a time, and the sum of the links' work takes off what was counted of a link, not what it has told since. Tests: a fleet whose engines came back, and a large one under demand.

--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -237,7 +237,7 @@
         // Work of hosts elsewhere is told to those below only, or it would go round in a circle.
         *frame.work += isDown(link) ? m_sum.all : m_sum.below;
         if (isDown(link))
-            *frame.work -= link.work();
+            *frame.work -= m_sum.counted[&link];
         for (const auto table : sharedTables) {
             if (m_mirror.empty(table))
                 continue;
@@ -284,11 +284,13 @@
     {
         if (!m_sum.stale || now < m_sum.at + sumPause)
             return;
-        m_sum = WorkSum { {}, {}, now, false };
+        m_sum = WorkSum();
+        m_sum.at = now;
         for (const auto& link : m_links) {
-            m_sum.all += link->work();
+            const auto& counted = m_sum.counted[link.get()] = link->work();
+            m_sum.all += counted;
             if (isDown(*link))
-                m_sum.below += link->work();
+                m_sum.below += counted;
         }
         m_hooks.onOthersWork(m_sum.all);
     }
@@ -297,6 +299,8 @@
     struct WorkSum {
         PeerWork all;
         PeerWork below;
+        // What each link's part of the sum is.
+        std::map<const PeerLink*, PeerWork> counted;
         MonotonicTime at {};
         bool stale = false;
     };
--- a/Source/Serving/RoleSplit.cpp
+++ b/Source/Serving/RoleSplit.cpp
@@ -101,7 +101,8 @@
             return aCount < bCount;
         return a->load().requests + a->load().prefillMs < b->load().requests + b->load().prefillMs;
     });
-    const auto most = traffic ? std::size_t(1) : static_cast<std::size_t>(std::abs(lacking));
+    const int together = traffic ? std::max(1, engines / m_options.enginesForOrder) : engines;
+    const auto most = static_cast<std::size_t>(std::min(std::abs(lacking), together));
     std::vector<RoleAssignment> orders;
     for (const auto* engine : from) {
         if (orders.size() == most)
--- a/Source/Serving/RoleSplit.h
+++ b/Source/Serving/RoleSplit.h
@@ -18,7 +18,9 @@
     // With so many engines that prefill, a surplus of decode engines is left as it is while
     // demand keeps less than this part of them busy: each order costs, and would serve nobody.
     int manyPrefill = 30;
-    double busyShare = 0.25;
+    double busyShare = 0.1;
+    // Under traffic one engine of so many changes its role at a time.
+    int enginesForOrder = 40;
     // A lack of decode engines has to last this long before it is worth an order, so
     // that an engine that restarts is not replaced.
     Nanoseconds lackDwell = std::chrono::milliseconds(1500);
--- a/Tests/Serving/RoleSplitTest.cpp
+++ b/Tests/Serving/RoleSplitTest.cpp
@@ -162,7 +162,21 @@
     large.requests = 600;
     large.prefillMs = 500 * (290 - decodingBefore);
     CHECK(split.decide(model, large, testStart + 20s).empty());
-    CHECK(carryOut(split.decide(model, large, testStart + 24s), testStart + 24s) == 1);
+    // Of so large a fleet, more than one at a time.
+    CHECK(carryOut(split.decide(model, large, testStart + 24s), testStart + 24s) == 7);
+}
+
+TEST_CASE_METHOD(
+    RoleSplitFixture, "Split of a fleet whose engines came back as decode engines turns them again")
+{
+    for (int i = 0; i < 60; ++i)
+        set(i, i < 40 ? EngineRole::Prefill : EngineRole::Decode);
+    // A fifth of the time of those that prefill, as on the grown site's quiet day.
+    EngineDemand ordinary;
+    ordinary.requests = 125;
+    ordinary.prefillMs = 8700;
+    CHECK(split.decide(model, ordinary, testStart).empty());
+    CHECK(carryOut(split.decide(model, ordinary, testStart + 4s), testStart + 4s) == 1);
 }
 
 TEST_CASE("Split of a fleet, of any size, leaves an engine for each role")
