Leave a surplus of decode engines in very large fleets only

The demand counts shared parts as cached and reads about a tenth on that site, while its engines are busy with more; engines that came back as decode engines stayed so. The surplus is now left only with 60 engines that prefill, 3 % of their time busy. A fleet of that size changes a tenth of its engines at a time under traffic, since it gives no orders before.

--- a/Source/Serving/RoleSplit.cpp
+++ b/Source/Serving/RoleSplit.cpp
@@ -101,7 +101,9 @@
             return aCount < bCount;
         return a->load().requests + a->load().prefillMs < b->load().requests + b->load().prefillMs;
     });
-    const int together = traffic ? std::max(1, engines / m_options.enginesForOrder) : engines;
+    const bool many = static_cast<int>(prefill.size()) >= m_options.manyPrefill;
+    const int large = many ? static_cast<int>(engines * m_options.togetherShare) : 1;
+    const int together = traffic ? std::max(1, large) : engines;
     const auto most = static_cast<std::size_t>(std::min(std::abs(lacking), together));
     std::vector<RoleAssignment> orders;
     for (const auto* engine : from) {
--- a/Source/Serving/RoleSplit.h
+++ b/Source/Serving/RoleSplit.h
@@ -17,10 +17,12 @@
     double decodeShare = 0.22;
     // With so many engines that prefill, a surplus of decode engines is left as it is while
     // demand keeps less than this part of them busy: each order costs, and would serve nobody.
-    int manyPrefill = 30;
-    double busyShare = 0.1;
-    // Under traffic one engine of so many changes its role at a time.
-    int enginesForOrder = 40;
+    // Fleets that are fit for their demand show a tenth and more, by its cached parts alone.
+    int manyPrefill = 60;
+    double busyShare = 0.03;
+    // Of so many engines that prefill, this part of all engines may change at a time under
+    // traffic, and one of fewer.
+    double togetherShare = 0.1;
     // A lack of decode engines has to last this long before it is worth an order, so
     // that an engine that restarts is not replaced.
     Nanoseconds lackDwell = std::chrono::milliseconds(1500);
