Play prompts at eight hosts that hear of each other's work soon or late

The gain of the shorter pauses had no test that plays the load. What a prefill adds to an engine's load is a member of the choice now, which the code and the tests built apart; the played engine has its own file.

--- a/Source/Forwarding/RequestRunStream.cpp
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -62,8 +62,7 @@
     m_prefill = choice;
     m_prefillExcluded.insert(id);
     m_backend = id;
-    const BackendLoad load { choice.deferred ? 0 : choice.workMs, 0, 0, choice.deferred ? choice.workMs : 0 };
-    const OpenWork work(m_context.backends, id, load);
+    const OpenWork work(m_context.backends, id, choice.prefillLoad());
     m_context.backends.notePart(id, m_request.prompt->sharedKey, bootTime());
     const auto sentAt = bootTime();
     const auto deadline
--- a/Source/Serving/Placement.h
+++ b/Source/Serving/Placement.h
@@ -52,6 +52,9 @@
     double ordinaryMs = 0;
     // The prefill comes late everywhere and yields to those that can be in time.
     bool deferred = false;
+
+    // What the prefill adds to the work of its engine.
+    BackendLoad prefillLoad() const { return { deferred ? 0 : workMs, 0, 0, deferred ? workMs : 0 }; }
 };
 
 // Chooses backend servers by expected completion. It answers a load of long
--- a/Tests/Serving/PrefillCrowdTest.cpp
+++ b/Tests/Serving/PrefillCrowdTest.cpp
@@ -1,12 +1,11 @@
 #include "Serving/Placement.h"
 
 #include "Core/RandomSource.h"
-#include "ServingFixtures.h"
+#include "PlayedEngine.h"
 
 #include <catch2/catch.hpp>
 
 #include <cmath>
-#include <list>
 #include <map>
 
 using namespace almondscale;
@@ -18,40 +17,6 @@
 constexpr Nanoseconds target = 650ms;
 constexpr Nanoseconds patience = 5s;
 
-struct Job {
-    MonotonicTime arrivedAt {};
-    PlacementChoice choice;
-    double leftMs = 0;
-};
-
-// An engine that prefills in the order of arrival, deferred prompts only when no other waits.
-class CrowdedEngine {
-public:
-    void add(Job job) { (job.choice.deferred ? m_deferred : m_urgent).push_back(std::move(job)); }
-
-    // Works until the time; tells each job that ended, and when.
-    template <typename Ended> void workUntil(MonotonicTime end, const Ended& ended)
-    {
-        while (m_now < end && !(m_urgent.empty() && m_deferred.empty())) {
-            auto& jobs = m_urgent.empty() ? m_deferred : m_urgent;
-            const double step = std::min(
-                jobs.front().leftMs, std::chrono::duration<double, std::milli>(end - m_now).count());
-            m_now += Nanoseconds(static_cast<std::int64_t>(step * 1e6) + 1);
-            jobs.front().leftMs -= step;
-            if (jobs.front().leftMs > 0)
-                continue;
-            ended(jobs.front(), m_now);
-            jobs.pop_front();
-        }
-        m_now = std::max(m_now, end);
-    }
-
-private:
-    MonotonicTime m_now = testStart;
-    std::list<Job> m_urgent;
-    std::list<Job> m_deferred;
-};
-
 struct Outcome {
     int asked = 0;
     int inTime = 0;
@@ -63,7 +28,7 @@
 Outcome play(double deferFactor, double perSecond, std::uint64_t seed)
 {
     BackendTable table;
-    std::map<BackendId, CrowdedEngine> played;
+    std::map<BackendId, PlayedEngine> played;
     for (int i = 0; i < engines; ++i) {
         const auto record = engineRecord(
             "p" + std::to_string(i), EngineRole::Prefill, "a", static_cast<std::uint16_t>(i + 1));
@@ -74,14 +39,11 @@
     options.deferFactor = deferFactor;
     const Placement placement(table, DataCentre("a"), options);
     const auto random = seededRandom(seed);
-    const auto loadOf = [](const PlacementChoice& choice) {
-        return BackendLoad { choice.deferred ? 0 : choice.workMs, 0, 0, choice.deferred ? choice.workMs : 0 };
-    };
     Outcome outcome;
-    const auto ended = [&](const Job& job, MonotonicTime at) {
+    const auto ended = [&](const PlayedPrefill& job, MonotonicTime at) {
         outcome.inTime += at <= job.arrivedAt + target ? 1 : 0;
         outcome.served += at <= job.arrivedAt + patience ? 1 : 0;
-        table.close(job.choice.backend, loadOf(job.choice));
+        table.close(job.choice.backend, job.choice.prefillLoad());
     };
     for (auto now = testStart; now < testStart + 30s;) {
         now += Nanoseconds(static_cast<std::int64_t>(-std::log(1 - uniform(random)) * 1e9 / perSecond));
@@ -95,7 +57,7 @@
             ++outcome.refused;
             continue;
         }
-        table.open(choice->backend, loadOf(*choice));
+        table.open(choice->backend, choice->prefillLoad());
         played[choice->backend].add({ now, *choice, choice->workMs });
     }
     for (auto& engine : played)
--- /dev/null
+++ b/Tests/Serving/WorkNewsTest.cpp
@@ -0,0 +1,110 @@
+#include "Serving/Placement.h"
+
+#include "Core/RandomSource.h"
+#include "PlayedEngine.h"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <map>
+#include <memory>
+#include <vector>
+
+using namespace almondscale;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int hosts = 8;
+constexpr int engines = 7;
+constexpr Nanoseconds target = 400ms;
+
+// One host with what it knows of the engines.
+struct PlayedHost {
+    BackendTable table;
+    Placement placement { table, DataCentre("a"), PlacementOptions() };
+    // What it told last, which the others hear one pause later.
+    BackendTable::Loads told;
+};
+
+// Every host hears what the others told a pause ago, and tells anew.
+void tellWork(const std::vector<std::unique_ptr<PlayedHost>>& played)
+{
+    for (const auto& host : played) {
+        BackendTable::Loads others;
+        for (const auto& other : played) {
+            if (other == host)
+                continue;
+            for (const auto& load : other->told)
+                others[load.first] += load.second;
+        }
+        host->table.setOthersLoads(others);
+    }
+    for (const auto& host : played)
+        host->told = host->table.ownLoads();
+}
+
+// The share of a minute's prompts that are prefilled in time, when hosts tell each other
+// of their open work after such pauses.
+double playShareInTime(Nanoseconds pause, std::uint64_t seed)
+{
+    std::vector<std::unique_ptr<PlayedHost>> played;
+    std::map<BackendId, PlayedEngine> playedEngines;
+    played.reserve(hosts);
+    for (int i = 0; i < hosts; ++i)
+        played.push_back(std::make_unique<PlayedHost>());
+    for (int i = 0; i < engines; ++i) {
+        const auto record = engineRecord(
+            "p" + std::to_string(i), EngineRole::Prefill, "a", static_cast<std::uint16_t>(i + 1));
+        for (const auto& host : played)
+            host->table.put(record);
+        playedEngines[record.id];
+    }
+    const auto random = seededRandom(seed);
+    int asked = 0;
+    int inTime = 0;
+    std::size_t turn = 0;
+    std::map<MonotonicTime, std::size_t> hostOfJob;
+    const auto ended = [&](const PlayedPrefill& job, MonotonicTime at) {
+        inTime += at <= job.arrivedAt + target ? 1 : 0;
+        played[hostOfJob.at(job.arrivedAt)]->table.close(job.choice.backend, job.choice.prefillLoad());
+    };
+    auto nextNews = testStart;
+    for (auto now = testStart; now < testStart + 60s;) {
+        now += Nanoseconds(static_cast<std::int64_t>(-std::log(1 - uniform(random)) * 1e9 / 46) + 1);
+        for (; nextNews <= now; nextNews += pause) {
+            for (auto& engine : playedEngines)
+                engine.second.workUntil(nextNews, ended);
+            tellWork(played);
+        }
+        for (auto& engine : playedEngines)
+            engine.second.workUntil(now, ended);
+        PromptShape prompt;
+        prompt.prompt = TokenCount(static_cast<std::int64_t>(500 - 3000 * std::log(1 - uniform(random))));
+        auto& host = *played[turn % hosts];
+        const auto choice = host.placement.choosePrefill(model, prompt, {}, Deadline(now + target), now);
+        ++asked;
+        hostOfJob[now] = turn % hosts;
+        ++turn;
+        host.table.open(choice->backend, choice->prefillLoad());
+        playedEngines[choice->backend].add({ now, *choice, choice->workMs });
+    }
+    for (auto& engine : playedEngines)
+        engine.second.workUntil(testStart + 90s, ended);
+    return static_cast<double>(inTime) / asked;
+}
+
+} // namespace
+
+TEST_CASE("Prompts at eight hosts, which hear of each other's work sooner, are in time more often")
+{
+    for (const std::uint64_t seed : { 1, 2, 3 }) {
+        const double soon = playShareInTime(60ms, seed);
+        const double late = playShareInTime(200ms, seed);
+        const double never = playShareInTime(100s, seed);
+        CAPTURE(seed, soon, late, never);
+        // A fifth of those that came late are in time.
+        CHECK(1 - soon < 0.8 * (1 - late));
+        CHECK(late > never);
+    }
+}
