--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -299,8 +299,12 @@
                 if backend.identity == identity and not backend.ending:
                     backend.register()
 
-    def put_manifest(self):
-        self.store.put("op", "config", json.dumps({**MANIFEST, "version": self.manifest_version}))
+    def put_manifest(self, **changes):
+        """Puts the manifest in force; changes replace members of routes and engines that have them."""
+        manifest = json.loads(json.dumps({**MANIFEST, "version": self.manifest_version}))
+        for entry in manifest["routes"] + [each["engine"] for each in manifest["services"] if "engine" in each]:
+            entry.update({name: value for name, value in changes.items() if name in entry})
+        self.store.put("op", "config", json.dumps(manifest))
         self.manifest_version += 1
 
     async def backend_crash(self):
