Forget the work of a link that closes right after a frame

Found in the last read of the change: the links' work is added up at most each 10 ms, so a host whose only link told its work and closed within that time kept it until it had another link, and avoided engines without need. Closing a link adds up at once.

--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -275,6 +275,8 @@
     void onClosed(PeerLink& link)
     {
         m_links.erase(link.shared_from_this());
+        // Without another link no frame would make it add up again.
+        m_sum.at = {};
         m_sum.stale = true;
         sumWork(bootTime());
     }
--- a/Tests/Peers/PeerNetworkTest.cpp
+++ b/Tests/Peers/PeerNetworkTest.cpp
@@ -157,3 +157,30 @@
     CHECK(hosts[5]->mirror.version(SharedTable::Manifest) == RowVersion(9));
     CHECK(hosts[5]->network.hostCount() == 6);
 }
+
+TEST_CASE_METHOD(
+    PeerNetworkFixture, "Host whose only link tells its work and closes at once, forgets the work")
+{
+    // Nobody else is there to make it add up the work anew.
+    hosts.clear();
+    add("a1", "a", 3);
+    PeerFrame frame;
+    frame.whole = true;
+    frame.host = HostId("a2");
+    frame.dataCentre = DataCentre("a");
+    frame.work.emplace();
+    for (int requests = 1; requests <= 2; ++requests) {
+        frame.work->loads[engine] = BackendLoad { 0, requests, 0 };
+        const auto bytes = encodePeerFrame(frame);
+        const std::string length { 0, 0, static_cast<char>(bytes.size() >> 8),
+            static_cast<char>(bytes.size()) };
+        tcp::socket socket(hosts[0]->loop);
+        const auto& peers = hosts[0]->record.peers;
+        socket.connect({ boost::asio::ip::make_address_v4(peers.ip), peers.port });
+        boost::asio::write(socket, boost::asio::buffer(length + bytes));
+        if (requests == 1)
+            runFor(5ms);
+    }
+    runFor(100ms);
+    CHECK(hosts[0]->othersRequests() == 0);
+}
