Print rows, read pages and answer in tests by one piece of code each

The store's commands had their own copy of how rows are printed, beside the host's views and the history of rules: printRows serves the three, and the history now prints a member that is no array as it is, like the others. An engine's report and a host's status page are read by readPage, which takes the head of the request. StoreView waits for one call as for many. Two tests share the text of a response, and the network's test uses hostsIn instead of its own loop.

--- a/Programs/almondscale/RulesCommands.cpp
+++ b/Programs/almondscale/RulesCommands.cpp
@@ -187,14 +187,10 @@
     const CallResult result = host.get("/rules/history");
     if (!result.ok() || result.response->status != 200)
         return reportFailure(result);
-    const auto json = parseJson(result.response->body);
-    const JsonValue* changes = json ? jsonMember(*json, "changes") : nullptr;
-    if (options.json || !changes)
-        std::cout << result.response->body << "\n";
-    else
-        std::cout << formatTable(*changes,
-            { { "VERSION", "version" }, { "CHANGE", "change" }, { "AUTHOR", "author" },
-                { "UNIX_SECONDS", "unix_seconds" } });
+    printRows(result.response->body, "changes",
+        { { "VERSION", "version" }, { "CHANGE", "change" }, { "AUTHOR", "author" },
+            { "UNIX_SECONDS", "unix_seconds" } },
+        options.json);
     return ExitStatus::Success;
 }
 
--- a/Programs/almondscale/StoreCommands.cpp
+++ b/Programs/almondscale/StoreCommands.cpp
@@ -18,16 +18,6 @@
         return ExitStatus::Unreachable;
     }
 
-    // Prints the JSON, or the rows of its array as a table.
-    ExitStatus print(const ToolOptions& options, const std::string& text, const char* member,
-        const std::vector<Column>& columns)
-    {
-        const auto json = parseJson(text);
-        const JsonValue* rows = json ? jsonMember(*json, member) : nullptr;
-        std::cout << (options.json || !rows ? text + "\n" : formatTable(*rows, columns));
-        return ExitStatus::Success;
-    }
-
     void addHost(JsonBuilder& json, const HostRecord& host, const std::optional<std::string>& page)
     {
         json.beginElement().text("id", host.id.text()).text("data_centre", host.dataCentre.text());
@@ -71,9 +61,11 @@
     if (!options.json)
         std::cout << "manifest version " << reading.manifest->version << ", "
                   << reading.manifest->routes.size() << " routes\n";
-    return print(options, json.endArray().finish(), "hosts",
+    printRows(json.endArray().finish(), "hosts",
         { { "HOST", "id" }, { "DATA CENTRE", "data_centre" }, { "MANIFEST", "manifest_version" },
-            { "READER", "reader" }, { "STATE", "state" } });
+            { "READER", "reader" }, { "STATE", "state" } },
+        options.json);
+    return ExitStatus::Success;
 }
 
 ExitStatus showStoredServers(const ToolOptions& options, const HostConnection&)
@@ -97,9 +89,11 @@
         }
         json.endObject();
     }
-    return print(options, json.endArray().finish(), "servers",
+    printRows(json.endArray().finish(), "servers",
         { { "SERVER", "id" }, { "SERVICE", "service" }, { "DATA CENTRE", "data_centre" },
-            { "ADDRESS", "address" }, { "ROLE", "role" }, { "SLOTS", "slots" }, { "STATE", "state" } });
+            { "ADDRESS", "address" }, { "ROLE", "role" }, { "SLOTS", "slots" }, { "STATE", "state" } },
+        options.json);
+    return ExitStatus::Success;
 }
 
 ExitStatus showStoredLeases(const ToolOptions& options, const HostConnection&)
@@ -123,9 +117,11 @@
                 "duration_ms", std::chrono::duration_cast<std::chrono::milliseconds>(row->duration).count())
             .endObject();
     }
-    return print(options, json.endArray().finish(), "leases",
+    printRows(json.endArray().finish(), "leases",
         { { "LEASE", "lease" }, { "HOLDER", "holder" }, { "FENCING", "fencing" },
-            { "DURATION MS", "duration_ms" } });
+            { "DURATION MS", "duration_ms" } },
+        options.json);
+    return ExitStatus::Success;
 }
 
 ExitStatus showEngineOrders(const ToolOptions& options, const HostConnection&)
@@ -158,9 +154,11 @@
         }
         json.endObject();
     }
-    return print(options, json.endArray().finish(), "engines",
+    printRows(json.endArray().finish(), "engines",
         { { "ENGINE", "id" }, { "SERVICE", "service" }, { "REGISTERED ROLE", "registered_role" },
-            { "ROLE", "role" }, { "ACCEPTED ORDERS", "accepted_orders" }, { "STATE", "state" } });
+            { "ROLE", "role" }, { "ACCEPTED ORDERS", "accepted_orders" }, { "STATE", "state" } },
+        options.json);
+    return ExitStatus::Success;
 }
 
 } // namespace almondscale
--- a/Programs/almondscale/StoreView.cpp
+++ b/Programs/almondscale/StoreView.cpp
@@ -26,10 +26,9 @@
 
     template <typename T> T wait(awaitable<T> call)
     {
-        std::optional<T> result;
-        start(storeInto(std::move(call), result));
-        runAll();
-        return std::move(*result);
+        std::vector<awaitable<T>> calls;
+        calls.push_back(std::move(call));
+        return std::move(waitForAll(std::move(calls)).front());
     }
 
     // Makes all calls at once; the results are in the order of the calls.
@@ -37,8 +36,9 @@
     {
         std::vector<std::optional<T>> results(calls.size());
         for (std::size_t i = 0; i < calls.size(); ++i)
-            start(storeInto(std::move(calls[i]), results[i]));
-        runAll();
+            spawn(m_loop.get_executor(), storeInto(std::move(calls[i]), results[i]));
+        m_loop.restart();
+        m_loop.run();
         std::vector<T> values;
         values.reserve(results.size());
         for (auto& result : results)
@@ -56,15 +56,6 @@
         result.emplace(co_await std::move(call));
     }
 
-    void start(awaitable<void> call) { spawn(m_loop.get_executor(), std::move(call)); }
-
-    // Runs until every call that was started has ended.
-    void runAll()
-    {
-        m_loop.restart();
-        m_loop.run();
-    }
-
     boost::asio::io_context m_loop { 1 };
     ConnectionPool m_pool;
     platform::StoreClient m_store;
@@ -110,9 +101,13 @@
 {
     std::vector<awaitable<std::optional<std::string>>> calls;
     calls.reserve(hosts.size());
-    for (const auto& host : hosts)
-        calls.push_back(readPage(
-            m_impl->pool(), hostStatusAddress(host), "/status", Deadline::after(bootTime(), answerTime)));
+    for (const auto& host : hosts) {
+        const auto address = hostStatusAddress(host);
+        HttpRequestHead head { "GET", "/status", {} };
+        head.fields.add("Host", address.text());
+        calls.push_back(
+            readPage(m_impl->pool(), address, std::move(head), Deadline::after(bootTime(), answerTime)));
+    }
     return m_impl->waitForAll(std::move(calls));
 }
 
--- a/Programs/almondscale/TextTable.cpp
+++ b/Programs/almondscale/TextTable.cpp
@@ -1,6 +1,7 @@
 #include "TextTable.h"
 
 #include <algorithm>
+#include <iostream>
 
 namespace almondscale {
 
@@ -52,4 +53,14 @@
     return text;
 }
 
+void printRows(const std::string& text, const char* member, const std::vector<Column>& columns, bool asJson)
+{
+    const auto json = parseJson(text);
+    const JsonValue* rows = json ? jsonMember(*json, member) : nullptr;
+    if (asJson || !rows || !rows->IsArray())
+        std::cout << text << "\n";
+    else
+        std::cout << formatTable(*rows, columns);
+}
+
 } // namespace almondscale
--- a/Programs/almondscale/ViewCommands.cpp
+++ b/Programs/almondscale/ViewCommands.cpp
@@ -17,12 +17,7 @@
         const CallResult result = host.get(path);
         if (!result.ok() || result.response->status != 200)
             return reportFailure(result);
-        const auto json = parseJson(result.response->body);
-        const JsonValue* rows = json ? jsonMember(*json, member) : nullptr;
-        if (options.json || !rows || !rows->IsArray())
-            std::cout << result.response->body << "\n";
-        else
-            std::cout << formatTable(*rows, columns);
+        printRows(result.response->body, member, columns, options.json);
         return ExitStatus::Success;
     }
 
--- a/Source/Forwarding/HttpCaller.cpp
+++ b/Source/Forwarding/HttpCaller.cpp
@@ -35,12 +35,8 @@
 }
 
 awaitable<std::optional<std::string>> readPage(
-    ConnectionPool& pool, Address address, std::string target, Deadline deadline)
+    ConnectionPool& pool, Address address, HttpRequestHead head, Deadline deadline)
 {
-    HttpRequestHead head;
-    head.method = "GET";
-    head.target = std::move(target);
-    head.fields.add("Host", address.text());
     auto reply = co_await callHttp(pool, std::move(address), std::move(head), std::string(), deadline);
     if (!reply || reply.value().head.status != statusOk)
         co_return std::nullopt;
--- a/Source/Forwarding/HttpCaller.h
+++ b/Source/Forwarding/HttpCaller.h
@@ -14,7 +14,8 @@
 // have been carried out, but for `std::errc::connection_refused`.
 awaitable<Result<HttpReply>> callHttp(ConnectionPool&, Address, HttpRequestHead, std::string body, Deadline);
 
-// The body of the answer to a GET; nothing if there is no answer, or none with status 200.
-awaitable<std::optional<std::string>> readPage(ConnectionPool&, Address, std::string target, Deadline);
+// The body of the answer to a request without one; nothing if there is no answer, or none
+// with status 200.
+awaitable<std::optional<std::string>> readPage(ConnectionPool&, Address, HttpRequestHead, Deadline);
 
 } // namespace almondscale
--- a/Tests/Peers/PeerNetworkTest.cpp
+++ b/Tests/Peers/PeerNetworkTest.cpp
@@ -28,22 +28,12 @@
         work.loads[engine] = BackendLoad { 0, 1, 0 };
         mirror.onNews = [this](SharedTable table, const StoredRows& rows, MonotonicTime) {
             if (table == SharedTable::Hosts)
-                takeHosts(rows);
+                network.setHosts(hostsIn(rows));
         };
         network.start();
         spawn(loop.get_executor(), network.run());
     }
 
-    void takeHosts(const StoredRows& rows)
-    {
-        std::vector<HostRecord> hosts;
-        for (const auto& row : rows.rows) {
-            if (const auto host = decodeHostRecord(row.value))
-                hosts.push_back(*host);
-        }
-        network.setHosts(std::move(hosts));
-    }
-
     int othersRequests() const
     {
         const auto found = others.loads.find(engine);
--- a/Tests/PlatformAdapter/StoreClientTest.cpp
+++ b/Tests/PlatformAdapter/StoreClientTest.cpp
@@ -15,12 +15,6 @@
 
 namespace {
 
-std::string response(int status, const std::string& body)
-{
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size())
-        + "\r\n\r\n" + body;
-}
-
 // A client in front of a store that answers as the test says.
 class StoreClientFixture {
 public:
@@ -75,10 +69,10 @@
 TEST_CASE_METHOD(StoreClientFixture, "Table of several pages, read, is whole and as old as its first page")
 {
     const auto value = encodeBase64("{}");
-    answers = { response(200,
+    answers = { LoopbackServer::response(200,
                     R"({"rows":[{"key":"a","value":")" + value
                         + R"(","rowVersion":1}],"hasMore":true,"rowVersion":10})"),
-        response(200,
+        LoopbackServer::response(200,
             R"({"rows":[{"key":"a","value":")" + value + R"(","rowVersion":1},{"key":"b","value":")" + value
                 + R"(","rowVersion":2}],"hasMore":false,"rowVersion":12})") };
     const auto rows = run(client.read(SharedTable::Backends));
@@ -101,7 +95,7 @@
 
 TEST_CASE_METHOD(StoreClientFixture, "Store that turns a write away, called, says that nothing was done")
 {
-    answers = { response(503, "") };
+    answers = { LoopbackServer::response(503, "") };
     CHECK(run(client.writeHost(HostId("n1"), "{}", RowVersion(0))).outcome == WriteOutcome::NotApplied);
 }
 
@@ -112,8 +106,8 @@
     write.key = "lease/roles";
     write.value = "value";
     write.writer = WriterId("w1");
-    answers = { response(200, R"({"rowVersion":4})"),
-        response(200,
+    answers = { LoopbackServer::response(200, R"({"rowVersion":4})"),
+        LoopbackServer::response(200,
             R"({"rows":[{"key":"lease/roles","value":")" + encodeBase64(R"({"writer":"w1","value":"value"})")
                 + R"(","rowVersion":4}],"hasMore":false,"rowVersion":5})") };
     CHECK(run(client.perform(write)).written.outcome == WriteOutcome::Applied);
--- a/Tests/Support/LoopbackServer.h
+++ b/Tests/Support/LoopbackServer.h
@@ -36,6 +36,13 @@
     int requests = 0;
     std::map<std::string, int> requestsByMethod;
 
+    // The text of a whole response.
+    static std::string response(int status, const std::string& body)
+    {
+        return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size())
+            + "\r\n\r\n" + body;
+    }
+
     static awaitable<void> write(tcp::socket& socket, std::string text)
     {
         co_await boost::asio::async_write(socket, boost::asio::buffer(text), noThrow);
--- a/Tests/Tool/StoreCommandsTest.cpp
+++ b/Tests/Tool/StoreCommandsTest.cpp
@@ -18,11 +18,6 @@
 
 namespace {
 
-std::string okResponse(const std::string& body)
-{
-    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 // The text that goes to a standard stream while it lives.
 class Capture {
 public:
@@ -104,14 +99,15 @@
         const std::string target(request.target());
         if (target == "/almondscale/report") {
             co_await LoopbackServer::write(
-                socket, okResponse(R"({"stage":"decode","busy":true,"sequence":3})"));
+                socket, LoopbackServer::response(200, R"({"stage":"decode","busy":true,"sequence":3})"));
             co_return true;
         }
         const std::string mark = "table=";
         const auto from = target.find(mark) + mark.size();
         const auto table = target.substr(from, target.find('&') - from);
-        co_await LoopbackServer::write(
-            socket, okResponse(R"({"rows":[)" + m_rows[table] + R"(],"hasMore":false,"rowVersion":8})"));
+        co_await LoopbackServer::write(socket,
+            LoopbackServer::response(
+                200, R"({"rows":[)" + m_rows[table] + R"(],"hasMore":false,"rowVersion":8})"));
         co_return true;
     }
 
