Encode a frame once, and count a data centre's engines once for a split

Found in a last read of the change. encodePeerFrame ended in two places with two lists of members; the members of whole frames are left out otherwise, and the frame is finished once. How many engines may change together has a function of its own, and ServiceReach looks up its own size once. Behaviour is as it was; no test was changed.

--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -57,6 +57,27 @@
             static_cast<std::uint32_t>(std::max<std::int64_t>(0, ageMs)), builder.CreateVector(rows));
     }
 
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::Demand>>> encodeDemand(
+        flatbuffers::FlatBufferBuilder& builder, const ServiceDemands& from)
+    {
+        std::vector<flatbuffers::Offset<peerwire::Demand>> demands;
+        for (const auto& entry : from)
+            demands.push_back(peerwire::CreateDemand(builder, builder.CreateString(entry.first.text()),
+                static_cast<float>(entry.second.prefillMs), static_cast<float>(entry.second.requests),
+                static_cast<float>(entry.second.contextTokens)));
+        return builder.CreateVector(demands);
+    }
+
+    flatbuffers::Offset<flatbuffers::Vector<const peerwire::Part*>> encodeParts(
+        flatbuffers::FlatBufferBuilder& builder, const std::set<SentPart>& from)
+    {
+        std::vector<peerwire::Part> parts;
+        parts.reserve(from.size());
+        for (const auto& part : from)
+            parts.emplace_back(part.backend, part.part);
+        return builder.CreateVectorOfStructs(parts);
+    }
+
     std::optional<PeerNews> decodeNews(const peerwire::TableNews& from)
     {
         if (from.table() >= sharedTables.size())
@@ -123,33 +144,26 @@
     std::vector<flatbuffers::Offset<peerwire::TableNews>> news;
     for (const auto& each : frame.news)
         news.push_back(encodeNews(builder, each));
-    std::vector<peerwire::Load> loads;
-    std::vector<flatbuffers::Offset<peerwire::Demand>> demands;
-    std::vector<peerwire::Part> parts;
-    if (frame.work)
-        loads = encodeLoads(frame.work->loads);
-    const auto loadList = builder.CreateVectorOfStructs(loads);
-    if (!frame.whole) {
-        const auto newsList = news.empty() ? 0 : builder.CreateVector(news);
-        builder.Finish(peerwire::CreatePeerFrame(
-            builder, 0, 0, frame.work.has_value(), loadList, 0, newsList, 0, false));
-        return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+    // Members without an offset are left out of the frame.
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::TableNews>>> newsList;
+    if (!news.empty())
+        newsList = builder.CreateVector(news);
+    const auto loadList = builder.CreateVectorOfStructs(
+        frame.work ? encodeLoads(frame.work->loads) : std::vector<peerwire::Load>());
+    flatbuffers::Offset<flatbuffers::String> host;
+    flatbuffers::Offset<flatbuffers::String> dataCentre;
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::Demand>>> demandList;
+    flatbuffers::Offset<flatbuffers::Vector<const peerwire::Part*>> partList;
+    if (frame.whole) {
+        host = builder.CreateString(frame.host.text());
+        dataCentre = builder.CreateString(frame.dataCentre.text());
     }
-    if (frame.work) {
-        for (const auto& part : frame.work->parts)
-            parts.emplace_back(part.backend, part.part);
-        for (const auto& entry : frame.work->demand)
-            demands.push_back(peerwire::CreateDemand(builder, builder.CreateString(entry.first.text()),
-                static_cast<float>(entry.second.prefillMs), static_cast<float>(entry.second.requests),
-                static_cast<float>(entry.second.contextTokens)));
+    if (frame.whole && frame.work) {
+        demandList = encodeDemand(builder, frame.work->demand);
+        partList = encodeParts(builder, frame.work->parts);
     }
-    const auto host = builder.CreateString(frame.host.text());
-    const auto dataCentre = builder.CreateString(frame.dataCentre.text());
-    const auto demandList = builder.CreateVector(demands);
-    const auto newsList = builder.CreateVector(news);
-    const auto partList = builder.CreateVectorOfStructs(parts);
-    builder.Finish(peerwire::CreatePeerFrame(
-        builder, host, dataCentre, frame.work.has_value(), loadList, demandList, newsList, partList, true));
+    builder.Finish(peerwire::CreatePeerFrame(builder, host, dataCentre, frame.work.has_value(), loadList,
+        demandList, newsList, partList, frame.whole));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
--- a/Source/Serving/RoleSplit.cpp
+++ b/Source/Serving/RoleSplit.cpp
@@ -51,6 +51,13 @@
         && demand.prefillMs < m_options.busyShare * msPerSecond * prefilling;
 }
 
+int RoleSplit::changesTogether(int engines, int prefilling) const
+{
+    if (prefilling < m_options.manyPrefill)
+        return 1;
+    return std::max(1, static_cast<int>(engines * m_options.togetherShare));
+}
+
 std::vector<RoleAssignment> RoleSplit::decide(
     const ServiceName& service, const EngineDemand& demand, MonotonicTime now)
 {
@@ -89,21 +96,18 @@
 
     auto& from = lacking > 0 ? prefill : decode;
     const auto& to = lacking > 0 ? decode : prefill;
-    const auto sameDataCentre = [&](const Backend* engine) {
-        return std::count_if(to.begin(), to.end(),
-            [&](const Backend* other) { return other->record.dataCentre == engine->record.dataCentre; });
-    };
+    std::map<DataCentre, int> there;
+    for (const auto* engine : to)
+        ++there[engine->record.dataCentre];
     // Engines without work first, spread over the data centres.
     std::stable_sort(from.begin(), from.end(), [&](const Backend* a, const Backend* b) {
-        const auto aCount = sameDataCentre(a);
-        const auto bCount = sameDataCentre(b);
+        const int aCount = there[a->record.dataCentre];
+        const int bCount = there[b->record.dataCentre];
         if (aCount != bCount)
             return aCount < bCount;
         return a->load().requests + a->load().prefillMs < b->load().requests + b->load().prefillMs;
     });
-    const bool many = static_cast<int>(prefill.size()) >= m_options.manyPrefill;
-    const int large = many ? static_cast<int>(engines * m_options.togetherShare) : 1;
-    const int together = traffic ? std::max(1, large) : engines;
+    const int together = traffic ? changesTogether(engines, static_cast<int>(prefill.size())) : engines;
     const auto most = static_cast<std::size_t>(std::min(std::abs(lacking), together));
     std::vector<RoleAssignment> orders;
     for (const auto* engine : from) {
--- a/Source/Serving/RoleSplit.h
+++ b/Source/Serving/RoleSplit.h
@@ -76,6 +76,8 @@
     // Decode engines too few, or too many if below 0.
     int lackingDecode(const ServiceName&, int engines, int decoding, MonotonicTime now);
     bool enoughPrefill(int prefilling, const EngineDemand&) const;
+    // Engines that may change at a time under traffic.
+    int changesTogether(int engines, int prefilling) const;
 
     const BackendTable& m_backends;
     RoleSplitOptions m_options;
--- a/Source/Serving/ServiceReach.cpp
+++ b/Source/Serving/ServiceReach.cpp
@@ -29,13 +29,13 @@
     std::map<DataCentre, int> sizes;
     for (const auto& entry : m_backends.all())
         ++sizes[entry.second.record.dataCentre];
+    const int own = sizes[m_dataCentre];
     bool larger = false;
     for (const auto& [dataCentre, servers] : sizes) {
         if (dataCentre == m_dataCentre)
             continue;
         if (m_backends.lossesInRow(dataCentre) < lossesOfCut)
             return false;
-        const int own = sizes[m_dataCentre];
         larger = larger || servers > own || (servers == own && dataCentre < m_dataCentre);
     }
     return larger;
