Tell in logs and metrics which broken attempts ended their server

Callers and operators saw one line, attempt_lost, for a server that ended, one that closed a connection and one that lost an answer, and no line said that two requests have the same content. attempt_lost names the content now, and a new connection to the server, one for all attempts that broke together, tells whether it has ended: refused, or closed at once, it has. The connection is kept for requests otherwise. server_ended and almondscale_broken_runs_total tell the result. Nothing is decided by it yet.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -46,6 +46,7 @@
         : m_settings(std::move(settings))
         , m_readSettings(std::move(readSettings))
         , m_pool(m_loop.get_executor())
+        , m_lifeProbe(m_pool)
         , m_wire(platform::makeServingWire())
         , m_directory(m_backends)
         , m_placement(m_backends, m_settings.dataCentre, placementOptions(m_settings.firstStart))
@@ -62,7 +63,7 @@
               { [this] { return m_network.reader(); }, [this] { return totalDemand(); } })
         , m_pages(m_self, m_routes, m_backends, m_mirror, m_orderDuty.lease())
         , m_context { m_loop.get_executor(), m_wire, m_routes, m_backends, m_placement, m_retries, m_demand,
-            m_pool, systemRandom(), {} }
+            m_pool, m_lifeProbe, systemRandom() }
         , m_readyServer(
               m_loop.get_executor(), { [this] { return ready(); }, [this] { return metrics(); }, {} })
         , m_metricsServer(m_loop.get_executor(), pageHooks())
@@ -79,6 +80,8 @@
             takeNews(table, rows, now);
         };
         m_context.onRequestEnd = [this](const RequestEnd& end) { m_metrics.onRequestEnd(end); };
+        m_context.onBrokenRun
+            = [this](const BrokenRun&, bool serverEnded) { m_metrics.onBrokenRun(serverEnded); };
         m_directory.onGone = [this](const BackendRecord& record) { m_pool.forget(record.address); };
     }
 
@@ -348,6 +351,7 @@
     Reader m_readSettings;
     boost::asio::io_context m_loop { 1 };
     ConnectionPool m_pool;
+    LifeProbe m_lifeProbe;
     ServingWire m_wire;
     RouteTable m_routes;
     BackendTable m_backends;
--- a/Programs/almondscale-host/HostMetrics.cpp
+++ b/Programs/almondscale-host/HostMetrics.cpp
@@ -38,6 +38,9 @@
     prometheus::Counter& furtherSends = family(prometheus::BuildCounter(), registry,
         "almondscale_further_sends_total", "Sends to backend servers beyond the first of each request.")
                                             .Add({});
+    prometheus::Family<prometheus::Counter>& brokenRuns
+        = family(prometheus::BuildCounter(), registry, "almondscale_broken_runs_total",
+            "Sends that a backend server broke off, by whether the server had ended.");
     prometheus::Family<prometheus::Counter>& storeReadings = family(prometheus::BuildCounter(), registry,
         "almondscale_store_readings_total", "Readings of the store, by table and whether it answered.");
     prometheus::Gauge& openRequests = gauge("almondscale_open_requests", "Requests that are being served.");
@@ -63,6 +66,11 @@
     m_impl->furtherSends.Increment(end.furtherSends);
 }
 
+void HostMetrics::onBrokenRun(bool serverEnded)
+{
+    m_impl->brokenRuns.Add({ { "server_ended", serverEnded ? "yes" : "no" } }).Increment();
+}
+
 void HostMetrics::onStoreReading(const char* table, bool answered)
 {
     m_impl->storeReadings.Add({ { "table", table }, { "answered", answered ? "yes" : "no" } }).Increment();
--- a/Programs/almondscale-host/HostMetrics.h
+++ b/Programs/almondscale-host/HostMetrics.h
@@ -15,6 +15,7 @@
     ~HostMetrics();
 
     void onRequestEnd(const RequestEnd&);
+    void onBrokenRun(bool serverEnded);
     void onStoreReading(const char* table, bool answered);
     void setOpenRequests(int);
     void setManifest(std::int64_t version);
--- a/Source/Dispatch/Fingerprint.cpp
+++ b/Source/Dispatch/Fingerprint.cpp
@@ -4,10 +4,17 @@
 
 namespace almondscale {
 
+Fingerprint fingerprintOf(std::initializer_list<std::string_view> parts)
+{
+    std::uint64_t hash = 0;
+    for (const auto part : parts)
+        hash = XXH64(part.data(), part.size(), hash);
+    return Fingerprint(hash);
+}
+
 Fingerprint fingerprintOf(const ModelName& model, const std::string& prompt)
 {
-    const auto seed = XXH64(model.text().data(), model.text().size(), 0);
-    return Fingerprint(XXH64(prompt.data(), prompt.size(), seed));
+    return fingerprintOf({ model.text(), prompt });
 }
 
 } // namespace almondscale
--- a/Source/Forwarding/BackendConnection.cpp
+++ b/Source/Forwarding/BackendConnection.cpp
@@ -12,6 +12,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <optional>
@@ -37,6 +38,14 @@
         return error ? std::error_code(error) : std::error_code();
     }
 
+    bool closes(const boost::system::error_code& error)
+    {
+        namespace asio = boost::asio::error;
+        return error == http::error::end_of_stream || error == http::error::partial_message
+            || error == asio::eof || error == asio::connection_reset || error == asio::connection_aborted
+            || error == asio::broken_pipe;
+    }
+
     std::string serialized(const HttpRequestHead& head, std::size_t bodySize)
     {
         std::string text = head.method + ' ' + head.target + " HTTP/1.1\r\n";
@@ -103,10 +112,11 @@
         m_socket.close(ignored);
     }
 
-    std::error_code failure(const boost::system::error_code& error) const
+    std::error_code failure(const boost::system::error_code& error)
     {
         if (m_closed)
             return std::make_error_code(std::errc::operation_canceled);
+        m_closedByServer = closes(error);
         return brokenCode(error);
     }
 
@@ -117,10 +127,21 @@
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, pieceBytes> m_piece {};
     bool m_closed = false;
+    bool m_closedByServer = false;
     bool m_whole = false;
     bool m_keep = false;
     MonotonicTime m_keptUntil {};
     std::weak_ptr<Impl> m_self;
+
+    // What a read would return now, 0 at the end of the connection; nothing if it would wait.
+    std::optional<ssize_t> peek()
+    {
+        char byte = 0;
+        const auto size = recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+            return std::nullopt;
+        return std::max<ssize_t>(0, size);
+    }
 };
 
 BackendConnection::BackendConnection(const boost::asio::any_io_executor& executor, Address address)
@@ -147,6 +168,7 @@
     std::tie(error) = co_await impl->m_socket.async_connect(endpoint, noThrow);
     if (error)
         co_return impl->failure(error);
+    impl->m_keptUntil = bootTime() + defaultKeepAlive - keepAliveMargin;
     co_return tuneSocket(impl->m_socket, unacknowledged);
 }
 
@@ -243,13 +265,11 @@
 
 Deadline BackendConnection::keptUntil() const { return Deadline(m_impl->m_keptUntil); }
 
-bool BackendConnection::stillIdle()
+bool BackendConnection::stillIdle() { return !m_impl->m_closed && !m_impl->peek(); }
+
+bool BackendConnection::closedByServer() const
 {
-    if (m_impl->m_closed)
-        return false;
-    char byte = 0;
-    const auto size = recv(m_impl->m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return m_impl->m_closedByServer || (!m_impl->m_closed && m_impl->peek() == 0);
 }
 
 void BackendConnection::close() { m_impl->close(); }
--- a/Source/Forwarding/BackendConnection.h
+++ b/Source/Forwarding/BackendConnection.h
@@ -43,6 +43,8 @@
     Deadline keptUntil() const;
     // Whether an idle connection is still open, with nothing unasked in it.
     bool stillIdle();
+    // The server has closed or reset the connection.
+    bool closedByServer() const;
 
     // Ends every operation under way; may be called at any time.
     void close();
--- a/Source/Forwarding/ConnectionPool.cpp
+++ b/Source/Forwarding/ConnectionPool.cpp
@@ -37,6 +37,11 @@
         m_idle[connection->address()].push_back(std::move(connection));
 }
 
+void ConnectionPool::keepNew(std::unique_ptr<BackendConnection> connection)
+{
+    m_idle[connection->address()].push_back(std::move(connection));
+}
+
 void ConnectionPool::sweep()
 {
     const auto now = bootTime();
--- a/Source/Forwarding/ConnectionPool.h
+++ b/Source/Forwarding/ConnectionPool.h
@@ -19,6 +19,8 @@
     std::unique_ptr<BackendConnection> make(const Address&);
     // Keeps the connection for the next request if its server does.
     void giveBack(std::unique_ptr<BackendConnection>);
+    // Keeps a connection that has carried no request yet.
+    void keepNew(std::unique_ptr<BackendConnection>);
     // Closes the idle connections that their servers are about to close.
     void sweep();
     // Closes the idle connections of a server that is gone.
--- /dev/null
+++ b/Source/Forwarding/LifeProbe.cpp
@@ -0,0 +1,100 @@
+#include "Forwarding/LifeProbe.h"
+
+#include "Forwarding/BootClock.h"
+#include "Forwarding/Signal.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <utility>
+
+namespace almondscale {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    // Servers of the region answer within a few milliseconds.
+    constexpr Nanoseconds connectTime = milliseconds(100);
+    // A connection that nobody behind its address takes is closed within this time.
+    constexpr Nanoseconds closeTime = milliseconds(30);
+    constexpr Nanoseconds closePoll = milliseconds(5);
+    // Attempts at one server break together.
+    constexpr Nanoseconds keptFor = milliseconds(250);
+
+} // namespace
+
+class LifeProbe::Impl {
+public:
+    struct Finding {
+        bool ended = false;
+        Deadline keptUntil;
+        // Set while the probe is under way.
+        std::shared_ptr<boost::asio::steady_timer> done;
+    };
+
+    explicit Impl(ConnectionPool& pool)
+        : m_pool(pool)
+    {
+    }
+
+    awaitable<bool> probe(Address address)
+    {
+        auto connection = m_pool.make(address);
+        const auto error = co_await connection->connect(Deadline::after(bootTime(), connectTime));
+        if (error)
+            co_return error == std::errc::connection_refused || connection->closedByServer();
+        const auto deadline = Deadline::after(bootTime(), closeTime);
+        while (!deadline.passed(bootTime())) {
+            if (connection->closedByServer())
+                co_return true;
+            co_await sleepFor(closePoll);
+        }
+        if (connection->stillIdle())
+            m_pool.keepNew(std::move(connection));
+        co_return false;
+    }
+
+    void forgetOld()
+    {
+        for (auto found = m_findings.begin(); found != m_findings.end();) {
+            const bool old = !found->second.done && found->second.keptUntil.passed(bootTime());
+            found = old ? m_findings.erase(found) : std::next(found);
+        }
+    }
+
+    ConnectionPool& m_pool;
+    std::map<BackendLifetime, Finding> m_findings;
+};
+
+LifeProbe::LifeProbe(ConnectionPool& pool)
+    : m_impl(std::make_shared<Impl>(pool))
+{
+}
+
+LifeProbe::~LifeProbe() = default;
+
+awaitable<bool> LifeProbe::ended(BackendLifetime server, Address address)
+{
+    const auto impl = m_impl;
+    impl->forgetOld();
+    const auto found = impl->m_findings.find(server);
+    if (found != impl->m_findings.end()) {
+        if (const auto done = found->second.done)
+            co_await done->async_wait(noThrow);
+        const bool ended = impl->m_findings[server].ended;
+        co_return ended;
+    }
+    const auto done = std::make_shared<boost::asio::steady_timer>(
+        co_await boost::asio::this_coro::executor, boost::asio::steady_timer::time_point::max());
+    impl->m_findings[server].done = done;
+    const bool ended = co_await impl->probe(std::move(address));
+    auto& finding = impl->m_findings[server];
+    finding.ended = ended;
+    finding.keptUntil = Deadline::after(bootTime(), keptFor);
+    finding.done.reset();
+    done->cancel();
+    co_return ended;
+}
+
+} // namespace almondscale
--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -2,6 +2,8 @@
 
 #include "Core/LogEvent.h"
 #include "Forwarding/BootClock.h"
+#include "Forwarding/Spawn.h"
+#include "Serving/RequestContent.h"
 #include "Serving/RetryAdvice.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -32,6 +34,7 @@
     , m_arrivedAt(bootTime())
     , m_deadline(Deadline::after(
           m_arrivedAt, std::min(m_request.patience.value_or(m_route->timeout), m_route->timeout)))
+    , m_content(contentOf(m_request))
     , m_lastEvent(m_request.lastEvent)
 {
     ++m_context.openRequests;
@@ -149,6 +152,9 @@
 awaitable<Result<BackendReply>> RequestRun::Impl::exchange(const BackendCall& call, Deadline deadline)
 {
     const auto head = m_context.wire.encodeCall(m_request, call);
+    const auto* backend = m_context.backends.find(call.backend);
+    m_server = backend ? lifetimeOf(backend->record) : BackendLifetime { call.backend, 0 };
+    m_sentAt = bootTime();
     m_sent = true;
     const auto error = co_await m_connection->send(head, m_request.body, deadline);
     if (error)
@@ -205,12 +211,34 @@
             m_context.pool.forget(m_connection->address());
         LogEvent("attempt_lost", LogLevel::Warning)
             .with("request", m_request.id)
+            .with("content", contentText(m_content))
             .with("backend", id)
             .with("error", error.message());
+        if (m_connection && m_connection->closedByServer()) {
+            BrokenRun run { m_request.id, m_content, m_server, m_connection->address(), m_sentAt,
+                bootTime() };
+            spawn(m_context.executor, examine(m_context, std::move(run)));
+        }
     }
     dropConnection();
 }
 
+awaitable<void> RequestRun::Impl::examine(ServingContext& context, BrokenRun run)
+{
+    const bool ended = co_await context.lifeProbe.ended(run.server, run.address);
+    if (context.onBrokenRun)
+        context.onBrokenRun(run, ended);
+    if (!ended)
+        co_return;
+    const auto ran = std::chrono::duration_cast<milliseconds>(run.brokenAt - run.sentAt);
+    LogEvent("server_ended", LogLevel::Warning)
+        .with("request", run.request)
+        .with("content", contentText(run.content))
+        .with("backend", run.server.backend)
+        .with("started_ms", run.server.startedAtMs)
+        .with("ran_ms", ran.count());
+}
+
 AttemptEnd RequestRun::Impl::endOfError(const BackendId& id, const std::error_code& error)
 {
     noteLost(id, error);
--- a/Source/Forwarding/RequestRunImpl.h
+++ b/Source/Forwarding/RequestRunImpl.h
@@ -58,6 +58,9 @@
     // The attempt broke, for want of a whole and proper answer.
     void noteLost(const BackendId& id, const std::error_code& error);
 
+    // Finds out whether the server that broke off has ended.
+    static awaitable<void> examine(ServingContext& context, BrokenRun run);
+
     // The same for an attempt that may have run the request.
     AttemptEnd endOfError(const BackendId& id, const std::error_code& error);
 
@@ -110,6 +113,11 @@
     Placement::Excluded m_prefillExcluded;
     std::unique_ptr<BackendConnection> m_connection;
     BackendId m_backend;
+    // Stands for the request however often its caller sends it.
+    Fingerprint m_content;
+    // The last send.
+    BackendLifetime m_server;
+    MonotonicTime m_sentAt {};
     EventCutter m_cutter;
     // The event after which a further attempt goes on.
     std::string m_lastEvent;
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "Core/RandomSource.h"
+#include "Forwarding/BrokenRun.h"
 #include "Forwarding/ConnectionPool.h"
+#include "Forwarding/LifeProbe.h"
 #include "Forwarding/RequestEnd.h"
 #include "Serving/DemandMeter.h"
 #include "Serving/Placement.h"
@@ -23,9 +25,12 @@
     RetryGate& retries;
     DemandMeter& demand;
     ConnectionPool& pool;
+    LifeProbe& lifeProbe;
     RandomSource random;
     // Told of each request that has ended.
     std::function<void(const RequestEnd&)> onRequestEnd = {};
+    // Told of each send that was broken off, and whether its server has ended.
+    std::function<void(const BrokenRun&, bool serverEnded)> onBrokenRun = {};
     // The host is shutting down: connections of callers end with their next answer.
     bool stopping = false;
     // Callers are better served in another data centre: their connections end likewise,
--- a/Tests/Forwarding/ForwardingFixture.h
+++ b/Tests/Forwarding/ForwardingFixture.h
@@ -21,7 +21,8 @@
         , wire(platform::makeServingWire())
         , placement(backends, DataCentre("a"))
         , retries(bounds(), 1)
-        , context { loop.get_executor(), wire, routes, backends, placement, retries, demand, pool,
+        , lifeProbe(pool)
+        , context { loop.get_executor(), wire, routes, backends, placement, retries, demand, pool, lifeProbe,
             seededRandom(1) }
         , address(freeLoopbackAddress())
         , listener(loop.get_executor(), [this](tcp::socket socket) {
@@ -138,6 +139,7 @@
     Placement placement;
     RetryGate retries;
     DemandMeter demand;
+    LifeProbe lifeProbe;
     ServingContext context;
     Address address;
     HttpListener listener;
