Play requests that end each server that runs them, known to fail

Tests/Soak/crashing.py plays four such requests through real hosts, sent again for 32 s at random hosts under new ids, beside twelve other callers. The soak's way to play seeds in parallel is shared with it.

--- /dev/null
+++ b/Tests/Soak/crashing.py
@@ -0,0 +1,187 @@
+#!/usr/bin/env python3
+"""Requests that end each backend server that runs them, sent again and again through real almondscale-host processes.
+
+Usage: Tests/Soak/crashing.py --program FILE [--seeds FIRST-LAST] [--parallel N] [--senders N] [--play NAME]
+
+Four requests come back for 32 s at random hosts, under a new id each time: one that may be repeated, one that
+may not, one that ends prefill engines and one that ends decode engines. Servers are back after 2 s under a new
+identity. Checks that each of them ends at most three servers and that all other callers are served.
+"""
+import argparse
+import asyncio
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+
+from fakes import read_message
+from soak import World, play_in_parallel, run_to_its_end
+
+SEND_S = 32.0
+START_S = 5.5
+# Other callers are counted in the last seconds.
+COUNTED_S = 6.0
+BACK_S = 2.0
+# A request may end this many servers until it is told from the requests beside it.
+MOST_ENDED = 3
+# From then on no send of it is excused, three of them at most.
+LATE_S = 4.0
+MOST_LATE = 3
+LEAST_SERVED = 0.95
+# The route of each request that ends servers.
+MARKED = {"safe": "safe", "unsafe": "unsafe", "prefill": "stream", "decode": "stream"}
+
+
+class CrashingWorld(World):
+    """A run in which marked requests end the servers that run them."""
+
+    def __init__(self, program, seed, hosts, folder, senders, play):
+        super().__init__(program, seed, hosts, folder)
+        self.senders, self.play_name = senders, play
+        self.ended = {mark: [] for mark in MARKED}
+        self.late = {mark: 0 for mark in MARKED}
+        self.statuses = {mark: {} for mark in MARKED}
+        self.counted = {"asked": 0, "served": 0}
+        self.wrongly_refused = 0
+
+    def ends_under(self, backend, request, target, prefill):
+        mark = target.rsplit("/", 1)[1].partition("marked-")[2]
+        if not mark:
+            return False
+        ended = self.ended[mark]
+        if len(ended) >= MOST_ENDED and time.monotonic() > ended[MOST_ENDED - 1][0] + LATE_S:
+            self.late[mark] += 1
+        if mark in ("prefill", "decode") and prefill != (mark == "prefill"):
+            return False
+        if not backend.ending:
+            ended.append((time.monotonic(), backend.identity))
+            self.on_run(request, backend)
+            asyncio.create_task(self.end_and_come_back(backend))
+        return True
+
+    async def end_and_come_back(self, backend):
+        backend.ending = True
+        old = backend.identity
+        backend.crash()
+        await asyncio.sleep(BACK_S)
+        self.store.put("servers", old, None)
+        await backend.live()
+
+    async def ask(self, request, kind, path):
+        """One request on a connection of its own; its status, or none if it was cut."""
+        host = random.choice([each for each in self.hosts if each.ready] or self.hosts)
+        body = b"x" * 200 if kind != "safe" else b""
+        head = (f"{'GET' if kind == 'safe' else 'POST'} /{kind}/{path} HTTP/1.1\r\nHost: h\r\nRequest-Id: {request}\r\n"
+                f"Deadline-Ms: 2500\r\nContent-Length: {len(body)}\r\n")
+        if kind == "stream":
+            head += "Model-Id: m\r\nToken-Count: 1000,60\r\nPrefix-Hash: aa:800,bb:200\r\n"
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(host.ip, 8149), 1)
+        except (OSError, asyncio.TimeoutError):
+            return None, b""
+        try:
+            writer.write(head.encode() + b"\r\n" + body)
+            line, fields, answer = await asyncio.wait_for(read_message(reader), 4)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.TimeoutError, ValueError):
+            return None, b""
+        finally:
+            writer.close()
+        status = int(line.split()[1])
+        self.check_answer(request, kind, status, fields, answer)
+        return status, answer
+
+    async def marked_sender(self, mark, number):
+        end = time.monotonic() + SEND_S
+        sequence = 0
+        while time.monotonic() < end:
+            sequence += 1
+            status, _ = await self.ask(f"{MARKED[mark]}-{mark}-{number}-{sequence}", MARKED[mark], f"marked-{mark}")
+            self.statuses[mark][status] = self.statuses[mark].get(status, 0) + 1
+            await asyncio.sleep(random.uniform(0.8, 2.0))
+
+    async def other_caller(self, number):
+        """Half of the requests have the same content as others, half are the only ones of theirs."""
+        sequence = 0
+        counted_from = time.monotonic() + SEND_S - COUNTED_S
+        while not self.over:
+            await asyncio.sleep(random.uniform(0.02, 0.12))
+            sequence += 1
+            kind = random.choice(["safe", "unsafe", "stream"])
+            path = random.choice(["x", f"only-{number}-{sequence}"])
+            counts = time.monotonic() > counted_from
+            status, answer = await self.ask(f"{kind}-{number}-{sequence}", kind, path)
+            self.wrongly_refused += b"crashing" in answer
+            self.counted["asked"] += counts
+            self.counted["served"] += counts and status == 200
+
+    async def power_loss(self):
+        """All hosts end at once and start again, halfway."""
+        await asyncio.sleep(SEND_S / 2)
+        await asyncio.gather(*(host.end(signal.SIGKILL) for host in self.hosts))
+        await asyncio.gather(*(host.start() for host in self.hosts))
+
+    async def play(self):
+        self.started = time.monotonic()
+        await self.store.start()
+        for proxy in self.store_proxies + self.backend_proxies:
+            await proxy.start()
+        for backend in self.backends:
+            await backend.live()
+        self.put_manifest()
+        for host in self.hosts:
+            await host.start()
+        tasks = [asyncio.create_task(task) for task in [self.heartbeats(), self.rotation()]]
+        await asyncio.sleep(START_S)
+        tasks += [asyncio.create_task(self.other_caller(number)) for number in range(12)]
+        senders = [] if self.play_name == "control" else [
+            self.marked_sender(mark, number) for mark in MARKED for number in range(self.senders)]
+        faults = [self.power_loss()] if self.play_name == "power_loss" else []
+        await asyncio.gather(asyncio.sleep(SEND_S), *senders, *faults)
+        self.check_end()
+        self.over = True
+        for task in tasks:
+            task.cancel()
+
+    def check_end(self):
+        for mark, ended in self.ended.items():
+            if len(ended) > MOST_ENDED:
+                self.fail(f"the {mark} request ended {len(ended)} servers: {[name for _, name in ended]}")
+            if self.late[mark] > MOST_LATE:
+                self.fail(f"the {mark} request reached servers {self.late[mark]} times later than {LATE_S} s "
+                          "after it had ended the third")
+        if self.wrongly_refused:
+            self.fail(f"{self.wrongly_refused} other requests were refused as ones that end servers")
+        served = self.counted["served"] / max(1, self.counted["asked"])
+        if served < LEAST_SERVED:
+            self.fail(f"of {self.counted['asked']} other requests in the last {COUNTED_S:.0f} s {served:.3f} were served")
+
+    def summary(self):
+        ended = " ".join(f"{mark}={len(ended)}/{self.late[mark]}" for mark, ended in self.ended.items())
+        served = self.counted["served"] / max(1, self.counted["asked"])
+        return (f"ended/late {ended} others={served:.3f} of {self.counted['asked']} "
+                f"wrongly_refused={self.wrongly_refused} statuses={self.statuses}")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--program", required=True, help="the almondscale-host to run")
+    parser.add_argument("--seeds", default="1-1", help="FIRST-LAST")
+    parser.add_argument("--parallel", type=int, default=1)
+    parser.add_argument("--hosts", type=int, default=4)
+    parser.add_argument("--senders", type=int, default=1, help="of each request that ends servers")
+    parser.add_argument("--play", choices=["plain", "power_loss", "control"], default="plain")
+    arguments = parser.parse_args()
+    program = os.path.abspath(arguments.program)
+
+    def play_seed(seed):
+        random.seed(seed)
+        folder = tempfile.mkdtemp(prefix=f"crashing-{seed}-")
+        return run_to_its_end(CrashingWorld(program, seed, arguments.hosts, folder, arguments.senders, arguments.play))
+
+    sys.exit(0 if play_in_parallel(arguments.seeds, arguments.parallel, play_seed) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/Tests/Soak/fakes.py
+++ b/Tests/Soak/fakes.py
@@ -195,7 +195,10 @@
         if self.mode == "shed" and random.random() < 0.5:
             writer.write(response(503, Not_Executed=1, Request_Id=request))
             return True
-        if fields.get("serving-stage") == "prefill":
+        prefill = fields.get("serving-stage") == "prefill"
+        if self.world.ends_under(self, request, target, prefill):
+            return False
+        if prefill:
             handle = json.dumps({"kvHandle": "h" + request, "tokens": 100, "version": 1}).encode()
             await asyncio.sleep(0.01)
             writer.write(response(200, handle, Request_Id=request))
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -154,6 +154,10 @@
         if request in self.refused and request.startswith(("unsafe", "once")):
             self.fail(f"request {request} was refused as not run and ran at {backend.identity}")
 
+    def ends_under(self, backend, request, target, prefill):
+        """Whether the server ends now because of the request; none does here."""
+        return False
+
     def on_late_arrival(self, backend, request):
         late = time.monotonic() - backend.left_at
         if late > DRAIN_S and time.monotonic() > self.unplanned_until + 3:
@@ -299,6 +303,10 @@
                 if backend.identity == identity and not backend.ending:
                     backend.register()
 
+    def summary(self):
+        return (f"asked={self.counts['asked']} served={self.counts['served']} "
+                f"calm={self.counts['calm_served']}/{self.counts['calm_asked']} orders={len(self.orders)}")
+
     def put_manifest(self, **changes):
         """Puts the manifest in force; changes replace members of routes and engines that have them."""
         manifest = json.loads(json.dumps({**MANIFEST, "version": self.manifest_version}))
@@ -415,10 +423,8 @@
             task.cancel()
 
 
-def play_seed(arguments, seed):
-    random.seed(seed)
-    folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
-    world = World(arguments.program, seed, arguments.hosts, folder)
+def run_to_its_end(world):
+    """Plays one world; whether it kept all promises."""
 
     async def run():
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
@@ -441,37 +447,46 @@
 
     asyncio.run(run())
     verdict = "failed" if world.failures else "passed"
-    print(f"seed={seed} {verdict} asked={world.counts['asked']} served={world.counts['served']} "
-          f"calm={world.counts['calm_served']}/{world.counts['calm_asked']} orders={len(world.orders)}"
-          + (f" logs={folder}" if world.failures else ""), flush=True)
+    print(f"seed={world.seed} {verdict} {world.summary()}" + (f" logs={world.folder}" if world.failures else ""),
+          flush=True)
     for failure in world.failures[:10]:
         print(f"  {failure}", flush=True)
     return not world.failures
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--program", required=True, help="the almondscale-host to run")
-    parser.add_argument("--seeds", default="1-1", help="FIRST-LAST")
-    parser.add_argument("--parallel", type=int, default=1)
-    parser.add_argument("--hosts", type=int, default=4)
-    arguments = parser.parse_args()
-    arguments.program = os.path.abspath(arguments.program)
-    first, _, last = arguments.seeds.partition("-")
+def play_in_parallel(seeds, parallel, play_seed):
+    """Plays FIRST-LAST, each seed in a process of its own; whether all passed."""
+    first, _, last = seeds.partition("-")
     waiting = list(range(int(first), int(last or first) + 1))
     running, passed, failed = {}, 0, 0
     while waiting or running:
-        while waiting and len(running) < arguments.parallel:
+        while waiting and len(running) < parallel:
             seed = waiting.pop(0)
             child = os.fork()
             if child == 0:
-                os._exit(0 if play_seed(arguments, seed) else 1)
+                os._exit(0 if play_seed(seed) else 1)
             running[child] = seed
         child, status = os.wait()
         running.pop(child)
         passed, failed = passed + (status == 0), failed + (status != 0)
     print(f"{passed} passed, {failed} failed")
-    sys.exit(1 if failed else 0)
+    return failed == 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--program", required=True, help="the almondscale-host to run")
+    parser.add_argument("--seeds", default="1-1", help="FIRST-LAST")
+    parser.add_argument("--parallel", type=int, default=1)
+    parser.add_argument("--hosts", type=int, default=4)
+    arguments = parser.parse_args()
+    program = os.path.abspath(arguments.program)
+
+    def play_seed(seed):
+        random.seed(seed)
+        return run_to_its_end(World(program, seed, arguments.hosts, tempfile.mkdtemp(prefix=f"soak-{seed}-")))
+
+    sys.exit(0 if play_in_parallel(arguments.seeds, arguments.parallel, play_seed) else 1)
 
 
 if __name__ == "__main__":
