--- a/Tests/Soak/crashing.py
+++ b/Tests/Soak/crashing.py
@@ -24,6 +24,9 @@
 # Other callers are counted in the last seconds.
 COUNTED_S = 6.0
 BACK_S = 2.0
+# Requests at one moment, and the pause between such moments.
+CROWD = 64
+CROWD_PAUSE_S = 3.0
 # A request may end this many servers until it is told from the requests beside it.
 MOST_ENDED = 3
 # From then on no send of it is excused, three of them at most.
@@ -44,7 +47,6 @@
         self.late = {mark: 0 for mark in MARKED}
         self.statuses = {mark: {} for mark in MARKED}
         self.counted = {"asked": 0, "served": 0}
-        self.wrongly_refused = 0
 
     def ends_under(self, backend, request, target, prefill):
         mark = target.rsplit("/", 1)[1].partition("marked-")[2]
@@ -62,6 +64,9 @@
             asyncio.create_task(self.end_and_come_back(backend))
         return True
 
+    def may_be_refused(self, request):
+        return any(request.startswith(f"{MARKED[mark]}-{mark}-") for mark in MARKED)
+
     async def end_and_come_back(self, backend):
         old = backend.identity
         backend.crash()
@@ -70,7 +75,7 @@
         await backend.live()
 
     async def ask(self, request, kind, path):
-        """One request on a connection of its own; its status, or none if it was cut."""
+        """One request on a connection of its own; its status, or None if it was cut."""
         host = random.choice([each for each in self.hosts if each.ready] or self.hosts)
         body = b"x" * 200 if kind != "safe" else b""
         head = (f"{'GET' if kind == 'safe' else 'POST'} /{kind}/{path} HTTP/1.1\r\nHost: h\r\nRequest-Id: {request}\r\n"
@@ -80,24 +85,24 @@
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection(host.ip, 8149), 1)
         except (OSError, asyncio.TimeoutError):
-            return None, b""
+            return None
         try:
             writer.write(head.encode() + b"\r\n" + body)
             line, fields, answer = await asyncio.wait_for(read_message(reader), 4)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.TimeoutError, ValueError):
-            return None, b""
+            return None
         finally:
             writer.close()
         status = int(line.split()[1])
         self.check_answer(request, kind, status, fields, answer)
-        return status, answer
+        return status
 
     async def marked_sender(self, mark, number):
         end = time.monotonic() + SEND_S
         sequence = 0
         while time.monotonic() < end:
             sequence += 1
-            status, _ = await self.ask(f"{MARKED[mark]}-{mark}-{number}-{sequence}", MARKED[mark], f"marked-{mark}")
+            status = await self.ask(f"{MARKED[mark]}-{mark}-{number}-{sequence}", MARKED[mark], f"marked-{mark}")
             self.statuses[mark][status] = self.statuses[mark].get(status, 0) + 1
             await asyncio.sleep(random.uniform(0.8, 2.0))
 
@@ -111,11 +116,27 @@
             kind = random.choice(["safe", "unsafe", "stream"])
             path = random.choice(["x", f"only-{number}-{sequence}"])
             counts = time.monotonic() > counted_from
-            status, answer = await self.ask(f"{kind}-{number}-{sequence}", kind, path)
-            self.wrongly_refused += b"crashing" in answer
+            status = await self.ask(f"{kind}-{number}-{sequence}", kind, path)
             self.counted["asked"] += counts
             self.counted["served"] += counts and status == 200
 
+    async def crowds(self):
+        """Now and then many different requests at the same moment, as many as run at one server."""
+        for crowd in range(int(SEND_S / CROWD_PAUSE_S)):
+            await asyncio.sleep(CROWD_PAUSE_S)
+            kinds = [random.choice(["safe", "unsafe", "stream"]) for _ in range(CROWD)]
+            await asyncio.gather(*(self.ask(f"{kind}-crowd{crowd}-{i}", kind, f"only-{crowd}-{i}")
+                                   for i, kind in enumerate(kinds)))
+
+    async def end_quarter_twice(self):
+        """A quarter of the servers end at the same moment for reasons of their own, and once more."""
+        for _ in range(2):
+            await asyncio.sleep(SEND_S / 4)
+            ending = random.sample([each for each in self.backends if not each.ending], len(self.backends) // 4)
+            for backend in ending:
+                backend.ending = True
+                asyncio.create_task(self.end_and_come_back(backend))
+
     async def power_loss(self):
         """All hosts end at once and start again, halfway."""
         await asyncio.sleep(SEND_S / 2)
@@ -135,9 +156,11 @@
         tasks = [asyncio.create_task(task) for task in [self.heartbeats(), self.rotation()]]
         await asyncio.sleep(START_S)
         tasks += [asyncio.create_task(self.other_caller(number)) for number in range(12)]
-        senders = [] if self.play_name == "control" else [
+        senders = [] if self.play_name in ("control", "quarter") else [
             self.marked_sender(mark, number) for mark in MARKED for number in range(self.senders)]
-        faults = [self.power_loss()] if self.play_name == "power_loss" else []
+        faults = {"power_loss": [self.power_loss], "crowd": [self.crowds],
+                  "quarter": [self.end_quarter_twice, self.crowds]}.get(self.play_name, [])
+        faults = [fault() for fault in faults]
         await asyncio.gather(asyncio.sleep(SEND_S), *senders, *faults)
         self.check_end()
         self.over = True
@@ -152,8 +175,6 @@
             if self.late[mark] > MOST_LATE:
                 self.fail(f"the {mark} request reached servers {self.late[mark]} times later than {LATE_S} s "
                           "after it had ended the third")
-        if self.wrongly_refused:
-            self.fail(f"{self.wrongly_refused} other requests were refused as ones that end servers")
         served = self.counted["served"] / max(1, self.counted["asked"])
         if served < LEAST_SERVED:
             self.fail(f"of {self.counted['asked']} other requests in the last {COUNTED_S:.0f} s {served:.3f} were served")
@@ -162,7 +183,7 @@
         ended = " ".join(f"{mark}={len(ended)}/{self.late[mark]}" for mark, ended in self.ended.items())
         served = self.counted["served"] / max(1, self.counted["asked"])
         return (f"ended/late {ended} others={served:.3f} of {self.counted['asked']} "
-                f"wrongly_refused={self.wrongly_refused} statuses={self.statuses}")
+                f"statuses={self.statuses}")
 
 
 def main():
@@ -172,7 +193,7 @@
     parser.add_argument("--parallel", type=int, default=1)
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--senders", type=int, default=1, help="of each request that ends servers")
-    parser.add_argument("--play", choices=["plain", "power_loss", "control"], default="plain")
+    parser.add_argument("--play", choices=["plain", "power_loss", "crowd", "quarter", "control"], default="plain")
     arguments = parser.parse_args()
     program = os.path.abspath(arguments.program)
 
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -158,6 +158,10 @@
         """Whether the server ends now because of the request; none does here."""
         return False
 
+    def may_be_refused(self, request):
+        """Whether the request ends the servers that run it."""
+        return False
+
     def on_late_arrival(self, backend, request):
         late = time.monotonic() - backend.left_at
         if late > DRAIN_S and time.monotonic() > self.unplanned_until + 3:
@@ -222,6 +226,8 @@
             self.refused.add(request)
             if self.runs.get(request) and kind in ("unsafe", "once"):
                 self.fail(f"request {request} was answered {status} and had run at {self.runs[request]}")
+        if b"crashing_request" in answer and not self.may_be_refused(request):
+            self.fail(f"request {request} was refused as one that ends servers")
         if status != 200:
             return
         if fields.get("request-id") != request or "response-signature" not in fields:
