Heed a server that says it leaves, or asks for a pause, in its own answers

What callers saw, by the users' new rules: a server that says Server-Leaving in an answer, or turns a request away with Retry-After, was sent on as before. Nothing read either field.

Change: the adapter decodes both into BackendReply. RequestRun heeds them at the one place that reads the head of every answer (plain, refused, prefill, stream), and BackendTable keeps them by lifetime of the server, so that no registration that comes back takes them away and a server that starts anew is clean. BackendTable::maySendTo is the one door: every choice of a server goes through it, and it is asked once more when the connection is there. Other hosts hear at once of a server that leaves, over the links. A pause holds as a deadline, the longest one, and ends up to 0.5 s later, drawn by each host, so that hosts do not come back together. With all servers of a service barred, callers are refused at once with the time until the first one is free. A value that cannot be read is logged and the answer handled as ever. almondscale_server_words_total, server_leaving and server_barred tell of them; the page of servers shows leaving, barred and for how long.

Evidence: BackendTableTest, RequestRunTest (each kind of call), PeerFrameTest; the soak's fakes say both now and check both rules from what servers see.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -56,7 +56,9 @@
         , m_self { m_settings.host, m_settings.dataCentre, m_settings.peers, m_settings.strength }
         , m_store(m_pool, m_settings.store)
         , m_network(m_loop.get_executor(), m_self, m_settings.seeds, m_mirror, m_crashes,
-              { [this] { return ownWork(); }, [this](const PeerWork& work) { setOthersWork(work); } })
+              { [this] { return ownWork(); }, [this](const PeerWork& work) { setOthersWork(work); },
+                  [this](std::size_t& position) { return m_backends.leavingSince(position); },
+                  [this](const BackendLifetime& server) { return m_backends.noteLeaving(server); } })
         , m_mirrorDuty(m_store, m_mirror, m_self,
               { [this] { return m_network.reader(); }, [this](SharedTable table) { readDone(table); },
                   [this](SharedTable table) { readFailed(table); } })
@@ -83,6 +85,11 @@
         };
         m_context.onRequestEnd = [this](const RequestEnd& end) { m_metrics.onRequestEnd(end); };
         m_context.onBrokenRun = [this](const BrokenRun& run, bool serverEnded) { takeEnd(run, serverEnded); };
+        m_context.onServerLeaving = [this](const BackendLifetime&) {
+            m_metrics.onServerWord("leaving");
+            m_network.publish();
+        };
+        m_context.onServerBarred = [this](const BackendLifetime&) { m_metrics.onServerWord("barred"); };
         m_directory.onGone = [this](const BackendRecord& record) {
             m_pool.forget(record.address);
             if (!record.draining)
--- a/Programs/almondscale-host/HostMetrics.cpp
+++ b/Programs/almondscale-host/HostMetrics.cpp
@@ -41,6 +41,9 @@
     prometheus::Family<prometheus::Counter>& brokenRuns
         = family(prometheus::BuildCounter(), registry, "almondscale_broken_runs_total",
             "Sends that a backend server broke off, by whether the server had ended.");
+    prometheus::Family<prometheus::Counter>& serverWords
+        = family(prometheus::BuildCounter(), registry, "almondscale_server_words_total",
+            "Answers in which a backend server newly said that it leaves, or asked for a pause.");
     prometheus::Family<prometheus::Counter>& storeReadings = family(prometheus::BuildCounter(), registry,
         "almondscale_store_readings_total", "Readings of the store, by table and whether it answered.");
     prometheus::Gauge& openRequests = gauge("almondscale_open_requests", "Requests that are being served.");
@@ -71,6 +74,11 @@
     m_impl->brokenRuns.Add({ { "server_ended", serverEnded ? "yes" : "no" } }).Increment();
 }
 
+void HostMetrics::onServerWord(const char* word)
+{
+    m_impl->serverWords.Add({ { "word", word } }).Increment();
+}
+
 void HostMetrics::onStoreReading(const char* table, bool answered)
 {
     m_impl->storeReadings.Add({ { "table", table }, { "answered", answered ? "yes" : "no" } }).Increment();
--- a/Programs/almondscale-host/StatusPages.cpp
+++ b/Programs/almondscale-host/StatusPages.cpp
@@ -6,15 +6,24 @@
 
 namespace {
 
-    const char* stateWord(const Backend& backend, MonotonicTime now)
+    const char* stateWord(const Backend& backend, const BackendTable& backends, MonotonicTime now)
     {
         if (backend.record.draining)
             return "draining";
+        if (backends.isLeaving(backend))
+            return "leaving";
+        if (!backends.maySendTo(backend, now))
+            return "barred";
         if (backend.unreachable)
             return "unreachable";
         return now < backend.avoidUntil ? "avoided" : "ready";
     }
 
+    std::int64_t msLeft(Deadline deadline, MonotonicTime now)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(deadline.remaining(now)).count();
+    }
+
 } // namespace
 
 std::vector<HostRecord> enrolledHosts(const RowMirror& mirror)
@@ -99,7 +108,8 @@
             .text("data_centre", backend.record.dataCentre.text())
             .text("address", backend.record.address.text())
             .text("role", backend.record.role ? engineRoleWord(*backend.record.role) : "")
-            .text("state", stateWord(backend, now))
+            .text("state", stateWord(backend, m_backends, now))
+            .integer("barred_ms", msLeft(m_backends.barredUntil(entry.first), now))
             .integer("open_here", backend.own.requests)
             .integer("open_elsewhere", backend.others.requests)
             .integer("prefill_ms", static_cast<std::int64_t>(backend.load().prefillMs))
--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -24,6 +24,9 @@
     // Backend servers are in the same region; a connection that is not made by then is lost.
     constexpr Nanoseconds connectTime = milliseconds(250);
 
+    // Over at most so much time hosts come back to a server that asked them to wait.
+    constexpr Nanoseconds mostReturnSpread = milliseconds(500);
+
     // A new connection that nobody behind its address takes is closed within this time.
     constexpr Nanoseconds closeTime = milliseconds(20);
 
@@ -133,19 +136,33 @@
 awaitable<void> RequestRun::Impl::refuse(ErrorKind kind)
 {
     m_outcome = errorWord(kind);
-    const auto comeBack = kind == ErrorKind::CrashingRequestNotRun
-        ? m_context.crashes.refusedUntil(m_content).remaining(bootTime())
-        : retryAfter(kind);
-    auto answer = m_context.wire.encodeError(kind, comeBack);
+    auto answer = m_context.wire.encodeError(kind, comeBackAfter(kind));
     co_await m_sink.sendWhole(std::move(answer.head), std::move(answer.body));
 }
 
+std::optional<Nanoseconds> RequestRun::Impl::comeBackAfter(ErrorKind kind) const
+{
+    const auto now = bootTime();
+    if (kind == ErrorKind::CrashingRequestNotRun)
+        return m_context.crashes.refusedUntil(m_content).remaining(now);
+    // With all servers barred, the first one that is free again decides.
+    const bool noServer = kind == ErrorKind::NoEngine || kind == ErrorKind::QueueFull;
+    const auto barEnd = noServer ? m_context.backends.firstBarEnd(m_service, now) : std::nullopt;
+    if (barEnd && m_context.backends.usable(m_service, now).empty())
+        return barEnd->remaining(now);
+    return retryAfter(kind);
+}
+
 awaitable<bool> RequestRun::Impl::openConnection(BackendId id, Address address, Deadline deadline)
 {
     m_context.backends.noteAttempt(id, bootTime());
     m_connection = m_context.pool.take(address);
-    if (m_connection)
+    if (m_connection && m_context.backends.maySendTo(id, bootTime()))
         co_return true;
+    if (m_connection) {
+        m_context.pool.giveBack(std::move(m_connection));
+        co_return false;
+    }
     m_connection = m_context.pool.make(address);
     auto error = co_await m_connection->connect(std::min(deadline, Deadline::after(bootTime(), connectTime)));
     if (!error && m_laneServer) {
@@ -154,10 +171,12 @@
         if (m_connection->closedByServer())
             error = std::make_error_code(std::errc::connection_reset);
     }
-    if (!error && !stopped())
+    // Meanwhile the server may have said that it leaves, or asked for a pause.
+    const bool mayBeSent = m_context.backends.maySendTo(id, bootTime());
+    if (!error && !stopped() && mayBeSent)
         co_return true;
     m_connection.reset();
-    if (!stopped()) {
+    if (!stopped() && error) {
         m_context.backends.noteOutcome(id, BackendOutcome::Unreachable, bootTime());
         LogEvent("connect_failed", LogLevel::Warning)
             .with("request", m_request.id)
@@ -190,7 +209,7 @@
         auto reply = m_context.wire.decodeReply(std::move(read.value()));
         if (reply.requestId == m_request.id.text() || (reply.requestId.empty() && !reply.proven)) {
             if (!reply.wrongBackend)
-                m_context.crashes.noteAlive(m_server, m_sentAt);
+                heed(reply);
             co_return reply;
         }
         if (strays == mostStrays)
@@ -201,6 +220,33 @@
     }
 }
 
+void RequestRun::Impl::heed(const BackendReply& reply)
+{
+    m_context.crashes.noteAlive(m_server, m_sentAt);
+    if (reply.leaving && m_context.backends.noteLeaving(m_server)) {
+        LogEvent("server_leaving").with("request", m_request.id).with("backend", m_server.backend);
+        if (m_context.onServerLeaving)
+            m_context.onServerLeaving(m_server);
+    }
+    if (!reply.retryAfter)
+        return;
+    // Hosts that were asked to wait alike come back one after the other.
+    const auto spread = std::min(*reply.retryAfter / 10, mostReturnSpread);
+    const auto now = bootTime();
+    const auto until = Deadline::after(now,
+        *reply.retryAfter
+            + Nanoseconds(static_cast<std::int64_t>(uniform(m_context.random) * spread.count())));
+    if (!m_context.backends.noteBarred(m_server, until, now))
+        return;
+    const auto barred = std::chrono::duration_cast<milliseconds>(until.remaining(now));
+    LogEvent("server_barred")
+        .with("request", m_request.id)
+        .with("backend", m_server.backend)
+        .with("ms", barred.count());
+    if (m_context.onServerBarred)
+        m_context.onServerBarred(m_server);
+}
+
 BackendCall RequestRun::Impl::callTo(const BackendId& id) const
 {
     BackendCall call;
@@ -265,7 +311,8 @@
 {
     const auto* backend = context.backends.find(run.server.backend);
     // A server that was leaving has ended as planned.
-    const bool leaving = !backend || lifetimeOf(backend->record) != run.server || backend->record.draining;
+    const bool leaving
+        = !backend || lifetimeOf(backend->record) != run.server || context.backends.isLeaving(*backend);
     const bool ended = co_await context.lifeProbe.ended(run.server, run.address);
     if (ended && !leaving) {
         const bool certain = run.apart || run.provenConnection || context.pool.anyClosed(run.address);
--- a/Source/Forwarding/RequestRunImpl.h
+++ b/Source/Forwarding/RequestRunImpl.h
@@ -49,6 +49,12 @@
     // Sends the request and reads the head of the answer to it.
     awaitable<Result<BackendReply>> exchange(const BackendCall& call, Deadline deadline);
 
+    // Takes from the head of an answer what it says of its server.
+    void heed(const BackendReply& reply);
+
+    // When a caller that is refused should come back.
+    std::optional<Nanoseconds> comeBackAfter(ErrorKind kind) const;
+
     BackendCall callTo(const BackendId& id) const;
 
     void dropConnection();
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -35,6 +35,9 @@
     std::function<void(const RequestEnd&)> onRequestEnd = {};
     // Told of each send that was broken off, and whether its server has ended.
     std::function<void(const BrokenRun&, bool serverEnded)> onBrokenRun = {};
+    // Told of each server that says that it leaves, or asks for a pause.
+    std::function<void(const BackendLifetime&)> onServerLeaving = {};
+    std::function<void(const BackendLifetime&)> onServerBarred = {};
     // The host is shutting down: connections of callers end with their next answer.
     bool stopping = false;
     // Callers are better served in another data centre: their connections end likewise,
--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -198,6 +198,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::CrashRecord>>> crashList;
     if (!crashes.empty())
         crashList = builder.CreateVector(crashes);
+    std::vector<flatbuffers::Offset<peerwire::Lifetime>> leaving;
+    for (const auto& server : frame.leaving)
+        leaving.push_back(peerwire::CreateLifetime(
+            builder, builder.CreateString(server.backend.text()), server.startedAtMs));
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::Lifetime>>> leavingList;
+    if (!leaving.empty())
+        leavingList = builder.CreateVector(leaving);
     const auto loadList = builder.CreateVectorOfStructs(
         frame.work ? encodeLoads(frame.work->loads) : std::vector<peerwire::Load>());
     flatbuffers::Offset<flatbuffers::String> host;
@@ -213,7 +220,7 @@
         partList = encodeParts(builder, frame.work->parts);
     }
     builder.Finish(peerwire::CreatePeerFrame(builder, host, dataCentre, frame.work.has_value(), loadList,
-        demandList, newsList, partList, frame.whole, crashList));
+        demandList, newsList, partList, frame.whole, crashList, leavingList));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -239,6 +246,10 @@
         for (const auto* each : *from->crashes())
             frame.crashes.push_back(decodeCrash(*each, now));
     }
+    if (from->leaving()) {
+        for (const auto* each : *from->leaving())
+            frame.leaving.push_back({ BackendId(textOf(each->server())), each->started_at_ms() });
+    }
     return frame;
 }
 
--- a/Source/Peers/PeerFrame.h
+++ b/Source/Peers/PeerFrame.h
@@ -49,6 +49,8 @@
     std::vector<PeerNews> news;
     // Changed records of servers that ended under requests.
     std::vector<CrashRecord> crashes;
+    // Servers that said in an answer that they leave.
+    std::vector<BackendLifetime> leaving;
 };
 
 // The frame's bytes without a length in front; ages in it are counted until `now`.
--- a/Source/Peers/PeerFrames_generated.h
+++ b/Source/Peers/PeerFrames_generated.h
@@ -35,6 +35,9 @@
 struct CrashRecord;
 struct CrashRecordBuilder;
 
+struct Lifetime;
+struct LifetimeBuilder;
+
 struct PeerFrame;
 struct PeerFrameBuilder;
 
@@ -622,6 +625,69 @@
       ends__);
 }
 
+struct Lifetime FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LifetimeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_STARTED_AT_MS = 6
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  int64_t started_at_ms() const {
+    return GetField<int64_t>(VT_STARTED_AT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct LifetimeBuilder {
+  typedef Lifetime Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(Lifetime::VT_SERVER, server);
+  }
+  void add_started_at_ms(int64_t started_at_ms) {
+    fbb_.AddElement<int64_t>(Lifetime::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
+  explicit LifetimeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Lifetime> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Lifetime>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Lifetime> CreateLifetime(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    int64_t started_at_ms = 0) {
+  LifetimeBuilder builder_(_fbb);
+  builder_.add_started_at_ms(started_at_ms);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Lifetime> CreateLifetimeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    int64_t started_at_ms = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return almondscale::peerwire::CreateLifetime(
+      _fbb,
+      server__,
+      started_at_ms);
+}
+
 struct PeerFrame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PeerFrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -633,7 +699,8 @@
     VT_NEWS = 14,
     VT_PARTS = 16,
     VT_WHOLE = 18,
-    VT_CRASHES = 20
+    VT_CRASHES = 20,
+    VT_LEAVING = 22
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -662,6 +729,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::CrashRecord>> *crashes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::CrashRecord>> *>(VT_CRASHES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Lifetime>> *leaving() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Lifetime>> *>(VT_LEAVING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -683,6 +753,9 @@
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
            verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyOffset(verifier, VT_LEAVING) &&
+           verifier.VerifyVector(leaving()) &&
+           verifier.VerifyVectorOfTables(leaving()) &&
            verifier.EndTable();
   }
 };
@@ -718,6 +791,9 @@
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::CrashRecord>>> crashes) {
     fbb_.AddOffset(PeerFrame::VT_CRASHES, crashes);
   }
+  void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Lifetime>>> leaving) {
+    fbb_.AddOffset(PeerFrame::VT_LEAVING, leaving);
+  }
   explicit PeerFrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -739,8 +815,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::TableNews>>> news = 0,
     flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::Part *>> parts = 0,
     bool whole = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::CrashRecord>>> crashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::CrashRecord>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Lifetime>>> leaving = 0) {
   PeerFrameBuilder builder_(_fbb);
+  builder_.add_leaving(leaving);
   builder_.add_crashes(crashes);
   builder_.add_parts(parts);
   builder_.add_news(news);
@@ -763,7 +841,8 @@
     const std::vector<flatbuffers::Offset<almondscale::peerwire::TableNews>> *news = nullptr,
     const std::vector<almondscale::peerwire::Part> *parts = nullptr,
     bool whole = false,
-    const std::vector<flatbuffers::Offset<almondscale::peerwire::CrashRecord>> *crashes = nullptr) {
+    const std::vector<flatbuffers::Offset<almondscale::peerwire::CrashRecord>> *crashes = nullptr,
+    const std::vector<flatbuffers::Offset<almondscale::peerwire::Lifetime>> *leaving = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<almondscale::peerwire::Load>(*loads) : 0;
@@ -771,6 +850,7 @@
   auto news__ = news ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::TableNews>>(*news) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<almondscale::peerwire::Part>(*parts) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::CrashRecord>>(*crashes) : 0;
+  auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::Lifetime>>(*leaving) : 0;
   return almondscale::peerwire::CreatePeerFrame(
       _fbb,
       host__,
@@ -781,7 +861,8 @@
       news__,
       parts__,
       whole,
-      crashes__);
+      crashes__,
+      leaving__);
 }
 
 inline const almondscale::peerwire::PeerFrame *GetPeerFrame(const void *buf) {
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -41,6 +41,8 @@
     void setKnown(SharedTable, RowVersion);
     // The version of the crash records up to which they were told over the link.
     std::uint64_t& crashesTold();
+    // How many of the servers that leave were told over the link.
+    std::size_t& leavingTold();
 
 private:
     class Impl;
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -259,6 +259,8 @@
             frame.news.push_back(std::move(news));
         }
         frame.crashes = m_crashes.changesSince(link.crashesTold(), mostCrashes);
+        if (m_hooks.leavingSince)
+            frame.leaving = m_hooks.leavingSince(link.leavingTold());
         return frame;
     }
 
@@ -275,6 +277,8 @@
         const auto crashesBefore = m_crashes.version();
         for (const auto& record : frame.crashes)
             m_crashes.merge(record);
+        for (const auto& server : frame.leaving)
+            news = (m_hooks.onLeaving && m_hooks.onLeaving(server)) || news;
         if (news || crashesBefore < m_crashes.version())
             publish();
         m_sum.stale = true;
--- a/Source/Peers/PeerNetwork.h
+++ b/Source/Peers/PeerNetwork.h
@@ -23,6 +23,10 @@
         std::function<PeerWork()> ownWork;
         // The open work of all other hosts, as far as it is heard.
         std::function<void(const PeerWork&)> onOthersWork;
+        // Servers that said that they leave, from the position on, which is set to the end.
+        std::function<std::vector<BackendLifetime>(std::size_t& position)> leavingSince = {};
+        // Takes over such a server; whether it is news.
+        std::function<bool(const BackendLifetime&)> onLeaving = {};
     };
 
     // The seeds are addresses of other hosts that may be stale.
--- a/Source/Serving/BackendReply.h
+++ b/Source/Serving/BackendReply.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/MonotonicTime.h"
 #include "Serving/HttpHeads.h"
 
 #include <optional>
@@ -16,6 +17,10 @@
     bool wrongBackend = false;
     // The request that it answers, if it says so.
     std::string requestId;
+    // The server says that it leaves.
+    bool leaving = false;
+    // The server wants nothing more from this host for so long.
+    std::optional<Nanoseconds> retryAfter;
     // The response proves which server made it.
     bool proven = false;
 
--- a/Source/Serving/BackendTable.cpp
+++ b/Source/Serving/BackendTable.cpp
@@ -65,7 +65,7 @@
     std::vector<const Backend*> avoided;
     for (const auto& entry : m_backends) {
         const auto& backend = entry.second;
-        if (backend.record.service != service || backend.record.draining)
+        if (backend.record.service != service || !maySendTo(backend, now))
             continue;
         if (role && backend.record.role != role)
             continue;
@@ -77,6 +77,72 @@
     return sound.empty() ? avoided : sound;
 }
 
+bool BackendTable::isLeaving(const Backend& backend) const
+{
+    return backend.record.draining || (!m_leaving.empty() && m_leaving.count(lifetimeOf(backend.record)) > 0);
+}
+
+bool BackendTable::maySendTo(const Backend& backend, MonotonicTime now) const
+{
+    if (isLeaving(backend))
+        return false;
+    const auto barred = m_barred.empty() ? m_barred.end() : m_barred.find(lifetimeOf(backend.record));
+    return barred == m_barred.end() || barred->second.passed(now);
+}
+
+bool BackendTable::maySendTo(const BackendId& id, MonotonicTime now) const
+{
+    const auto* backend = find(id);
+    return backend && maySendTo(*backend, now);
+}
+
+bool BackendTable::noteLeaving(const BackendLifetime& server)
+{
+    if (!m_leaving.insert(server).second)
+        return false;
+    m_leavingInOrder.push_back(server);
+    return true;
+}
+
+std::vector<BackendLifetime> BackendTable::leavingSince(std::size_t& position) const
+{
+    const auto begin = m_leavingInOrder.begin() + static_cast<std::ptrdiff_t>(position);
+    position = m_leavingInOrder.size();
+    return { begin, m_leavingInOrder.end() };
+}
+
+bool BackendTable::noteBarred(const BackendLifetime& server, Deadline until, MonotonicTime now)
+{
+    for (auto barred = m_barred.begin(); barred != m_barred.end();)
+        barred = barred->second.passed(now) ? m_barred.erase(barred) : std::next(barred);
+    // A server that is asked by many at once answers them in any order: the longest holds.
+    auto& held = m_barred[server];
+    if (!(held < until))
+        return false;
+    held = until;
+    return true;
+}
+
+Deadline BackendTable::barredUntil(const BackendId& id) const
+{
+    const auto* backend = find(id);
+    const auto barred = backend ? m_barred.find(lifetimeOf(backend->record)) : m_barred.end();
+    return barred == m_barred.end() ? Deadline() : barred->second;
+}
+
+std::optional<Deadline> BackendTable::firstBarEnd(const ServiceName& service, MonotonicTime now) const
+{
+    std::optional<Deadline> first;
+    for (const auto& [server, until] : m_barred) {
+        const auto* backend = find(server.backend);
+        if (!backend || backend->record.service != service || until.passed(now))
+            continue;
+        if (!first || until < *first)
+            first = until;
+    }
+    return first;
+}
+
 void BackendTable::open(const BackendId& id, const BackendLoad& load)
 {
     const auto found = m_backends.find(id);
--- a/Source/Serving/BackendTable.h
+++ b/Source/Serving/BackendTable.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "Core/Deadline.h"
 #include "Serving/Backend.h"
+#include "Serving/BackendLifetime.h"
 #include "Serving/BackendOutcome.h"
 #include "Serving/SentPart.h"
 
@@ -33,6 +35,24 @@
     std::vector<const Backend*> usable(
         const ServiceName&, MonotonicTime now, std::optional<EngineRole> = std::nullopt) const;
 
+    // By its registration or its own word.
+    bool isLeaving(const Backend&) const;
+    // Whether the server may be sent new work: it is not leaving, and has not asked for a
+    // pause that lasts.
+    bool maySendTo(const Backend&, MonotonicTime now) const;
+    bool maySendTo(const BackendId&, MonotonicTime now) const;
+    // The server said in an answer that it leaves; whether that is news. No registration
+    // takes it back for this lifetime.
+    bool noteLeaving(const BackendLifetime&);
+    // The server wants nothing from this host until then, at least. Whether it is news.
+    bool noteBarred(const BackendLifetime&, Deadline until, MonotonicTime now);
+    Deadline barredUntil(const BackendId&) const;
+    // When the first barred server of the service is free again, if any is barred now.
+    std::optional<Deadline> firstBarEnd(const ServiceName&, MonotonicTime now) const;
+    // Servers that said that they leave, in the order in which this host heard of it; sets
+    // the position to the end.
+    std::vector<BackendLifetime> leavingSince(std::size_t& position) const;
+
     void open(const BackendId&, const BackendLoad&);
     void close(const BackendId&, const BackendLoad&);
     // An attempt begins. The first one at a server that broke is a trial: others wait for
@@ -65,6 +85,11 @@
     };
 
     std::map<BackendId, Backend> m_backends;
+    // Servers that said that they leave. A lifetime is not forgotten with its registration,
+    // which may lapse and come back.
+    std::set<BackendLifetime> m_leaving;
+    std::vector<BackendLifetime> m_leavingInOrder;
+    std::map<BackendLifetime, Deadline> m_barred;
     std::map<DataCentre, int> m_lossesInRow;
     // In the order of time.
     std::deque<ToldPart> m_toldParts;
--- a/Tests/Forwarding/RequestRunTest.cpp
+++ b/Tests/Forwarding/RequestRunTest.cpp
@@ -416,3 +416,85 @@
     runFor(100ms);
     CHECK(crashes.size() == 0);
 }
+
+TEST_CASE_METHOD(
+    ForwardingFixture, "Server that says it leaves, in an answer of any status, gets no further request")
+{
+    const int status = GENERATE(200, 404, 500, 503);
+    auto& leaving = addServer("s1", std::nullopt,
+        whole(status, "last",
+            "Response-Signature: s\r\nServer-Leaving: 1\r\n" + (status == 503 ? notRun : "")));
+    while (leaving.requests == 0)
+        ask("POST", "/unsafe/x");
+    auto& other = addServer("s2", std::nullopt, whole(200, "fine"));
+    for (int i = 0; i < 5; ++i)
+        CHECK(ask("POST", "/unsafe/x").value().body == "fine");
+    CHECK(leaving.requests == 1);
+    CHECK(other.requests == 5);
+}
+
+TEST_CASE_METHOD(
+    StreamFixture, "Engines that say they leave, in a prefill or a stream, get no further request")
+{
+    const std::string leaves = "Server-Leaving: 1\r\n";
+    servers.clear();
+    backends.remove(BackendId("p"));
+    const std::string handle = R"({"kvHandle":"h1","tokens":1000,"version":1})";
+    auto& prefill = addServer("p1", EngineRole::Prefill, whole(200, handle, leaves));
+    auto& decode = addServer("d1", EngineRole::Decode,
+        [](const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
+            auto head = streamHead(request);
+            head.insert(head.find("Content-Type"), "Server-Leaving: 1\r\n");
+            co_await LoopbackServer::write(socket, head + chunk(event(1)) + "0\r\n\r\n");
+            co_return true;
+        });
+    CHECK(ask("POST", "/once/x").value().head.status == 200);
+    addServer("p2", EngineRole::Prefill, whole(200, handle, ""));
+    addServer("d2", EngineRole::Decode, stream(1, 1));
+    for (int i = 0; i < 3; ++i)
+        CHECK(ask("POST", "/once/x").value().head.status == 200);
+    CHECK(prefill.requestsByMethod["POST"] == 1);
+    CHECK(decode.requests == 1);
+}
+
+TEST_CASE_METHOD(
+    ForwardingFixture, "Server that asks for a pause, gets nothing until it ends, and callers are told so")
+{
+    auto& full = addServer("s1", std::nullopt, whole(503, "", notRun + "Retry-After: 0.4\r\n"));
+    const auto first = ask("GET", "/safe/x");
+    CHECK(first.value().head.status == 503);
+    for (int i = 0; i < 3; ++i) {
+        const auto before = bootTime();
+        const auto reply = ask("GET", "/safe/x");
+        CHECK(reply.value().head.status == 503);
+        REQUIRE(reply.value().head.fields.has("Retry-After"));
+        const double seconds = std::stod(*reply.value().head.fields.find("Retry-After"));
+        CHECK(seconds > 0.3);
+        CHECK(seconds < 0.45);
+        CHECK(bootTime() - before < 50ms);
+    }
+    CHECK(full.requests == 1);
+    runFor(500ms);
+    ask("GET", "/safe/x");
+    CHECK(full.requests == 2);
+}
+
+TEST_CASE_METHOD(ForwardingFixture, "Server with a pause that cannot be read, is treated as a full one")
+{
+    const auto* value = GENERATE("-1", "soon", "nan", "");
+    auto& full = addServer("s1", std::nullopt, whole(503, "", notRun + "Retry-After: " + value + "\r\n"));
+    CHECK(ask("GET", "/safe/x").value().head.status == 503);
+    runFor(100ms);
+    CHECK(ask("GET", "/safe/x").value().head.status == 503);
+    CHECK(full.requests == 2);
+}
+
+TEST_CASE_METHOD(
+    ForwardingFixture, "Server that asks for a pause, with others that have room, costs no caller its answer")
+{
+    addServer("s1", std::nullopt, whole(503, "", notRun + "Retry-After: 5\r\n"));
+    addServer("s2", std::nullopt, whole(200, "fine"));
+    for (int i = 0; i < 10; ++i)
+        CHECK(ask("POST", "/unsafe/x").value().head.status == 200);
+    CHECK(servers.front()->requests <= 1);
+}
--- a/Tests/Peers/PeerFrameTest.cpp
+++ b/Tests/Peers/PeerFrameTest.cpp
@@ -36,6 +36,7 @@
     end.step = 2;
     end.apart = true;
     frame.crashes = { { Fingerprint(77), { end } } };
+    frame.leaving = { end.server };
 
     const auto decoded = decodePeerFrame(encodePeerFrame(frame, now), now);
     REQUIRE(decoded);
@@ -52,6 +53,8 @@
     CHECK(decoded->news[0].rows.whole);
     REQUIRE(decoded->news[0].rows.rows.size() == 2);
     CHECK(decoded->news[0].rows.rows[1].removed);
+    REQUIRE(decoded->leaving.size() == 1);
+    CHECK(decoded->leaving[0] == end.server);
     REQUIRE(decoded->crashes.size() == 1);
     CHECK(decoded->crashes[0].content == Fingerprint(77));
     REQUIRE(decoded->crashes[0].ends.size() == 1);
--- a/Tests/Serving/BackendTableTest.cpp
+++ b/Tests/Serving/BackendTableTest.cpp
@@ -161,3 +161,54 @@
     CHECK(table.find(first)->parts.size() == 10);
     CHECK(table.find(first)->parts.count(1000) == 1);
 }
+
+TEST_CASE_METHOD(
+    BackendTableFixture, "Server that said it leaves, registered again as ready, still gets no new work")
+{
+    const auto record = table.find(first)->record;
+    CHECK(table.noteLeaving(lifetimeOf(record)));
+    CHECK_FALSE(table.noteLeaving(lifetimeOf(record)));
+    CHECK(table.usable(model, testStart).size() == 1);
+    // Its registration lapses while the store is away, and comes back.
+    table.remove(first);
+    table.put(record);
+    CHECK(table.usable(model, testStart + 1h).size() == 1);
+    auto reborn = record;
+    reborn.startedAtMs += 1000;
+    table.put(reborn);
+    CHECK(table.usable(model, testStart).size() == 2);
+}
+
+TEST_CASE_METHOD(
+    BackendTableFixture, "Server that leaves, with its address used again, does not bar the new one")
+{
+    auto record = table.find(first)->record;
+    table.noteLeaving(lifetimeOf(record));
+    table.remove(first);
+    record.id = BackendId("e3");
+    table.put(record);
+    CHECK(table.usable(model, testStart).size() == 2);
+}
+
+TEST_CASE_METHOD(
+    BackendTableFixture, "Server that asked for a pause, gets no new work until the longest one ends")
+{
+    const auto server = lifetimeOf(table.find(first)->record);
+    CHECK(table.noteBarred(server, Deadline(testStart + 2s), testStart));
+    CHECK_FALSE(table.noteBarred(server, Deadline(testStart + 1s), testStart));
+    table.noteOutcome(first, BackendOutcome::Answered, testStart + 100ms);
+    CHECK(table.usable(model, testStart + 1999ms).size() == 1);
+    CHECK(table.usable(model, testStart + 2s).size() == 2);
+    CHECK(table.noteBarred(server, Deadline(testStart + 4s), testStart + 2s));
+    CHECK(table.usable(model, testStart + 3s).size() == 1);
+}
+
+TEST_CASE_METHOD(BackendTableFixture, "Servers, all of them barred, are free again when the first pause ends")
+{
+    table.noteBarred(lifetimeOf(table.find(first)->record), Deadline(testStart + 2s), testStart);
+    table.noteBarred(lifetimeOf(table.find(second)->record), Deadline(testStart + 1s), testStart);
+    CHECK(table.usable(model, testStart).empty());
+    CHECK(table.firstBarEnd(model, testStart) == Deadline(testStart + 1s));
+    CHECK_FALSE(table.firstBarEnd(ServiceName("other"), testStart));
+    CHECK_FALSE(table.firstBarEnd(model, testStart + 3s));
+}
--- a/Tests/Soak/crashing.py
+++ b/Tests/Soak/crashing.py
@@ -82,6 +82,7 @@
                 f"Deadline-Ms: 2500\r\nContent-Length: {len(body)}\r\n")
         if kind == "stream":
             head += "Model-Id: m\r\nToken-Count: 1000,60\r\nPrefix-Hash: aa:800,bb:200\r\n"
+        self.asked[request] = (host, time.monotonic())
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection(host.ip, 8149), 1)
         except (OSError, asyncio.TimeoutError):
--- a/Tests/Soak/fakes.py
+++ b/Tests/Soak/fakes.py
@@ -199,8 +199,17 @@
         request = fields["request-id"]
         if self.left_at is not None:
             self.world.on_late_arrival(self, request)
-        if self.mode == "shed" and random.random() < 0.5:
-            writer.write(response(503, Not_Executed=1, Request_Id=request))
+        self.world.on_arrival(self, request)
+        leaving = {"Server_Leaving": 1} if self.left_at is not None else {}
+        if leaving:
+            self.world.on_leaving_answer(self, request)
+        if self.mode in ("shed", "pause") and random.random() < 0.5:
+            pause = {}
+            if self.mode == "pause":
+                seconds = random.choice([0.1, 0.7, 2.5, 30.0])
+                pause = {"Retry_After": seconds}
+                self.world.on_pause_answer(self, request, seconds)
+            writer.write(response(503, Not_Executed=1, Request_Id=request, **pause, **leaving))
             return True
         prefill = fields.get("serving-stage") == "prefill"
         if self.world.ends_under(self, request, target, prefill):
@@ -208,19 +217,21 @@
         if prefill:
             handle = json.dumps({"kvHandle": "h" + request, "tokens": 100, "version": 1}).encode()
             await asyncio.sleep(0.01)
-            writer.write(response(200, handle, Request_Id=request))
+            writer.write(response(200, handle, Request_Id=request, **leaving))
             return True
         self.world.on_run(request, self)
         await asyncio.sleep(0.3 if self.mode == "slow" else 0.02)
         if self.mode == "lose" and random.random() < 0.5:
             return False
         if self.role:
-            return await self.stream(request, fields, writer)
-        writer.write(response(200, f"answer to {request}".encode(), Request_Id=request, Response_Signature="s"))
+            return await self.stream(request, fields, writer, leaving)
+        writer.write(response(200, f"answer to {request}".encode(), Request_Id=request, Response_Signature="s",
+                              **leaving))
         return True
 
-    async def stream(self, request, fields, writer):
+    async def stream(self, request, fields, writer, leaving):
         writer.write((f"HTTP/1.1 200 X\r\nRequest-Id: {request}\r\nResponse-Signature: s\r\n"
+                      + ("Server-Leaving: 1\r\n" if leaving else "") +
                       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
         for event in range(int(fields.get("last-event-id") or 0) + 1, 7):
             text = f"id: {event}\ndata: {request}-{event}\n\n".encode()
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -25,6 +25,10 @@
 LONGEST_S = 75.0
 # A server that leaves gets no new request after this; the platform's bound and a slack for this machine.
 DRAIN_S = 2.3
+# A host heeds what a server said in an answer within this time.
+HEED_S = 0.5
+# Requests that may reach a server from a host in a pause that it asked for.
+MOST_IN_PAUSE = 2
 # Loopback nets that runs choose from; 127.0 and the last ones are left to others.
 NETS = 250
 # A run keeps this port of its net bound while it lasts; no program of the soak uses it.
@@ -72,6 +76,8 @@
         self.ended_by_us = False
         self.stopping_since = None
         self.ready = False
+        # It stands still until then.
+        self.paused_until = 0.0
 
     async def start(self):
         with open(self.settings, "w", encoding="ascii") as file:
@@ -125,6 +131,10 @@
         self.over = False
         self.unplanned_until = 0.0
         self.runs = {}
+        # The host that each request was sent to, and when.
+        self.asked = {}
+        # By server's identity and host: when it first said that it leaves, and until when it wants nothing.
+        self.left, self.pauses, self.in_pause = {}, {}, {}
         self.refused = set()
         self.counts = {"asked": 0, "served": 0, "calm_asked": 0, "calm_served": 0}
         self.calm = False
@@ -162,6 +172,31 @@
         """Whether the request ends the servers that run it."""
         return False
 
+    def on_leaving_answer(self, backend, request):
+        host, _ = self.asked[request]
+        self.left.setdefault((backend.identity, host.process), time.monotonic())
+
+    def on_pause_answer(self, backend, request, seconds):
+        host, _ = self.asked[request]
+        key, now = (backend.identity, host.process), time.monotonic()
+        since, until = self.pauses.get(key, (now, 0))
+        if until < now:
+            since, self.in_pause[key] = now, 0
+        self.pauses[key] = (since, max(until, now + seconds))
+
+    def on_arrival(self, backend, request):
+        host, asked_at = self.asked[request]
+        key, now = (backend.identity, host.process), time.monotonic()
+        if asked_at > self.left.get(key, 1e12) + HEED_S and now > host.paused_until + HEED_S:
+            self.fail(f"request {request}, sent {asked_at - self.left[key]:.2f} s after n{host.number} passed on that "
+                      f"{backend.identity} leaves, reached it")
+        since, until = self.pauses.get(key, (1e12, 0))
+        if since + HEED_S < now < until and now > host.paused_until + HEED_S:
+            self.in_pause[key] += 1
+            if self.in_pause[key] > MOST_IN_PAUSE:
+                self.fail(f"{self.in_pause[key]} requests reached {backend.identity} from n{host.number} "
+                          f"{until - now:.2f} s before the end of the pause it had asked for")
+
     def on_late_arrival(self, backend, request):
         late = time.monotonic() - backend.left_at
         if late > DRAIN_S and time.monotonic() > self.unplanned_until + 3:
@@ -206,6 +241,7 @@
         if kind in ("stream", "once"):
             head += "Model-Id: m\r\nToken-Count: 1000,60\r\nPrefix-Hash: aa:800,bb:200\r\n"
         calm, asked_at = self.calm, time.monotonic()
+        self.asked[request] = (host, asked_at)
         self.counts["asked"] += 1
         self.counts["calm_asked"] += calm
         try:
@@ -280,6 +316,7 @@
         self.unplanned(span + 1)
         host = self.random.choice(self.hosts)
         host.signal(signal.SIGSTOP)
+        host.paused_until = max(host.paused_until, time.monotonic() + span)
         await asyncio.sleep(span)
         host.signal(signal.SIGCONT)
 
@@ -338,7 +375,7 @@
         backend = self.random.choice(self.backends)
         span = self.span()
         self.unplanned(span)
-        backend.mode = self.random.choice(["shed", "lose", "lose", "slow"])
+        backend.mode = self.random.choice(["shed", "lose", "lose", "slow", "pause"])
         await asyncio.sleep(span)
         backend.mode = "sound"
 
--- a/Tests/Soak/streams.py
+++ b/Tests/Soak/streams.py
@@ -39,6 +39,7 @@
     """One caller of a route that is never repeated, so that a silent server is waited for; whether all came."""
     await asyncio.sleep(delay)
     request = f"once-{number}-1"
+    world.asked[request] = (world.hosts[0], time.monotonic())
     reader, writer = await asyncio.open_connection(world.hosts[0].ip, 8149)
     writer.write((f"POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: {request}\r\nDeadline-Ms: {ROUTE_TIMEOUT_MS}\r\n"
                   "Content-Length: 0\r\nModel-Id: m\r\nToken-Count: 1000,60\r\nPrefix-Hash: aa:800,bb:200\r\n\r\n").encode())
