--- a/Source/Forwarding/RequestRunImpl.h
+++ b/Source/Forwarding/RequestRunImpl.h
@@ -14,7 +14,8 @@
 
 inline Nanoseconds fromMs(double ms) { return Nanoseconds(static_cast<std::int64_t>(ms * 1e6)); }
 
-// The state of one request's run; its parts are in RequestRun.cpp and RequestRunStream.cpp.
+// The state of one request's run; its parts are in RequestRun.cpp, RequestRunStream.cpp and
+// RequestRunSuspect.cpp.
 class RequestRun::Impl : public std::enable_shared_from_this<RequestRun::Impl> {
 public:
     Impl(ServingContext&, CallerRequest, std::shared_ptr<const Route>, AnswerSink);
--- a/Tests/Forwarding/ForwardingFixture.h
+++ b/Tests/Forwarding/ForwardingFixture.h
@@ -130,8 +130,9 @@
     // A lane of this host alone.
     SuspectLane lane()
     {
-        return { [this](Fingerprint content, BackendId server) { return enterLane(content, server); },
-            [this](Fingerprint content, BackendId server) { return leaveLane(content, server); } };
+        return { [this](
+                     Fingerprint content, BackendId server) { return enterLane(content, std::move(server)); },
+            [this](Fingerprint content, BackendId server) { return leaveLane(content, std::move(server)); } };
     }
 
     void runFor(Nanoseconds time)
--- a/Tests/Soak/crashing.py
+++ b/Tests/Soak/crashing.py
@@ -20,7 +20,6 @@
 from soak import World, play_in_parallel, run_to_its_end
 
 SEND_S = 32.0
-START_S = 5.5
 # Other callers are counted in the last seconds.
 COUNTED_S = 6.0
 BACK_S = 2.0
@@ -145,17 +144,7 @@
         await asyncio.gather(*(host.start() for host in self.hosts))
 
     async def play(self):
-        self.started = time.monotonic()
-        await self.store.start()
-        for proxy in self.store_proxies + self.backend_proxies:
-            await proxy.start()
-        for backend in self.backends:
-            await backend.live()
-        self.put_manifest()
-        for host in self.hosts:
-            await host.start()
-        tasks = [asyncio.create_task(task) for task in [self.heartbeats(), self.rotation()]]
-        await asyncio.sleep(START_S)
+        tasks = await self.begin()
         tasks += [asyncio.create_task(self.other_caller(number)) for number in range(12)]
         senders = [] if self.play_name in ("control", "quarter") else [
             self.marked_sender(mark, number) for mark in MARKED for number in range(self.senders)]
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -19,6 +19,8 @@
 
 from fakes import Backend, Proxy, Store, read_message
 
+# From the start of the hosts to the first caller.
+START_S = 5.5
 FAULTS_S = 12.0
 CALM_S = 8.0
 # A run takes less than half of this.
@@ -437,7 +439,8 @@
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             return False
 
-    async def play(self):
+    async def begin(self):
+        """Starts the fakes and the hosts; the tasks that go on until the end of the run."""
         self.started = time.monotonic()
         await self.store.start()
         for proxy in self.store_proxies + self.backend_proxies:
@@ -448,7 +451,11 @@
         for host in self.hosts:
             await host.start()
         tasks = [asyncio.create_task(task) for task in [self.heartbeats(), self.rotation()]]
-        await asyncio.sleep(5.5)
+        await asyncio.sleep(START_S)
+        return tasks
+
+    async def play(self):
+        tasks = await self.begin()
         tasks += [asyncio.create_task(self.caller(number)) for number in range(12)]
         await asyncio.gather(self.faults(), self.row_faults())
         await asyncio.sleep(CALM_S / 2)
