Ask again for a server that may have gone while the store was asked about a suspect

Found in the last read of the change. Where the store does not answer, a suspect went on with a server chosen before the call; a server removed meanwhile was looked up without a check, and the host would have ended. The choice is made anew then; RequestRunTest plays it and fails without the change.

--- a/Source/Forwarding/BrokenRun.h
+++ b/Source/Forwarding/BrokenRun.h
@@ -18,6 +18,8 @@
     MonotonicTime brokenAt {};
     // The connection had carried an answer of the server.
     bool provenConnection = false;
+    // It was reset, and not closed.
+    bool reset = false;
     bool prefill = false;
     // As in ServerEnd.
     int step = 0;
--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -284,7 +284,8 @@
             .with("error", error.message());
         if (m_connection && m_connection->closedByServer())
             m_broken = BrokenRun { m_request.id, m_content, m_server, m_connection->address(), m_sentAt,
-                bootTime(), m_connection->proven(), m_prefilling, m_step, m_laneServer.has_value() };
+                bootTime(), m_connection->proven(), error == std::errc::connection_reset, m_prefilling,
+                m_step, m_laneServer.has_value() };
     }
     dropConnection();
 }
--- a/Source/Forwarding/RequestRunSuspect.cpp
+++ b/Source/Forwarding/RequestRunSuspect.cpp
@@ -48,7 +48,9 @@
             { run.server, run.sentAt, run.brokenAt, certain ? EndEvidence::Certain : EndEvidence::Unsure,
                 run.step, run.prefill, run.apart });
     }
-    context.pool.forget(run.address);
+    // What resets one kept connection mostly resets them all.
+    if (ended || run.reset)
+        context.pool.forget(run.address);
     *done = true;
     if (context.onBrokenRun)
         context.onBrokenRun(run, ended);
@@ -96,7 +98,10 @@
             co_await sleepFor(lanePause);
             break;
         case LaneEntry::Unavailable:
-            co_return choice;
+            // The server may have gone while the store was asked.
+            if (m_context.backends.maySendTo(choice->backend, bootTime()))
+                co_return choice;
+            break;
         }
     }
     co_return std::nullopt;
--- a/Tests/Forwarding/RequestRunTest.cpp
+++ b/Tests/Forwarding/RequestRunTest.cpp
@@ -1,5 +1,7 @@
 #include "ForwardingFixture.h"
 
+#include "Serving/RequestContent.h"
+
 #include <catch2/catch.hpp>
 
 using namespace almondscale;
@@ -498,3 +500,22 @@
         CHECK(ask("POST", "/unsafe/x").value().head.status == 200);
     CHECK(servers.front()->requests <= 1);
 }
+
+TEST_CASE_METHOD(
+    CrashingFixture, "Suspect whose server goes while nobody can say who runs there, does no harm")
+{
+    addFragile("s0", std::nullopt);
+    const auto content = contentOf({ {}, "h", { "GET", "/safe/marked", {} }, "", {}, {}, "" });
+    for (int number = 0; number < 2; ++number) {
+        ServerEnd end;
+        end.server = { BackendId("old" + std::to_string(number)), 1 };
+        end.step = number;
+        crashes.noteEnd(content, end);
+    }
+    context.lane.enter = [this](Fingerprint, BackendId server) -> awaitable<LaneEntry> {
+        backends.remove(server);
+        co_return LaneEntry::Unavailable;
+    };
+    CHECK(status("GET", "/safe/marked") == 503);
+    CHECK(ended == 0);
+}
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -140,6 +140,7 @@
         self.refused = set()
         self.counts = {"asked": 0, "served": 0, "calm_asked": 0, "calm_served": 0}
         self.calm = False
+        self.calm_at = 0.0
         self.orders = []
         self.store_proxies = [Proxy(f"{self.net}.2.{i + 1}:7000", self.store.address) for i in range(hosts)]
         self.backends, self.backend_proxies = [], []
@@ -178,6 +179,10 @@
         host, _ = self.asked[request]
         self.left.setdefault((backend.identity, host.process), time.monotonic())
 
+    def longest_pause(self):
+        """Servers want requests again by the calm end, in which all callers are to be served."""
+        return max(0.1, self.calm_at - HEED_S - time.monotonic())
+
     def on_pause_answer(self, backend, request, seconds):
         host, _ = self.asked[request]
         key, now = (backend.identity, host.process), time.monotonic()
@@ -456,6 +461,7 @@
 
     async def play(self):
         tasks = await self.begin()
+        self.calm_at = time.monotonic() + FAULTS_S + CALM_S / 2
         tasks += [asyncio.create_task(self.caller(number)) for number in range(12)]
         await asyncio.gather(self.faults(), self.row_faults())
         await asyncio.sleep(CALM_S / 2)
