Forget when a row was seen once nobody holds it

Found in the last read of the change: SuspectDuty kept the instant at which it had first seen each row that another host held, also after the row was free. It is dropped with the holder now, so that the map holds no more than the rows that are held. Nothing else reads it, and a row that is held again has a new version, which starts its time anew as before.

--- a/Programs/almondscale-host/SuspectDuty.cpp
+++ b/Programs/almondscale-host/SuspectDuty.cpp
@@ -7,7 +7,6 @@
 #include "Http/JsonBuilder.h"
 #include "Serving/RequestContent.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace almondscale {
@@ -237,8 +236,10 @@
 bool SuspectDuty::held(const StoredRow& row)
 {
     const auto holder = holderOf(row);
-    if (holder.empty())
+    if (holder.empty()) {
+        m_seen.erase(row.key);
         return false;
+    }
     auto& seen = m_seen[row.key];
     if (seen.version != row.version)
         seen = { row.version, bootTime() };
