Learn the engines' speed from their prefills

Cause: EngineSpeedModel held one fleet's figures as constants, and counted a request's own part (16 ms there, some 50 here) as time for which the engine is held, though other prefills go on beside it. A prompt's wait was overstated, and rereading a part of 92 tokens was charged 90 ms.

Change: EngineSpeeds, a regression of each prefill's time on its tokens, pairs and the open work in front of it, from a guess that ten prefills outweigh; hosts tell what they learned as weighted sums along with the demand, 24 bytes a service in each whole frame. Placement and demand use it. A reread is charged its own work, and a rank at most a twentieth of that. Rereads count in the demand.

The played loads of PrefillCrowdTest and WorkNewsTest are raised by what a request's own part no longer holds an engine, so that engines are as busy as before; the checks are unchanged.

Ruled out: counting deferred prefills as work in front of all.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -50,7 +50,7 @@
         , m_lifeProbe(m_pool)
         , m_wire(platform::makeServingWire())
         , m_directory(m_backends)
-        , m_placement(m_backends, m_settings.dataCentre, placementOptions(m_settings.firstStart))
+        , m_placement(m_backends, m_settings.dataCentre, placementOptions())
         , m_reach(m_backends, m_settings.dataCentre)
         , m_retries(m_settings.retries, initialHosts)
         , m_self { m_settings.host, m_settings.dataCentre, m_settings.peers, m_settings.strength }
@@ -67,7 +67,7 @@
         , m_suspectDuty(m_store, m_crashes, m_settings.host)
         , m_pages(m_self, m_routes, m_backends, m_mirror, m_orderDuty.lease())
         , m_context { m_loop.get_executor(), m_wire, m_routes, m_backends, m_placement, m_retries, m_demand,
-            m_pool, m_lifeProbe, m_crashes, m_suspectDuty.lane(), systemRandom() }
+            m_speeds, m_decodeTimes, m_pool, m_lifeProbe, m_crashes, m_suspectDuty.lane(), systemRandom() }
         , m_readyServer(
               m_loop.get_executor(), { [this] { return ready(); }, [this] { return metrics(); }, {} })
         , m_metricsServer(m_loop.get_executor(), pageHooks())
@@ -136,12 +136,13 @@
     // Until the other hosts are known, this host takes the part of one among many.
     static constexpr int initialHosts = 8;
 
-    static PlacementOptions placementOptions(bool firstStart)
+    PlacementOptions placementOptions() const
     {
         PlacementOptions options;
+        options.speedOf = [this](const ServiceName& service) { return m_speeds.of(service); };
         const auto now = std::chrono::system_clock::now().time_since_epoch();
         options.warmBeforeMs = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-        if (firstStart)
+        if (m_settings.firstStart)
             options.warmBeforeMs.reset();
         return options;
     }
@@ -254,7 +255,10 @@
     PeerWork ownWork()
     {
         const auto now = bootTime();
-        return { m_backends.ownLoads(), m_demand.demand(now), m_backends.sentParts(now) };
+        auto demand = m_demand.demand(now);
+        for (auto& entry : demand)
+            entry.second.speed = m_speeds.told(entry.first);
+        return { m_backends.ownLoads(), std::move(demand), m_backends.sentParts(now) };
     }
 
     void setOthersWork(const PeerWork& work)
@@ -262,6 +266,8 @@
         m_backends.setOthersLoads(work.loads);
         m_backends.noteOthersParts(work.parts, bootTime());
         m_othersDemand = work.demand;
+        for (const auto& entry : work.demand)
+            m_speeds.setOthers(entry.first, entry.second.speed);
     }
 
     void takeEnd(const BrokenRun& run, bool serverEnded)
@@ -388,11 +394,13 @@
     RouteTable m_routes;
     BackendTable m_backends;
     BackendDirectory m_directory;
+    EngineSpeeds m_speeds;
     Placement m_placement;
     ServiceReach m_reach;
     CrashRecords m_crashes;
     RetryGate m_retries;
     DemandMeter m_demand;
+    DecodeTimes m_decodeTimes;
     HostRecord m_self;
     platform::StoreClient m_store;
     RowMirror m_mirror;
--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -58,7 +58,10 @@
     const auto* spec = m_context.routes.service(m_service);
     if (spec && spec->engine && m_request.prompt) {
         m_engine = *spec->engine;
-        m_context.demand.onRequest(m_service, *m_request.prompt, m_arrivedAt);
+        const auto& prompt = *m_request.prompt;
+        m_context.demand.onRequest(m_service, prompt,
+            m_context.speeds.of(m_service).workMs(prompt.prompt, prompt.shared),
+            m_context.decodeTimes.holdMs(m_route->name), m_arrivedAt);
         co_await runAttempts([this] { return attemptStream(); });
     } else {
         co_await runAttempts([this] { return attemptPlain(); });
--- a/Source/Forwarding/RequestRunStream.cpp
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -68,7 +68,11 @@
     m_prefillExcluded.insert(id);
     m_backend = id;
     const OpenWork work(m_context.backends, id, choice.prefillLoad());
-    m_context.backends.notePart(id, m_request.prompt->sharedKey, bootTime());
+    const auto& prompt = *m_request.prompt;
+    m_context.backends.notePart(id, prompt.sharedKey, bootTime());
+    if (choice.cached < prompt.shared)
+        m_context.demand.onReread(m_service,
+            choice.workMs - m_context.speeds.of(m_service).workMs(prompt.prompt, prompt.shared), bootTime());
     const auto sentAt = bootTime();
     const auto deadline
         = std::min(m_deadline, Deadline::after(sentAt, 3 * fromMs(choice.expectedMs) + prefillSlack));
@@ -98,7 +102,11 @@
     m_context.pool.giveBack(std::move(m_connection));
     dropConnection();
     note(id, BackendOutcome::Answered);
-    m_context.backends.noteSpeed(id, bootTime() - sentAt, fromMs(choice.ordinaryMs));
+    const auto taken = bootTime() - sentAt;
+    m_context.backends.noteSpeed(id, taken, fromMs(choice.ordinaryMs));
+    m_context.speeds.notePrefill(m_service,
+        { m_request.prompt->prompt, choice.cached, choice.aheadMs,
+            static_cast<double>(taken.count()) / 1e6 });
     m_context.crashes.noteCompleted(m_content, true);
     m_prefilledAt = bootTime();
     co_return m_context.wire.decodeKvHandle(body.value());
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -7,7 +7,9 @@
 #include "Forwarding/RequestEnd.h"
 #include "Forwarding/SuspectLane.h"
 #include "Serving/CrashRecords.h"
+#include "Serving/DecodeTimes.h"
 #include "Serving/DemandMeter.h"
+#include "Serving/EngineSpeeds.h"
 #include "Serving/Placement.h"
 #include "Serving/RetryGate.h"
 #include "Serving/RouteTable.h"
@@ -26,6 +28,8 @@
     Placement& placement;
     RetryGate& retries;
     DemandMeter& demand;
+    EngineSpeeds& speeds;
+    DecodeTimes& decodeTimes;
     ConnectionPool& pool;
     LifeProbe& lifeProbe;
     CrashRecords& crashes;
--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -57,14 +57,33 @@
             static_cast<std::uint32_t>(std::max<std::int64_t>(0, ageMs)), builder.CreateVector(rows));
     }
 
+    flatbuffers::Offset<peerwire::Demand> encodeDemandOf(
+        flatbuffers::FlatBufferBuilder& builder, const ServiceName& service, const EngineDemand& demand)
+    {
+        const auto name = builder.CreateString(service.text());
+        const auto& learned = demand.speed.sums;
+        const auto sums = builder.CreateVector(std::vector<float>(learned.begin(), learned.end()));
+        return peerwire::CreateDemand(builder, name, static_cast<float>(demand.prefillMs),
+            static_cast<float>(demand.requests), static_cast<float>(demand.contextTokens),
+            static_cast<float>(demand.decodeMs), static_cast<float>(demand.speed.weight), sums);
+    }
+
+    LearnedSpeed decodeSpeed(const peerwire::Demand& from)
+    {
+        LearnedSpeed speed;
+        if (!from.speed_sums() || from.speed_sums()->size() != speed.sums.size())
+            return speed;
+        speed.weight = from.speed_weight();
+        std::copy(from.speed_sums()->begin(), from.speed_sums()->end(), speed.sums.begin());
+        return speed;
+    }
+
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::Demand>>> encodeDemand(
         flatbuffers::FlatBufferBuilder& builder, const ServiceDemands& from)
     {
         std::vector<flatbuffers::Offset<peerwire::Demand>> demands;
         for (const auto& entry : from)
-            demands.push_back(peerwire::CreateDemand(builder, builder.CreateString(entry.first.text()),
-                static_cast<float>(entry.second.prefillMs), static_cast<float>(entry.second.requests),
-                static_cast<float>(entry.second.contextTokens)));
+            demands.push_back(encodeDemandOf(builder, entry.first, entry.second));
         return builder.CreateVector(demands);
     }
 
@@ -149,8 +168,8 @@
         }
         if (frame.demand()) {
             for (const auto* demand : *frame.demand())
-                work.demand[ServiceName(textOf(demand->service()))]
-                    = { demand->prefill_ms(), demand->requests(), demand->context_tokens() };
+                work.demand[ServiceName(textOf(demand->service()))] = { demand->prefill_ms(),
+                    demand->requests(), demand->context_tokens(), demand->decode_ms(), decodeSpeed(*demand) };
         }
         if (frame.parts()) {
             for (const auto* part : *frame.parts())
--- a/Source/Peers/PeerFrames_generated.h
+++ b/Source/Peers/PeerFrames_generated.h
@@ -144,7 +144,10 @@
     VT_SERVICE = 4,
     VT_PREFILL_MS = 6,
     VT_REQUESTS = 8,
-    VT_CONTEXT_TOKENS = 10
+    VT_CONTEXT_TOKENS = 10,
+    VT_DECODE_MS = 12,
+    VT_SPEED_WEIGHT = 14,
+    VT_SPEED_SUMS = 16
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -158,6 +161,15 @@
   float context_tokens() const {
     return GetField<float>(VT_CONTEXT_TOKENS, 0.0f);
   }
+  float decode_ms() const {
+    return GetField<float>(VT_DECODE_MS, 0.0f);
+  }
+  float speed_weight() const {
+    return GetField<float>(VT_SPEED_WEIGHT, 0.0f);
+  }
+  const flatbuffers::Vector<float> *speed_sums() const {
+    return GetPointer<const flatbuffers::Vector<float> *>(VT_SPEED_SUMS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -165,6 +177,10 @@
            VerifyField<float>(verifier, VT_PREFILL_MS, 4) &&
            VerifyField<float>(verifier, VT_REQUESTS, 4) &&
            VerifyField<float>(verifier, VT_CONTEXT_TOKENS, 4) &&
+           VerifyField<float>(verifier, VT_DECODE_MS, 4) &&
+           VerifyField<float>(verifier, VT_SPEED_WEIGHT, 4) &&
+           VerifyOffset(verifier, VT_SPEED_SUMS) &&
+           verifier.VerifyVector(speed_sums()) &&
            verifier.EndTable();
   }
 };
@@ -185,6 +201,15 @@
   void add_context_tokens(float context_tokens) {
     fbb_.AddElement<float>(Demand::VT_CONTEXT_TOKENS, context_tokens, 0.0f);
   }
+  void add_decode_ms(float decode_ms) {
+    fbb_.AddElement<float>(Demand::VT_DECODE_MS, decode_ms, 0.0f);
+  }
+  void add_speed_weight(float speed_weight) {
+    fbb_.AddElement<float>(Demand::VT_SPEED_WEIGHT, speed_weight, 0.0f);
+  }
+  void add_speed_sums(flatbuffers::Offset<flatbuffers::Vector<float>> speed_sums) {
+    fbb_.AddOffset(Demand::VT_SPEED_SUMS, speed_sums);
+  }
   explicit DemandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -201,8 +226,14 @@
     flatbuffers::Offset<flatbuffers::String> service = 0,
     float prefill_ms = 0.0f,
     float requests = 0.0f,
-    float context_tokens = 0.0f) {
+    float context_tokens = 0.0f,
+    float decode_ms = 0.0f,
+    float speed_weight = 0.0f,
+    flatbuffers::Offset<flatbuffers::Vector<float>> speed_sums = 0) {
   DemandBuilder builder_(_fbb);
+  builder_.add_speed_sums(speed_sums);
+  builder_.add_speed_weight(speed_weight);
+  builder_.add_decode_ms(decode_ms);
   builder_.add_context_tokens(context_tokens);
   builder_.add_requests(requests);
   builder_.add_prefill_ms(prefill_ms);
@@ -215,14 +246,21 @@
     const char *service = nullptr,
     float prefill_ms = 0.0f,
     float requests = 0.0f,
-    float context_tokens = 0.0f) {
+    float context_tokens = 0.0f,
+    float decode_ms = 0.0f,
+    float speed_weight = 0.0f,
+    const std::vector<float> *speed_sums = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto speed_sums__ = speed_sums ? _fbb.CreateVector<float>(*speed_sums) : 0;
   return almondscale::peerwire::CreateDemand(
       _fbb,
       service__,
       prefill_ms,
       requests,
-      context_tokens);
+      context_tokens,
+      decode_ms,
+      speed_weight,
+      speed_sums__);
 }
 
 struct Row FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- /dev/null
+++ b/Source/Serving/DecodeTimes.cpp
@@ -0,0 +1,49 @@
+#include "Serving/DecodeTimes.h"
+
+#include <algorithm>
+
+namespace almondscale {
+
+namespace {
+
+    // Before any stream of a route has ended.
+    constexpr double guessedHoldMs = 300;
+    // Weight of the newest stream in the average.
+    constexpr double newestWeight = 0.05;
+    // A first event that comes sooner is believed at once, a later one by this part: most of
+    // what makes it late is the wait for a place.
+    constexpr double laterWeight = 0.01;
+
+    double toMs(Nanoseconds time) { return static_cast<double>(time.count()) / 1e6; }
+
+} // namespace
+
+void DecodeTimes::noteStream(const std::string& route, Nanoseconds toFirst, Nanoseconds toEnd)
+{
+    const double firstMs = toMs(toFirst);
+    const auto known = m_times.find(route);
+    if (known == m_times.end()) {
+        m_times[route] = Times { firstMs, toMs(toEnd) };
+        return;
+    }
+    auto& times = known->second;
+    times.toFirstMs += (firstMs - times.toFirstMs) * (firstMs < times.toFirstMs ? 0.5 : laterWeight);
+    const double held = toMs(toEnd - toFirst) + std::min(firstMs, times.toFirstMs);
+    times.holdMs += (held - times.holdMs) * newestWeight;
+}
+
+double DecodeTimes::holdMs(const std::string& route) const
+{
+    const auto known = m_times.find(route);
+    return known == m_times.end() ? guessedHoldMs : known->second.holdMs;
+}
+
+std::optional<double> DecodeTimes::toFirstMs(const std::string& route) const
+{
+    const auto known = m_times.find(route);
+    if (known == m_times.end())
+        return std::nullopt;
+    return known->second.toFirstMs;
+}
+
+} // namespace almondscale
--- a/Source/Serving/DemandMeter.cpp
+++ b/Source/Serving/DemandMeter.cpp
@@ -16,19 +16,27 @@
 
 } // namespace
 
-DemandMeter::DemandMeter(EngineSpeedModel speed)
-    : m_speed(speed)
-{
-}
-
-void DemandMeter::onRequest(const ServiceName& service, const PromptShape& prompt, MonotonicTime now)
+EngineDemand& DemandMeter::average(const ServiceName& service, MonotonicTime now)
 {
     auto& average = m_averages[service];
     average.demand *= kept(average.at, now);
     average.at = now;
-    average.demand.prefillMs += m_speed.prefillMs(prompt.prompt, prompt.shared) / forgetAfterSeconds;
-    average.demand.requests += 1 / forgetAfterSeconds;
-    average.demand.contextTokens += static_cast<double>(prompt.prompt.count()) / forgetAfterSeconds;
+    return average.demand;
+}
+
+void DemandMeter::onRequest(const ServiceName& service, const PromptShape& prompt, double prefillMs,
+    double decodeMs, MonotonicTime now)
+{
+    auto& demand = average(service, now);
+    demand.prefillMs += prefillMs / forgetAfterSeconds;
+    demand.decodeMs += decodeMs / forgetAfterSeconds;
+    demand.requests += 1 / forgetAfterSeconds;
+    demand.contextTokens += static_cast<double>(prompt.prompt.count()) / forgetAfterSeconds;
+}
+
+void DemandMeter::onReread(const ServiceName& service, double prefillMs, MonotonicTime now)
+{
+    average(service, now).prefillMs += prefillMs / forgetAfterSeconds;
 }
 
 std::map<ServiceName, EngineDemand> DemandMeter::demand(MonotonicTime now) const
--- a/Source/Serving/DemandMeter.h
+++ b/Source/Serving/DemandMeter.h
@@ -3,7 +3,6 @@
 #include "Core/MonotonicTime.h"
 #include "Core/ServiceName.h"
 #include "Serving/EngineDemand.h"
-#include "Serving/EngineSpeedModel.h"
 #include "Serving/PromptShape.h"
 
 #include <map>
@@ -14,18 +13,22 @@
 // average that forgets with a fixed time constant.
 class DemandMeter {
 public:
-    explicit DemandMeter(EngineSpeedModel = {});
-
-    void onRequest(const ServiceName&, const PromptShape&, MonotonicTime now);
+    // A request whose prefill and decoding are expected to take so long.
+    void onRequest(
+        const ServiceName&, const PromptShape&, double prefillMs, double decodeMs, MonotonicTime now);
+    // A prefill of such a request takes so much more, since its shared part has to be read again.
+    void onReread(const ServiceName&, double prefillMs, MonotonicTime now);
     std::map<ServiceName, EngineDemand> demand(MonotonicTime now) const;
 
 private:
+    // The average at this moment.
+    EngineDemand& average(const ServiceName&, MonotonicTime now);
+
     struct Average {
         EngineDemand demand;
         MonotonicTime at {};
     };
 
-    EngineSpeedModel m_speed;
     std::map<ServiceName, Average> m_averages;
 };
 
--- /dev/null
+++ b/Source/Serving/LearnedSpeed.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Serving/EngineSpeedModel.h"
+
+#include <array>
+#include <cstddef>
+
+namespace almondscale {
+
+// Figures of EngineSpeedModel that hosts have learned, weighted by their number of prefills,
+// so that those of several hosts add up.
+struct LearnedSpeed {
+    static constexpr std::size_t figures = 4;
+
+    double weight = 0;
+    // In the order of EngineSpeedModel, each times the weight.
+    std::array<double, figures> sums {};
+
+    LearnedSpeed& operator+=(const LearnedSpeed& other)
+    {
+        weight += other.weight;
+        for (std::size_t i = 0; i < figures; ++i)
+            sums.at(i) += other.sums.at(i);
+        return *this;
+    }
+    LearnedSpeed& operator*=(double factor)
+    {
+        weight *= factor;
+        for (auto& sum : sums)
+            sum *= factor;
+        return *this;
+    }
+
+    EngineSpeedModel mean() const
+    {
+        return { sums[0] / weight, sums[1] / weight, sums[2] / weight, sums[3] / weight };
+    }
+};
+
+} // namespace almondscale
--- a/Source/Serving/Placement.cpp
+++ b/Source/Serving/Placement.cpp
@@ -44,6 +44,7 @@
     const PromptShape& prompt;
     // The engines by their rank for the prompt's shared part.
     std::vector<std::pair<std::uint64_t, const Backend*>> ranked;
+    EngineSpeedModel speed;
     double leftMs = 0;
     MonotonicTime now;
 };
@@ -51,7 +52,8 @@
 std::optional<PlacementChoice> Placement::choosePrefill(const ServiceName& service, const PromptShape& prompt,
     const Excluded& excluded, Deadline timely, MonotonicTime now) const
 {
-    PrefillQuery query { prompt, {}, static_cast<double>(timely.remaining(now).count()) / 1e6, now };
+    PrefillQuery query { prompt, {}, m_options.speedOf(service),
+        static_cast<double>(timely.remaining(now).count()) / 1e6, now };
     for (const auto* backend : m_backends.usable(service, now, EngineRole::Prefill)) {
         if (excluded.count(backend->record.id) == 0)
             query.ranked.emplace_back(homeRank(prompt.sharedKey, backend->record.id), backend);
@@ -67,7 +69,8 @@
 std::optional<PlacementChoice> Placement::bestPrefill(const PrefillQuery& query, bool deferred) const
 {
     const auto& prompt = query.prompt;
-    const double rereadMs = m_options.rereadFactor * m_options.speed.prefillMs(prompt.shared, TokenCount(0));
+    const double rereadMs = m_options.rereadFactor * query.speed.workMs(prompt.shared, TokenCount(0));
+    const double rankMs = std::min(m_options.rankMs, m_options.rankShare * rereadMs);
     std::optional<PlacementChoice> best;
     double bestCost = 0;
     for (std::size_t rank = 0; rank < query.ranked.size(); ++rank) {
@@ -75,20 +78,22 @@
         const bool shares = prompt.sharedKey != 0;
         const bool home = rank < m_options.copies;
         const bool cached = shares && keepsPart(*backend, prompt, home, query.now);
-        const double work = m_options.speed.prefillMs(prompt.prompt, cached ? prompt.shared : TokenCount(0));
+        const auto kept = cached ? prompt.shared : TokenCount(0);
         const auto load = backend->load();
-        const double wait = std::max(0.0, load.prefillMs) + (deferred ? std::max(0.0, load.deferredMs) : 0);
-        const double expected = (wait + work) * backend->delayFactor() + failureMs * backend->failureShare;
+        const double ahead = std::max(0.0, load.prefillMs) + (deferred ? std::max(0.0, load.deferredMs) : 0);
+        const double ordinary = query.speed.waitFactor * ahead + query.speed.prefillMs(prompt.prompt, kept);
+        const double expected = ordinary * backend->delayFactor() + failureMs * backend->failureShare;
         double cost = expected + (expected > query.leftMs ? m_options.lateMs : 0);
         // Its own engine has to read the part once in any case.
         if (shares && !cached && !home)
             cost += rereadMs;
         if (shares)
-            cost += m_options.rankMs * static_cast<double>(rank);
+            cost += rankMs * static_cast<double>(rank);
         if (backend->record.dataCentre != m_dataCentre)
             cost += m_options.otherDataCentreMs;
         if (!best || cost < bestCost) {
-            best = PlacementChoice { backend->record.id, expected, work, wait + work, deferred };
+            best = PlacementChoice { backend->record.id, expected, query.speed.workMs(prompt.prompt, kept),
+                ordinary, ahead, kept, deferred };
             bestCost = cost;
         }
     }
@@ -127,7 +132,34 @@
         if (backend->record.dataCentre != prefilledIn)
             cost += m_options.otherDataCentreMs;
         if (!best || cost < bestCost) {
-            best = PlacementChoice { backend->record.id, cost, cost, cost };
+            best = PlacementChoice { backend->record.id, cost, cost, cost, 0, {}, false };
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+std::optional<PlacementChoice> Placement::chooseDirect(const ServiceName& service, const EngineSpec& spec,
+    const PromptShape& prompt, Nanoseconds allowedPause, const Excluded& excluded, MonotonicTime now) const
+{
+    const auto speed = m_options.speedOf(service);
+    const double readMs = speed.workMs(prompt.prompt, TokenCount(0)) / m_options.directSpeed;
+    const double mostReadMs = m_options.directPauseShare * static_cast<double>(allowedPause.count()) / 1e6;
+    std::optional<PlacementChoice> best;
+    double bestCost = 0;
+    for (const auto* backend : m_backends.usable(service, now, EngineRole::Decode)) {
+        const auto load = backend->load();
+        const int running = std::max(0, load.requests);
+        const double ahead = std::max(0.0, load.prefillMs);
+        if (excluded.count(backend->record.id) > 0 || running >= spec.slots || ahead + readMs > mostReadMs)
+            continue;
+        const double ordinary = speed.requestMs + ahead + readMs;
+        const double expected = ordinary * backend->delayFactor() + failureMs * backend->failureShare;
+        double cost = expected + m_options.directHarm * readMs * running;
+        if (backend->record.dataCentre != m_dataCentre)
+            cost += m_options.otherDataCentreMs;
+        if (!best || cost < bestCost) {
+            best = PlacementChoice { backend->record.id, cost, readMs, ordinary, ahead, {}, false };
             bestCost = cost;
         }
     }
@@ -151,7 +183,7 @@
         if (backend->record.dataCentre != m_dataCentre)
             cost += m_options.otherDataCentreMs;
         if (!best || cost < best->expectedMs)
-            best = PlacementChoice { backend->record.id, cost, plainRequestMs, plainRequestMs };
+            best = PlacementChoice { backend->record.id, cost, plainRequestMs, plainRequestMs, 0, {}, false };
     }
     return best;
 }
--- a/Source/Serving/Placement.h
+++ b/Source/Serving/Placement.h
@@ -7,6 +7,7 @@
 #include "Serving/EngineSpeedModel.h"
 #include "Serving/PromptShape.h"
 
+#include <functional>
 #include <optional>
 #include <set>
 
@@ -14,7 +15,9 @@
 
 // Weights of the choice of a backend server.
 struct PlacementOptions {
-    EngineSpeedModel speed;
+    // The speed of a service's engines; that of a fleet of which nothing is known by default.
+    std::function<EngineSpeedModel(const ServiceName&)> speedOf
+        = [](const ServiceName&) { return EngineSpeedModel(); };
     // Reading a shared part again delays other requests too, and pushes another part out;
     // it is charged this many times its own cost beside the time that it takes. From 5 to
     // 15 served callers alike on both small sites, 3 and less worse.
@@ -30,6 +33,8 @@
     double deferFactor = 1;
     // All hosts prefer the same engine for a part's second copy, and so on.
     double rankMs = 10;
+    // But no more than this part of what a reread is charged.
+    double rankShare = 0.05;
     // A part is believed to be cached for this long after it was last sent there.
     Nanoseconds partLifetime = std::chrono::seconds(30);
     // Engines that started before this, in milliseconds since 1970, are believed to have
@@ -38,6 +43,13 @@
     // What another data centre must be better by, in milliseconds: the way there
     // and back and the longer transfer of a KV cache.
     double otherDataCentreMs = 6;
+    // A decode engine reads prompts at this part of a prefill engine's speed.
+    double directSpeed = 0.5;
+    // Part of the pause that callers allow between events, for all prompts that a decode engine
+    // reads at a time.
+    double directPauseShare = 0.3;
+    // What a millisecond of such reading costs for each stream that waits meanwhile.
+    double directHarm = 0.15;
     // Part of an engine's memory that running requests may fill.
     double memoryShare = 0.92;
 };
@@ -47,9 +59,13 @@
     BackendId backend;
     // Milliseconds until the work is done there.
     double expectedMs = 0;
-    // Milliseconds of work at an ordinary server, without and with what waits there.
+    // Milliseconds for which it holds an ordinary server, and until it is done there.
     double workMs = 0;
     double ordinaryMs = 0;
+    // Milliseconds of work that is open in front of it.
+    double aheadMs = 0;
+    // Tokens of the prompt that the server is believed to keep.
+    TokenCount cached;
     // The prefill comes late everywhere and yields to those that can be in time.
     bool deferred = false;
 
@@ -75,6 +91,10 @@
     // The engine that decodes after a prefill in the data centre.
     std::optional<PlacementChoice> chooseDecode(const ServiceName&, const EngineSpec&, const PromptShape&,
         const DataCentre& prefilledIn, const Excluded&, MonotonicTime now) const;
+    // An engine that decodes and has room to read the prompt itself, beside its streams; none if
+    // that takes longer than a pause that their callers allow.
+    std::optional<PlacementChoice> chooseDirect(const ServiceName&, const EngineSpec&, const PromptShape&,
+        Nanoseconds allowedPause, const Excluded&, MonotonicTime now) const;
     // A server of a plain service.
     std::optional<PlacementChoice> choosePlain(const ServiceName&, const Excluded&, MonotonicTime now) const;
 
--- a/Tests/Forwarding/ForwardingFixture.h
+++ b/Tests/Forwarding/ForwardingFixture.h
@@ -23,8 +23,8 @@
         , placement(backends, DataCentre("a"))
         , retries(bounds(), 1)
         , lifeProbe(pool)
-        , context { loop.get_executor(), wire, routes, backends, placement, retries, demand, pool, lifeProbe,
-            crashes, lane(), seededRandom(1) }
+        , context { loop.get_executor(), wire, routes, backends, placement, retries, demand, speeds,
+            decodeTimes, pool, lifeProbe, crashes, lane(), seededRandom(1) }
         , address(freeLoopbackAddress())
         , listener(loop.get_executor(), [this](tcp::socket socket) {
             const auto session = std::make_shared<CallerSession>(context, std::move(socket));
@@ -148,6 +148,8 @@
     Placement placement;
     RetryGate retries;
     DemandMeter demand;
+    EngineSpeeds speeds;
+    DecodeTimes decodeTimes;
     LifeProbe lifeProbe;
     CrashRecords crashes;
     // What suspects of this host hold in the lane.
--- a/Tests/Peers/PeerFrameTest.cpp
+++ b/Tests/Peers/PeerFrameTest.cpp
@@ -19,7 +19,7 @@
     frame.dataCentre = DataCentre("a");
     frame.work.emplace();
     frame.work->loads[42] = BackendLoad { 120.5, 3, 51000, 80.5 };
-    frame.work->demand[ServiceName("llm")] = EngineDemand { 2400, 41, 355000 };
+    frame.work->demand[ServiceName("llm")] = EngineDemand { 2400, 41, 355000, 900, { 7, { 1, 2, 3, 4 } } };
     frame.work->parts = { { 42, 7 }, { 43, 8 } };
     PeerNews news;
     news.table = SharedTable::Backends;
@@ -45,6 +45,9 @@
     CHECK(decoded->work->loads.at(42).prefillMs == Approx(120.5));
     CHECK(decoded->work->loads.at(42).deferredMs == Approx(80.5));
     CHECK(decoded->work->demand.at(ServiceName("llm")).requests == Approx(41));
+    CHECK(decoded->work->demand.at(ServiceName("llm")).decodeMs == Approx(900));
+    CHECK(decoded->work->demand.at(ServiceName("llm")).speed.weight == Approx(7));
+    CHECK(decoded->work->demand.at(ServiceName("llm")).speed.sums[3] == Approx(4));
     REQUIRE(decoded->work->parts.size() == 2);
     CHECK(decoded->work->parts.begin()->part == 7);
     REQUIRE(decoded->news.size() == 1);
@@ -76,7 +79,7 @@
     frame.work.emplace();
     for (std::uint64_t engine = 0; engine < 12; ++engine)
         frame.work->loads[engine] = BackendLoad { 120.5, 3, 51000, 80.5 };
-    frame.work->demand[ServiceName("llm")] = EngineDemand { 2400, 41, 355000 };
+    frame.work->demand[ServiceName("llm")] = EngineDemand { 2400, 41, 355000, 900, { 7, { 1, 2, 3, 4 } } };
     frame.work->parts = { { 42, 7 }, { 43, 8 } };
     // 24 bytes an engine, and little else.
     CHECK(encodePeerFrame(frame, now).size() < 12 * 24 + 100);
--- a/Tests/Serving/PrefillCrowdTest.cpp
+++ b/Tests/Serving/PrefillCrowdTest.cpp
@@ -72,7 +72,7 @@
 TEST_CASE("Crowd that is too much for all engines, with late prefills deferred, is mostly in time where it "
           "is served")
 {
-    for (const double perSecond : { 40., 60. }) {
+    for (const double perSecond : { 48., 72. }) {
         for (const std::uint64_t seed : { 1, 2, 3 }) {
             const auto deferring = play(PlacementOptions().deferFactor, perSecond, seed);
             const auto inOrder = play(never, perSecond, seed);
@@ -90,8 +90,8 @@
 TEST_CASE("Ordinary load, with late prefills deferred, is served as well as without")
 {
     for (const std::uint64_t seed : { 1, 2, 3 }) {
-        const auto deferring = play(PlacementOptions().deferFactor, 25, seed);
-        const auto inOrder = play(never, 25, seed);
+        const auto deferring = play(PlacementOptions().deferFactor, 30, seed);
+        const auto inOrder = play(never, 30, seed);
         CHECK(deferring.served == deferring.asked);
         CHECK(deferring.inTime * 100 >= inOrder.inTime * 99);
     }
--- a/Tests/Serving/WorkNewsTest.cpp
+++ b/Tests/Serving/WorkNewsTest.cpp
@@ -18,6 +18,8 @@
 constexpr int hosts = 8;
 constexpr int engines = 7;
 constexpr Nanoseconds target = 400ms;
+// Keeps the engines busy for 60 % of their time.
+constexpr double perSecond = 56;
 
 // One host with what it knows of the engines.
 struct PlayedHost {
@@ -71,7 +73,7 @@
     };
     auto nextNews = testStart;
     for (auto now = testStart; now < testStart + 60s;) {
-        now += Nanoseconds(static_cast<std::int64_t>(-std::log(1 - uniform(random)) * 1e9 / 46) + 1);
+        now += Nanoseconds(static_cast<std::int64_t>(-std::log(1 - uniform(random)) * 1e9 / perSecond) + 1);
         for (; nextNews <= now; nextNews += pause) {
             for (auto& engine : playedEngines)
                 engine.second.workUntil(nextNews, ended);
