Split engines by the places and the prefill time that are needed

Cause: 22 % of the engines decode whatever the fleet; 4 of 18 with 16 places each are 64, and 68 were needed.

Change: DecodeTimes learns for each route how long a request holds a place, without its wait for one; hosts add up places and prefill time in their demand. RoleSplit keeps the split unless a role is busy for half of its time and another split makes the busier one an eighth less busy; before traffic it guesses from the places of an engine. Kept as they were: dwell times, the pause, the guard for lapsed registrations, the rule for fleets far too large.

The test of the least engines a role keeps runs over demands and places now, too.

Conclusion: the split follows the mix; phases shorter than a change of role (3 s) it cannot.

--- a/Source/Forwarding/RequestRunStream.cpp
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -205,6 +205,8 @@
     m_context.pool.giveBack(std::move(m_connection));
     dropConnection();
     note(id, BackendOutcome::Answered);
+    if (m_prefilledAt != MonotonicTime() && m_firstEventAt >= m_sentAt)
+        m_context.decodeTimes.noteStream(m_route->name, m_firstEventAt - m_sentAt, bootTime() - m_sentAt);
     m_context.crashes.noteCompleted(m_content);
     m_outcome = "answered";
     co_await m_sink.endStream();
--- a/Source/Serving/RoleSplit.cpp
+++ b/Source/Serving/RoleSplit.cpp
@@ -11,6 +11,9 @@
     constexpr int enginesForSecond = 6;
     // Requests a second below which the traffic has not begun.
     constexpr double leastRequests = 0.5;
+    constexpr double msPerSecond = 1000;
+
+    int leastDecode(int engines) { return engines >= enginesForSecond ? 2 : 1; }
 
     bool isEngineOf(const Backend& backend, const ServiceName& service)
     {
@@ -25,28 +28,63 @@
 {
 }
 
-int RoleSplit::decodeTarget(int engines) const
+int RoleSplit::guessedTarget(int engines, double slots) const
 {
-    const int share = static_cast<int>(std::lround(engines * m_options.decodeShare));
-    const int least = engines >= enginesForSecond ? 2 : 1;
-    return std::clamp(std::max(share, least), 0, std::max(0, engines - 1));
+    const double odds = m_options.guessedOdds / std::pow(std::max(1.0, slots), m_options.guessedPower);
+    const int share = static_cast<int>(std::lround(engines * odds / (1 + odds)));
+    return std::clamp(std::max(share, leastDecode(engines)), 0, std::max(0, engines - 1));
+}
+
+int RoleSplit::decodeTarget(int engines, double slots, const EngineDemand& demand, int decoding) const
+{
+    const int least = leastDecode(engines);
+    if (demand.requests <= leastRequests || demand.decodeMs <= 0)
+        return guessedTarget(engines, slots);
+    const double prefillEngines = demand.prefillMs / msPerSecond;
+    const double decodeEngines = demand.decodeMs / msPerSecond / std::max(1.0, slots);
+    const auto busiest
+        = [&](int decode) { return std::max(prefillEngines / (engines - decode), decodeEngines / decode); };
+    const int now = std::clamp(decoding, std::min(least, engines - 1), engines - 1);
+    if (now < 1 || (now == decoding && busiest(now) < m_options.crowdedShare))
+        return now;
+    int best = now;
+    for (int decode = least; decode < engines; ++decode) {
+        if (busiest(decode) < busiest(best))
+            best = decode;
+    }
+    return now != decoding || busiest(best) < (1 - m_options.worthwhileGain) * busiest(now) ? best : now;
 }
 
-int RoleSplit::lackingDecode(const ServiceName& service, int engines, int decoding, MonotonicTime now)
+EngineDemand RoleSplit::averaged(const ServiceName& service, const EngineDemand& demand, MonotonicTime now)
+{
+    auto& average = m_averages[service];
+    if (demand.requests <= leastRequests)
+        return demand;
+    const double seconds = average.weight > 0 ? std::chrono::duration<double>(now - average.at).count() : 1;
+    const double kept = std::exp(-seconds / std::chrono::duration<double>(m_options.demandTime).count());
+    auto newest = demand;
+    (average.sum *= kept) += (newest *= seconds);
+    average.weight = average.weight * kept + seconds;
+    average.at = now;
+    auto mean = average.sum;
+    return mean *= 1 / average.weight;
+}
+
+int RoleSplit::lackingDecode(const ServiceName& service, const EngineDemand& demand, int engines,
+    double slots, int decoding, MonotonicTime now)
 {
     auto& peak = m_peaks[service];
     if (engines >= peak.engines || now - peak.at > m_options.lapseTime)
         peak = Peak { engines, now };
-    const int lacking = decodeTarget(engines) - decoding;
+    const int lacking = decodeTarget(engines, slots, demand, decoding) - decoding;
     if (lacking >= 0)
         return lacking;
     // None is given up for want of engines that may come back.
-    return std::min(0, decodeTarget(peak.engines) - decoding);
+    return std::min(0, decodeTarget(peak.engines, slots, demand, decoding) - decoding);
 }
 
 bool RoleSplit::enoughPrefill(int prefilling, const EngineDemand& demand) const
 {
-    const double msPerSecond = 1000;
     return prefilling >= m_options.manyPrefill
         && demand.prefillMs < m_options.busyShare * msPerSecond * prefilling;
 }
@@ -78,7 +116,13 @@
         (role == EngineRole::Prefill ? prefill : decode).push_back(&backend);
     }
     const int engines = static_cast<int>(prefill.size() + decode.size());
-    int lacking = lackingDecode(service, engines, static_cast<int>(decode.size()), now);
+    double slots = 0;
+    for (const auto* list : { &prefill, &decode }) {
+        for (const auto* engine : *list)
+            slots += static_cast<double>(engine->record.slots) / engines;
+    }
+    int lacking = lackingDecode(
+        service, averaged(service, demand, now), engines, slots, static_cast<int>(decode.size()), now);
     if (lacking < 0 && enoughPrefill(static_cast<int>(prefill.size()), demand))
         lacking = 0;
     if (lacking <= 0)
--- a/Source/Serving/RoleSplit.h
+++ b/Source/Serving/RoleSplit.h
@@ -12,9 +12,17 @@
 
 // Bounds of the split of a service's engines between prefill and decode.
 struct RoleSplitOptions {
-    // Part of the engines that decode while no demand is known: long prompts and
-    // short answers need few.
-    double decodeShare = 0.22;
+    // Engines that decode for each one that prefills, while no demand is known: this divided
+    // by a power of the places of an engine. The fewer these are, the more have to be spare.
+    double guessedOdds = 3.4;
+    double guessedPower = 0.6;
+    // Demand is averaged over about this time, so that no engine turns for a crowd that is
+    // over by the time it is back.
+    Nanoseconds demandTime = std::chrono::seconds(1);
+    // An engine changes for the demand where the busier role is above this part of its time,
+    // and this part less busy afterwards.
+    double crowdedShare = 0.5;
+    double worthwhileGain = 0.12;
     // With so many engines that prefill, a surplus of decode engines is left as it is while
     // demand keeps less than this part of them busy: each order costs, and would serve nobody.
     // Fleets that are fit for their demand show a tenth and more, by its cached parts alone.
@@ -58,8 +66,8 @@
     // The engine refused it.
     void onRefused(const BackendId&);
 
-    // Engines that should decode out of so many.
-    int decodeTarget(int engines) const;
+    // Engines that should decode out of so many with so many places each, of which some do now.
+    int decodeTarget(int engines, double slots, const EngineDemand&, int decoding) const;
 
 private:
     struct Order {
@@ -67,14 +75,26 @@
         MonotonicTime at {};
     };
 
+    // A mean that forgets: the weighted sum and its weight.
+    struct Average {
+        EngineDemand sum;
+        double weight = 0;
+        MonotonicTime at {};
+    };
+
     // The most engines that a service had of late.
     struct Peak {
         int engines = 0;
         MonotonicTime at {};
     };
 
+    // Engines that should decode while no demand is known.
+    int guessedTarget(int engines, double slots) const;
+    // The average demand of late.
+    EngineDemand averaged(const ServiceName&, const EngineDemand&, MonotonicTime now);
     // Decode engines too few, or too many if below 0.
-    int lackingDecode(const ServiceName&, int engines, int decoding, MonotonicTime now);
+    int lackingDecode(
+        const ServiceName&, const EngineDemand&, int engines, double slots, int decoding, MonotonicTime now);
     bool enoughPrefill(int prefilling, const EngineDemand&) const;
     // Engines that may change at a time under traffic.
     int changesTogether(int engines, int prefilling) const;
@@ -83,6 +103,7 @@
     RoleSplitOptions m_options;
     std::map<BackendId, Order> m_orders;
     std::map<ServiceName, Peak> m_peaks;
+    std::map<ServiceName, Average> m_averages;
     // Since when each service has had too few decode engines, or too many.
     std::map<ServiceName, MonotonicTime> m_lackSince;
     std::map<ServiceName, MonotonicTime> m_surplusSince;
--- a/Tests/Serving/RoleSplitTest.cpp
+++ b/Tests/Serving/RoleSplitTest.cpp
@@ -183,9 +183,55 @@
 {
     const BackendTable empty;
     const RoleSplit split(empty);
-    CHECK(split.decodeTarget(1) == 0);
-    for (int engines = 2; engines <= 90; ++engines) {
-        CHECK(split.decodeTarget(engines) >= 1);
-        CHECK(split.decodeTarget(engines) < engines);
+    EngineDemand longPrompts;
+    longPrompts.requests = 100;
+    longPrompts.prefillMs = 50000;
+    longPrompts.decodeMs = 10;
+    EngineDemand longAnswers;
+    longAnswers.requests = 100;
+    longAnswers.prefillMs = 10;
+    longAnswers.decodeMs = 5e6;
+    for (const auto& demand : { EngineDemand(), longPrompts, longAnswers }) {
+        for (const double slots : { 8, 16, 64 }) {
+            CHECK(split.decodeTarget(1, slots, demand, 0) == 0);
+            CHECK(split.decodeTarget(1, slots, demand, 1) == 0);
+            for (int engines = 2; engines <= 90; ++engines) {
+                for (const int decoding : { 0, 1, engines / 2, engines }) {
+                    CHECK(split.decodeTarget(engines, slots, demand, decoding) >= 1);
+                    CHECK(split.decodeTarget(engines, slots, demand, decoding) < engines);
+                }
+            }
+        }
     }
 }
+
+TEST_CASE("Split of a fleet with few places, with many short answers, turns to what both roles need")
+{
+    const BackendTable empty;
+    const RoleSplit split(empty);
+    // 211 short requests a second and 25 long ones that hold 68 places, on 18 engines of 16.
+    EngineDemand demand;
+    demand.requests = 236;
+    demand.decodeMs = 68000;
+    demand.prefillMs = 5300;
+    const int target = split.decodeTarget(18, 16, demand, 4);
+    CHECK(target >= 7);
+    CHECK(target <= 9);
+    // Engines of 64 places need the least for the same.
+    CHECK(split.decodeTarget(18, 64, demand, 2) <= 4);
+}
+
+TEST_CASE("Split of a fleet whose mix turns to long prompts gives decode engines back")
+{
+    const BackendTable empty;
+    const RoleSplit split(empty);
+    EngineDemand demand;
+    demand.requests = 100;
+    demand.decodeMs = 50000;
+    demand.prefillMs = 9000;
+    CHECK(split.decodeTarget(18, 16, demand, 10) < 8);
+    // Where neither role is crowded, no order is worth its cost.
+    demand.prefillMs = 2000;
+    demand.decodeMs = 20000;
+    CHECK(split.decodeTarget(18, 16, demand, 10) == 10);
+}
