Let a decode engine with room read a short prompt itself

Change: where the estimate says that it is sooner, and the streams there would not pause for more than a part of what their callers allow, the request goes to a decode engine without a prefill: one call, no handle, no transfer. The harm to running streams is charged.

Left: long prompts in a crowd of them, and the first seconds.

--- a/Source/Forwarding/RequestRunImpl.h
+++ b/Source/Forwarding/RequestRunImpl.h
@@ -103,7 +103,9 @@
 
     void freeHandle(const KvSource&);
 
-    awaitable<AttemptEnd> decode(std::optional<KvSource> source, DataCentre prefilledIn);
+    // Decodes after a prefill, or at the engine that is to read the prompt itself.
+    awaitable<AttemptEnd> decode(std::optional<KvSource> source, DataCentre prefilledIn,
+        std::optional<PlacementChoice> direct = std::nullopt);
 
     // Until when the next part of a stream is waited for.
     Deadline silenceDeadline() const;
@@ -127,6 +129,8 @@
     // The last choice of an engine for the prefill, and when it was done.
     std::optional<PlacementChoice> m_prefill;
     MonotonicTime m_prefilledAt {};
+    // The reading of a prompt by the engine that decodes, until its first event.
+    std::optional<OpenWork> m_directWork;
     // When the first event of a stream went to the caller.
     MonotonicTime m_firstEventAt {};
 
--- a/Source/Forwarding/RequestRunStream.cpp
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -39,6 +39,12 @@
     const auto prefill = co_await chooseServer(choose, m_prefillExcluded);
     if (stopped() || m_outOfServers)
         co_return AttemptEnd::NotRun;
+    if (prefill && !m_laneServer) {
+        const auto direct = m_context.placement.chooseDirect(
+            m_service, *m_engine, prompt, m_route->gapTarget, m_excluded, bootTime());
+        if (direct && direct->expectedMs < prefill->expectedMs)
+            co_return co_await decode(std::nullopt, DataCentre(), direct);
+    }
     std::optional<KvSource> source;
     DataCentre prefilledIn;
     if (prefill) {
@@ -125,13 +131,17 @@
     spawn(m_context.executor, freeAt(m_context, source));
 }
 
-awaitable<AttemptEnd> RequestRun::Impl::decode(std::optional<KvSource> source, DataCentre prefilledIn)
+awaitable<AttemptEnd> RequestRun::Impl::decode(
+    std::optional<KvSource> source, DataCentre prefilledIn, std::optional<PlacementChoice> direct)
 {
     const auto& prompt = *m_request.prompt;
     std::optional<OpenWork> work;
+    m_directWork.reset();
     // The cache of a prefill stays where it is until an engine that can be reached takes it.
     for (bool connected = false; !connected;) {
-        const Choose choose = [this, &prompt, &prefilledIn](const Placement::Excluded& excluded) {
+        const Choose choose = [this, &prompt, &prefilledIn, &direct](const Placement::Excluded& excluded) {
+            if (direct && excluded.count(direct->backend) == 0)
+                return direct;
             return m_context.placement.chooseDecode(
                 m_service, *m_engine, prompt, prefilledIn, excluded, bootTime());
         };
@@ -142,6 +152,8 @@
         m_excluded.insert(m_backend);
         work.emplace(
             m_context.backends, m_backend, BackendLoad { 0, 1, static_cast<double>(prompt.prompt.count()) });
+        if (direct && direct->backend == m_backend)
+            m_directWork.emplace(m_context.backends, m_backend, BackendLoad { direct->workMs, 0, 0 });
         connected = co_await openConnection(
             m_backend, m_context.backends.find(m_backend)->record.address, m_deadline);
         if (stopped())
@@ -187,6 +199,7 @@
         if (!m_headSent && (!events.empty() || last)) {
             m_headSent = true;
             m_firstEventAt = bootTime();
+            m_directWork.reset();
             HttpResponseHead head { reply.head.status, m_context.wire.answerFields(reply) };
             const bool there = co_await m_sink.beginStream(std::move(head));
             if (!there)
--- a/Tests/Forwarding/RequestRunTest.cpp
+++ b/Tests/Forwarding/RequestRunTest.cpp
@@ -1,5 +1,7 @@
 #include "ForwardingFixture.h"
 
+#include "Serving/OpenWork.h"
+
 #include "Serving/RequestContent.h"
 
 #include <catch2/catch.hpp>
@@ -214,6 +216,26 @@
     CHECK(sources[0].find("/h1") != std::string::npos);
 }
 
+TEST_CASE_METHOD(StreamFixture,
+    "Stream with a short prompt, while prefill engines are busy, is read by the engine that decodes it")
+{
+    auto manifest = *routes.manifest();
+    ++manifest.version;
+    for (auto& each : manifest.routes)
+        each.gapTarget = 400ms;
+    routes.adopt(manifest);
+    addServer("d", EngineRole::Decode, stream(3, 3));
+    const OpenWork busy(backends, BackendId("p"), BackendLoad { 500, 0, 0 });
+    const auto reply = ask("POST", "/once/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().body == event(1) + event(2) + event(3));
+    CHECK(servers.front()->requests == 0);
+    REQUIRE(sources.size() == 1);
+    CHECK(sources[0].empty());
+    // Nothing is left as open at the engine.
+    CHECK(backends.find(BackendId("d"))->own.prefillMs == 0);
+}
+
 TEST_CASE_METHOD(
     StreamFixture, "Stream that may be resumed, broken off, goes on at another engine without gap or repeat")
 {
--- a/Tests/Serving/PlacementTest.cpp
+++ b/Tests/Serving/PlacementTest.cpp
@@ -115,3 +115,27 @@
     CHECK(placed() == BackendId("s1"));
     CHECK_FALSE(placement.choosePlain(ServiceName("none"), {}, testStart));
 }
+
+TEST_CASE_METHOD(PlacementFixture,
+    "Short prompt is read by a decode engine with room, a long one or one more than its streams can wait for "
+    "is not")
+{
+    PromptShape question;
+    question.prompt = TokenCount(400);
+    const auto direct = [&] { return placement.chooseDirect(model, spec, question, 150ms, {}, testStart); };
+    REQUIRE(direct());
+    CHECK(direct()->backend == BackendId("d0"));
+    // Streams that would wait make it dearer.
+    const double idleMs = direct()->expectedMs;
+    table.open(BackendId("d0"), BackendLoad { 0, 30, 50000 });
+    table.open(BackendId("d1"), BackendLoad { 0, 30, 50000 });
+    CHECK(direct()->expectedMs > idleMs + 20);
+    // Three such prompts at a time would stop the streams for longer than their callers allow.
+    table.open(BackendId("d0"), BackendLoad { 40, 0, 0 });
+    CHECK(direct()->backend == BackendId("d1"));
+    table.open(BackendId("d1"), BackendLoad { 0, 34, 50000 });
+    CHECK_FALSE(direct());
+    table.close(BackendId("d1"), BackendLoad { 0, 34, 50000 });
+    question.prompt = TokenCount(4000);
+    CHECK_FALSE(direct());
+}
