Keep waits out of the learned speed, and turn several engines when far off

On two of sixteen the learned speed ran away: under an overload the waits that no host knew of were taken for slow engines (a request's own part 14 ms, learned as 346), the demand looked three times too large, and the split answered it. Samples behind open work, and those slower than expected, weigh less now, and deferred work counts as work in front of a sample.

Further: the demand of the first seconds is corrected by the time that the average assumes, at most doubled; prompts that decode engines read count there and not at the prefill engines; with three engines or more off the need, half of them turn at a time.

--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -59,9 +59,8 @@
     if (spec && spec->engine && m_request.prompt) {
         m_engine = *spec->engine;
         const auto& prompt = *m_request.prompt;
-        m_context.demand.onRequest(m_service, prompt,
-            m_context.speeds.of(m_service).workMs(prompt.prompt, prompt.shared),
-            m_context.decodeTimes.holdMs(m_route->name), m_arrivedAt);
+        m_context.demand.onRequest(
+            m_service, prompt, cachedWorkMs(), m_context.decodeTimes.holdMs(m_route->name), m_arrivedAt);
         co_await runAttempts([this] { return attemptStream(); });
     } else {
         co_await runAttempts([this] { return attemptPlain(); });
--- a/Source/Forwarding/RequestRunImpl.h
+++ b/Source/Forwarding/RequestRunImpl.h
@@ -97,6 +97,9 @@
 
     awaitable<AttemptEnd> attemptStream();
 
+    // Milliseconds of prefill that the request takes where its shared part is cached.
+    double cachedWorkMs() const;
+
     awaitable<std::optional<std::string>> prefillAt(PlacementChoice choice, Address address);
 
     static awaitable<void> freeAt(ServingContext& context, KvSource source);
--- a/Source/Forwarding/RequestRunStream.cpp
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -42,8 +42,12 @@
     if (prefill && !m_laneServer) {
         const auto direct = m_context.placement.chooseDirect(
             m_service, *m_engine, prompt, m_route->gapTarget, m_excluded, bootTime());
-        if (direct && direct->expectedMs < prefill->expectedMs)
+        if (direct && direct->expectedMs < prefill->expectedMs) {
+            // The reading stops all streams of that engine, as many as there are places for.
+            m_context.demand.addWork(
+                m_service, -cachedWorkMs(), direct->workMs * m_engine->slots, bootTime());
             co_return co_await decode(std::nullopt, DataCentre(), direct);
+        }
     }
     std::optional<KvSource> source;
     DataCentre prefilledIn;
@@ -67,6 +71,12 @@
     co_return end;
 }
 
+double RequestRun::Impl::cachedWorkMs() const
+{
+    const auto& prompt = *m_request.prompt;
+    return m_context.speeds.of(m_service).workMs(prompt.prompt, prompt.shared);
+}
+
 awaitable<std::optional<std::string>> RequestRun::Impl::prefillAt(PlacementChoice choice, Address address)
 {
     const auto id = choice.backend;
@@ -77,8 +87,7 @@
     const auto& prompt = *m_request.prompt;
     m_context.backends.notePart(id, prompt.sharedKey, bootTime());
     if (choice.cached < prompt.shared)
-        m_context.demand.onReread(m_service,
-            choice.workMs - m_context.speeds.of(m_service).workMs(prompt.prompt, prompt.shared), bootTime());
+        m_context.demand.addWork(m_service, choice.workMs - cachedWorkMs(), 0, bootTime());
     const auto sentAt = bootTime();
     const auto deadline
         = std::min(m_deadline, Deadline::after(sentAt, 3 * fromMs(choice.expectedMs) + prefillSlack));
--- a/Source/Serving/DemandMeter.cpp
+++ b/Source/Serving/DemandMeter.cpp
@@ -1,5 +1,6 @@
 #include "Serving/DemandMeter.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace almondscale {
@@ -9,6 +10,9 @@
     // Follows a change of the mix within a few seconds and passes over single long prompts.
     constexpr double forgetAfterSeconds = 4;
 
+    // Less than this part of the average's time says nothing.
+    constexpr double leastKnown = 0.5;
+
     double kept(MonotonicTime from, MonotonicTime to)
     {
         return std::exp(-std::chrono::duration<double>(to - from).count() / forgetAfterSeconds);
@@ -18,7 +22,7 @@
 
 EngineDemand& DemandMeter::average(const ServiceName& service, MonotonicTime now)
 {
-    auto& average = m_averages[service];
+    auto& average = m_averages.emplace(service, Average { {}, now, now }).first->second;
     average.demand *= kept(average.at, now);
     average.at = now;
     return average.demand;
@@ -34,17 +38,21 @@
     demand.contextTokens += static_cast<double>(prompt.prompt.count()) / forgetAfterSeconds;
 }
 
-void DemandMeter::onReread(const ServiceName& service, double prefillMs, MonotonicTime now)
+void DemandMeter::addWork(const ServiceName& service, double prefillMs, double decodeMs, MonotonicTime now)
 {
-    average(service, now).prefillMs += prefillMs / forgetAfterSeconds;
+    auto& demand = average(service, now);
+    demand.prefillMs += prefillMs / forgetAfterSeconds;
+    demand.decodeMs += decodeMs / forgetAfterSeconds;
 }
 
 std::map<ServiceName, EngineDemand> DemandMeter::demand(MonotonicTime now) const
 {
     std::map<ServiceName, EngineDemand> all;
     for (const auto& entry : m_averages) {
+        // The first requests of a service have not had the time that the average assumes.
+        const double known = std::max(leastKnown, 1 - kept(entry.second.firstAt, now));
         auto demand = entry.second.demand;
-        all[entry.first] = demand *= kept(entry.second.at, now);
+        all[entry.first] = demand *= kept(entry.second.at, now) / known;
     }
     return all;
 }
--- a/Source/Serving/DemandMeter.h
+++ b/Source/Serving/DemandMeter.h
@@ -16,8 +16,8 @@
     // A request whose prefill and decoding are expected to take so long.
     void onRequest(
         const ServiceName&, const PromptShape&, double prefillMs, double decodeMs, MonotonicTime now);
-    // A prefill of such a request takes so much more, since its shared part has to be read again.
-    void onReread(const ServiceName&, double prefillMs, MonotonicTime now);
+    // A request turned out to bring so much more to the engines of each role.
+    void addWork(const ServiceName&, double prefillMs, double decodeMs, MonotonicTime now);
     std::map<ServiceName, EngineDemand> demand(MonotonicTime now) const;
 
 private:
@@ -27,6 +27,7 @@
     struct Average {
         EngineDemand demand;
         MonotonicTime at {};
+        MonotonicTime firstAt {};
     };
 
     std::map<ServiceName, Average> m_averages;
--- a/Source/Serving/EngineSpeeds.cpp
+++ b/Source/Serving/EngineSpeeds.cpp
@@ -18,6 +18,11 @@
     // Error of one sample: a part in milliseconds, and a part of the time.
     constexpr double sampleErrorMs = 10;
     constexpr double sampleErrorShare = 0.25;
+    // Part of the work in front that may have been done, or may not be known.
+    constexpr double aheadErrorShare = 0.5;
+    // A prefill that takes longer than expected has often waited for something that is not
+    // known; its error is taken to be so many times as large.
+    constexpr double slowerErrors = 1.5;
     // A sample further off than this many errors counts as one that far off.
     constexpr double mostErrors = 2;
     // What this host learned counts as no more samples than these, so that hosts that see
@@ -58,7 +63,8 @@
             gain.at(i) += row.at(j) * input.at(j);
         predicted += own.figures.at(i) * input.at(i);
     }
-    const double error = sampleErrorMs + sampleErrorShare * predicted;
+    const double error = (sampleErrorMs + sampleErrorShare * predicted + aheadErrorShare * sample.aheadMs)
+        * (sample.takenMs > predicted ? slowerErrors : 1);
     double variance = error * error;
     for (std::size_t i = 0; i < figures; ++i)
         variance += input.at(i) * gain.at(i);
--- a/Source/Serving/Placement.cpp
+++ b/Source/Serving/Placement.cpp
@@ -93,7 +93,7 @@
             cost += m_options.otherDataCentreMs;
         if (!best || cost < bestCost) {
             best = PlacementChoice { backend->record.id, expected, query.speed.workMs(prompt.prompt, kept),
-                ordinary, ahead, kept, deferred };
+                ordinary, std::max(0.0, load.prefillMs) + std::max(0.0, load.deferredMs), kept, deferred };
             bestCost = cost;
         }
     }
--- a/Source/Serving/RoleSplit.cpp
+++ b/Source/Serving/RoleSplit.cpp
@@ -133,9 +133,11 @@
         return {};
     const bool traffic = demand.requests > leastRequests;
     const auto since = (lacking > 0 ? m_lackSince : m_surplusSince).emplace(service, now).first->second;
-    if (traffic && now - since < (lacking > 0 ? m_options.lackDwell : m_options.surplusDwell))
+    // Far from what the demand needs, waiting costs more than an order.
+    const bool far = demand.decodeMs > 0 && std::abs(lacking) >= m_options.farOff;
+    if (traffic && now - since < (lacking > 0 || far ? m_options.lackDwell : m_options.surplusDwell))
         return {};
-    if (traffic && lacking < 0 && now - m_lastOrderAt < m_options.pause)
+    if (traffic && lacking < 0 && now - m_lastOrderAt < (far ? m_options.farPause : m_options.pause))
         return {};
 
     auto& from = lacking > 0 ? prefill : decode;
@@ -151,7 +153,9 @@
             return aCount < bCount;
         return a->load().requests + a->load().prefillMs < b->load().requests + b->load().prefillMs;
     });
-    const int together = traffic ? changesTogether(engines, static_cast<int>(prefill.size())) : engines;
+    int together = traffic ? changesTogether(engines, static_cast<int>(prefill.size())) : engines;
+    if (far)
+        together = std::max(together, std::abs(lacking) / 2);
     const auto most = static_cast<std::size_t>(std::min(std::abs(lacking), together));
     std::vector<RoleAssignment> orders;
     for (const auto* engine : from) {
--- a/Source/Serving/RoleSplit.h
+++ b/Source/Serving/RoleSplit.h
@@ -41,6 +41,9 @@
     Nanoseconds lapseTime = std::chrono::seconds(12);
     // Time after an order in which no further decode engine is turned, but before any traffic.
     Nanoseconds pause = std::chrono::seconds(5);
+    // So many engines from what the demand needs, half of them change at a time, with this pause.
+    int farOff = 3;
+    Nanoseconds farPause = std::chrono::seconds(3);
     // An order without effect is given up after this.
     Nanoseconds orderTime = std::chrono::seconds(9);
 };
--- /dev/null
+++ b/Tests/Serving/PlayedFleet.cpp
@@ -0,0 +1,290 @@
+#include "PlayedFleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondscale {
+
+namespace {
+
+    constexpr double lengthMs = 40000;
+    constexpr double splitStepMs = 200;
+    constexpr double patienceMs = 5000;
+    constexpr double roleChangeMs = 3000;
+    // A decode engine reads a prompt at half the speed.
+    constexpr double directFactor = 2;
+    constexpr Nanoseconds allowedPause = std::chrono::milliseconds(150);
+    std::string routeOf(std::size_t kind) { return "kind-" + std::to_string(kind); }
+
+    double millionPairs(double fresh, double before) { return fresh * (before + fresh / 2) / 1e6; }
+
+} // namespace
+
+struct PlayedFleet::Job {
+    std::size_t kind = 0;
+    PromptShape prompt;
+    double arrivedMs = 0;
+    double sentMs = 0;
+    double pieces = 0;
+    double targetMs = 0;
+    bool direct = false;
+};
+
+PlayedFleet::PlayedFleet(const PlayedFleetSpec& spec, std::uint64_t seed)
+    : m_spec(spec)
+    , m_random(seededRandom(seed))
+    , m_engines(static_cast<std::size_t>(spec.engines))
+{
+    PlacementOptions options;
+    options.warmBeforeMs.reset();
+    options.speedOf = [this](const ServiceName& service) { return m_speeds.of(service); };
+    m_placement = std::make_unique<Placement>(m_table, DataCentre("a"), options);
+    m_engineSpec.slots = spec.slots;
+    m_engineSpec.memory = TokenCount(spec.memoryTokens);
+    for (int i = 0; i < spec.engines; ++i) {
+        auto& engine = m_engines[static_cast<std::size_t>(i)];
+        engine.id = BackendId("e" + std::to_string(i));
+        m_byId[engine.id] = &engine;
+        setRole(engine, i % 3 == 0 ? EngineRole::Prefill : EngineRole::Decode);
+    }
+}
+
+void PlayedFleet::setRole(Engine& engine, EngineRole role)
+{
+    engine.role = role;
+    auto record = engineRecord(engine.id.text(), role, "a", 1);
+    record.slots = m_spec.slots;
+    m_table.put(record);
+}
+
+void PlayedFleet::at(double ms, std::function<void()> action) { m_events.emplace(ms, std::move(action)); }
+
+const std::vector<PlayedKind>& PlayedFleet::kinds() const
+{
+    return m_nowMs < lengthMs / 2 || m_spec.laterKinds.empty() ? m_spec.kinds : m_spec.laterKinds;
+}
+
+double PlayedFleet::play(std::optional<int> fixedDecode)
+{
+    if (fixedDecode) {
+        for (int i = 0; i < m_spec.engines; ++i)
+            setRole(m_engines[static_cast<std::size_t>(i)],
+                i < *fixedDecode ? EngineRole::Decode : EngineRole::Prefill);
+    } else {
+        for (const auto& order : m_split.decide(model, EngineDemand(), now()))
+            turn(order, true);
+        at(0, [this] { decideSplit(); });
+    }
+    for (std::size_t kind = 0; kind < m_spec.kinds.size(); ++kind)
+        at(0, [this, kind] { arrive(kind); });
+    while (!m_events.empty()) {
+        auto event = m_events.top();
+        m_events.pop();
+        m_nowMs = std::max(m_nowMs, event.first);
+        event.second();
+    }
+    return m_asked == 0 ? 1 : static_cast<double>(m_inTime) / m_asked;
+}
+
+void PlayedFleet::decideSplit()
+{
+    const auto demand = m_demand.demand(now());
+    const auto found = demand.find(model);
+    for (const auto& order :
+        m_split.decide(model, found == demand.end() ? EngineDemand() : found->second, now()))
+        turn(order, false);
+    if (m_nowMs < lengthMs)
+        at(m_nowMs + splitStepMs, [this] { decideSplit(); });
+}
+
+void PlayedFleet::turn(const RoleAssignment& order, bool atOnce)
+{
+    ++m_orders;
+    m_split.onOrdered(order, now());
+    if (atOnce) {
+        setRole(engine(order.engine), order.role);
+        return;
+    }
+    const auto& record = m_table.find(order.engine)->record;
+    m_table.noteBarred(lifetimeOf(record),
+        Deadline(now() + Nanoseconds(static_cast<std::int64_t>(roleChangeMs * 1e6))), now());
+    at(m_nowMs + roleChangeMs, [this, order] { setRole(engine(order.engine), order.role); });
+}
+
+void PlayedFleet::arrive(std::size_t kind)
+{
+    const auto& played = kinds()[kind];
+    if (m_nowMs < lengthMs)
+        at(m_nowMs - std::log(1 - uniform(m_random)) * 1000 / std::max(0.01, played.perSecond),
+            [this, kind] { arrive(kind); });
+    if (m_nowMs == 0)
+        return;
+    ++m_asked;
+    const auto job = std::make_shared<Job>();
+    job->kind = kind;
+    job->arrivedMs = m_nowMs;
+    job->targetMs = played.targetMs;
+    job->pieces = 1 - played.pieces * std::log(1 - uniform(m_random));
+    auto& prompt = job->prompt;
+    if (played.sharedParts > 0) {
+        prompt.sharedKey = 1 + kind * 1000 + uniformBelow(m_random, played.sharedParts);
+        prompt.shared = TokenCount(played.sharedTokens);
+    }
+    const double own = static_cast<double>(played.ownTokens) * (0.4 - 0.6 * std::log(1 - uniform(m_random)));
+    prompt.prompt = prompt.shared + TokenCount(static_cast<std::int64_t>(std::max(16.0, own)));
+    const auto route = routeOf(kind);
+    m_demand.onRequest(model, prompt, cachedWorkMs(prompt), m_times.holdMs(route), now());
+    const auto timely = Deadline(now() + Nanoseconds(static_cast<std::int64_t>(played.targetMs * 1e6)));
+    const auto prefill = m_placement->choosePrefill(model, prompt, {}, timely, now());
+    const auto direct = m_placement->chooseDirect(model, m_engineSpec, prompt, allowedPause, {}, now());
+    // No caller waits for longer.
+    if (prefill && prefill->expectedMs > patienceMs && !direct)
+        return;
+    if (direct && (!prefill || direct->expectedMs < prefill->expectedMs))
+        sendOn(job, *direct, true);
+    else if (prefill)
+        sendOn(job, *prefill, false);
+}
+
+double PlayedFleet::cachedWorkMs(const PromptShape& prompt) const
+{
+    return m_speeds.of(model).workMs(prompt.prompt, prompt.shared);
+}
+
+double PlayedFleet::readMs(Engine& engine, const PromptShape& prompt)
+{
+    const auto part = std::find(engine.parts.begin(), engine.parts.end(), prompt.sharedKey);
+    const bool kept = prompt.sharedKey == 0 || part != engine.parts.end();
+    if (prompt.sharedKey != 0) {
+        if (part != engine.parts.end())
+            engine.parts.erase(part);
+        engine.parts.push_front(prompt.sharedKey);
+        const auto most = static_cast<std::size_t>(std::max<std::int64_t>(
+            1, m_spec.memoryTokens / std::max<std::int64_t>(1, prompt.shared.count()) / 2));
+        while (engine.parts.size() > most)
+            engine.parts.pop_back();
+    }
+    const double before = kept ? static_cast<double>(prompt.shared.count()) : 0;
+    const double fresh = static_cast<double>(prompt.prompt.count()) - before;
+    return fresh * m_spec.msPerToken + millionPairs(fresh, before) * m_spec.msPerMillionPairs;
+}
+
+void PlayedFleet::sendOn(const std::shared_ptr<Job>& job, const PlacementChoice& choice, bool direct)
+{
+    auto& at = engine(choice.backend);
+    job->direct = direct;
+    if (direct) {
+        const auto id = choice.backend;
+        const BackendLoad reading { choice.workMs, 0, 0 };
+        m_table.open(id, reading);
+        const double stallMs = directFactor * readMs(at, job->prompt);
+        const double beforeFirst = m_spec.ownPartMs + stallMs;
+        at.stalledMs += stallMs;
+        m_demand.addWork(model, -cachedWorkMs(job->prompt), choice.workMs * m_spec.slots, now());
+        this->at(m_nowMs + beforeFirst, [this, id, reading] { m_table.close(id, reading); });
+        decodeAt(job, at, beforeFirst);
+        return;
+    }
+    m_table.open(choice.backend, choice.prefillLoad());
+    m_table.notePart(choice.backend, job->prompt.sharedKey, now());
+    if (choice.cached < job->prompt.shared)
+        m_demand.addWork(model, choice.workMs - cachedWorkMs(job->prompt), 0, now());
+    at.freeAtMs = std::max(at.freeAtMs, m_nowMs) + readMs(at, job->prompt);
+    const double sent = m_nowMs;
+    this->at(at.freeAtMs + m_spec.ownPartMs, [this, job, choice, sent] {
+        m_table.close(choice.backend, choice.prefillLoad());
+        m_table.noteSpeed(choice.backend, Nanoseconds(static_cast<std::int64_t>((m_nowMs - sent) * 1e6)),
+            Nanoseconds(static_cast<std::int64_t>(choice.ordinaryMs * 1e6)));
+        m_speeds.notePrefill(model, { job->prompt.prompt, choice.cached, choice.aheadMs, m_nowMs - sent });
+        const auto decode
+            = m_placement->chooseDecode(model, m_engineSpec, job->prompt, DataCentre("a"), {}, now());
+        if (decode)
+            decodeAt(job, engine(decode->backend),
+                m_spec.transferMsPerToken * static_cast<double>(job->prompt.prompt.count()));
+    });
+}
+
+void PlayedFleet::decodeAt(const std::shared_ptr<Job>& job, Engine& engine, double beforeFirstMs)
+{
+    const auto id = engine.id;
+    const BackendLoad load { 0, 1, static_cast<double>(job->prompt.prompt.count()) };
+    m_table.open(id, load);
+    job->sentMs = m_nowMs;
+    auto start = [this, job, &engine, beforeFirstMs] {
+        ++engine.running;
+        const double first = m_nowMs + beforeFirstMs + m_spec.pieceMs;
+        const double end = first + (job->pieces - 1) * m_spec.pieceMs;
+        m_inTime += first <= job->arrivedMs + job->targetMs ? 1 : 0;
+        const double stalled = engine.stalledMs;
+        at(end, [this, job, &engine, first, stalled] { endStream(job, engine, first, stalled); });
+    };
+    if (engine.running < m_spec.slots)
+        start();
+    else
+        engine.waiting.emplace_back(std::move(start));
+}
+
+void PlayedFleet::endStream(const std::shared_ptr<Job>& job, Engine& engine, double firstMs, double stalledMs)
+{
+    const double stalled = engine.stalledMs;
+    if (stalled > stalledMs) {
+        at(m_nowMs + stalled - stalledMs,
+            [this, job, &engine, firstMs, stalled] { endStream(job, engine, firstMs, stalled); });
+        return;
+    }
+    --engine.running;
+    m_table.close(engine.id, BackendLoad { 0, 1, static_cast<double>(job->prompt.prompt.count()) });
+    const auto since
+        = [&](double ms) { return Nanoseconds(static_cast<std::int64_t>((ms - job->sentMs) * 1e6)); };
+    if (!job->direct)
+        m_times.noteStream(routeOf(job->kind), since(firstMs), since(m_nowMs));
+    if (engine.waiting.empty())
+        return;
+    const auto next = std::move(engine.waiting.front());
+    engine.waiting.pop_front();
+    next();
+}
+
+PlayedFleetSpec drawFleet(std::uint64_t seed, double busyPart)
+{
+    const auto random = seededRandom(seed);
+    const auto between
+        = [&](double least, double most) { return least * std::pow(most / least, uniform(random)); };
+    PlayedFleetSpec spec;
+    spec.engines = static_cast<int>(between(4, 40));
+    spec.slots = static_cast<int>(between(8, 128));
+    spec.ownPartMs = between(5, 80);
+    spec.msPerToken = between(0.01, 0.04);
+    spec.msPerMillionPairs = between(0.1, 0.5);
+    spec.pieceMs = between(15, 60);
+    spec.transferMsPerToken = between(10, 300) * 1e-5;
+    spec.memoryTokens = 400000;
+    const auto drawKinds = [&] {
+        const double longPart = uniform(random);
+        const double sharedPart = uniform(random);
+        std::vector<PlayedKind> kinds(2);
+        kinds[0]
+            = { 1 - longPart, static_cast<std::int64_t>(between(100, 1000)), 100, 40, between(3, 40), 0 };
+        kinds[1] = { longPart / 8, static_cast<std::int64_t>(between(1500, 6000)),
+            static_cast<std::int64_t>(14000 * sharedPart), 30, between(3, 40), 0 };
+        double engines = 0;
+        for (auto& kind : kinds) {
+            const double fresh = static_cast<double>(kind.ownTokens);
+            const double read = fresh * spec.msPerToken
+                + millionPairs(fresh, static_cast<double>(kind.sharedTokens)) * spec.msPerMillionPairs;
+            const double transfer
+                = spec.transferMsPerToken * static_cast<double>(kind.ownTokens + kind.sharedTokens);
+            const double hold = transfer + kind.pieces * spec.pieceMs;
+            kind.targetMs = 150 + 2.5 * (spec.ownPartMs + read + transfer + spec.pieceMs);
+            engines += kind.perSecond * (read + hold / spec.slots) / 1000;
+        }
+        for (auto& kind : kinds)
+            kind.perSecond *= busyPart * spec.engines / engines;
+        return kinds;
+    };
+    spec.kinds = drawKinds();
+    spec.laterKinds = drawKinds();
+    return spec;
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Tests/Serving/PlayedFleet.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "Serving/DecodeTimes.h"
+#include "Serving/DemandMeter.h"
+#include "Serving/EngineSpeeds.h"
+#include "Serving/Placement.h"
+#include "Serving/RoleSplit.h"
+
+#include "Core/RandomSource.h"
+#include "ServingFixtures.h"
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace almondscale {
+
+// One kind of request of a played fleet.
+struct PlayedKind {
+    double perSecond = 0;
+    std::int64_t ownTokens = 0;
+    std::int64_t sharedTokens = 0;
+    std::uint64_t sharedParts = 0;
+    double pieces = 0;
+    double targetMs = 0;
+};
+
+// A fleet of engines with their real times, which the policy is not told.
+struct PlayedFleetSpec {
+    int engines = 0;
+    int slots = 0;
+    double ownPartMs = 0;
+    double msPerToken = 0;
+    double msPerMillionPairs = 0;
+    double pieceMs = 0;
+    double transferMsPerToken = 0;
+    std::int64_t memoryTokens = 0;
+    std::vector<PlayedKind> kinds;
+    // In the second half of the play.
+    std::vector<PlayedKind> laterKinds;
+};
+
+// Plays a load on a fleet whose engines work by a model of their own. Engines that prefill
+// take one prompt after the other; engines that decode have places, and a queue before them.
+class PlayedFleet {
+public:
+    PlayedFleet(const PlayedFleetSpec& spec, std::uint64_t seed);
+
+    // The share of requests that get their first event in time. With a number of decode engines
+    // that split stays; without one RoleSplit decides.
+    double play(std::optional<int> fixedDecode);
+
+    int orders() const { return m_orders; }
+
+private:
+    struct Engine {
+        BackendId id;
+        EngineRole role = EngineRole::Decode;
+        // When its prefills are done, and what they keep.
+        double freeAtMs = 0;
+        std::list<std::uint64_t> parts;
+        std::int64_t kept = 0;
+        int running = 0;
+        // Milliseconds for which its streams have stood still, in all.
+        double stalledMs = 0;
+        std::deque<std::function<void()>> waiting;
+    };
+
+    struct Job;
+
+    double nowMs() const { return m_nowMs; }
+    MonotonicTime now() const { return testStart + Nanoseconds(static_cast<std::int64_t>(m_nowMs * 1e6)); }
+    void at(double ms, std::function<void()> action);
+    void arrive(std::size_t kind);
+    void sendOn(const std::shared_ptr<Job>& job, const PlacementChoice& choice, bool direct);
+    void endStream(const std::shared_ptr<Job>& job, Engine& engine, double firstMs, double stalledMs);
+    void decodeAt(const std::shared_ptr<Job>& job, Engine& engine, double beforeFirstMs);
+    void decideSplit();
+    void turn(const RoleAssignment& order, bool atOnce);
+    void setRole(Engine& engine, EngineRole role);
+    double cachedWorkMs(const PromptShape& prompt) const;
+    double readMs(Engine& engine, const PromptShape& prompt);
+    Engine& engine(const BackendId& id) { return *m_byId.at(id); }
+    const std::vector<PlayedKind>& kinds() const;
+
+    PlayedFleetSpec m_spec;
+    RandomSource m_random;
+    std::vector<Engine> m_engines;
+    std::map<BackendId, Engine*> m_byId;
+    BackendTable m_table;
+    EngineSpeeds m_speeds;
+    DecodeTimes m_times;
+    DemandMeter m_demand;
+    std::unique_ptr<Placement> m_placement;
+    RoleSplit m_split { m_table };
+    EngineSpec m_engineSpec;
+    using Event = std::pair<double, std::function<void()>>;
+    struct Later {
+        bool operator()(const Event& a, const Event& b) const { return a.first > b.first; }
+    };
+    std::priority_queue<Event, std::vector<Event>, Later> m_events;
+    double m_nowMs = 0;
+    std::uint64_t m_ownKey = 1'000'000;
+    int m_asked = 0;
+    int m_inTime = 0;
+    int m_orders = 0;
+};
+
+// A fleet and a mix drawn by seed; of the engines, a part is kept busy by the load.
+PlayedFleetSpec drawFleet(std::uint64_t seed, double busyPart);
+
+} // namespace almondscale
