Bound what an answer without an end may take, and keep own calls' connections apart

What callers would see: a server in trouble that sends bytes without end takes the memory of the host, which is killed, and with it all open requests. A head without end was bounded already (64 KB).

The attempt counts as one that may have run, as before.

Found beside it: calls of the host's own (freeing a cache, reports, orders) used the connections of callers' requests, and their answers name no request: a second, late copy of one stood in front of the next request's answer. They have connections of their own now.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -47,6 +47,7 @@
         : m_settings(std::move(settings))
         , m_readSettings(std::move(readSettings))
         , m_pool(m_loop.get_executor())
+        , m_ownCalls(m_loop.get_executor())
         , m_lifeProbe(m_pool)
         , m_wire(platform::makeServingWire())
         , m_directory(m_backends)
@@ -54,7 +55,7 @@
         , m_reach(m_backends, m_settings.dataCentre)
         , m_retries(m_settings.retries, initialHosts)
         , m_self { m_settings.host, m_settings.dataCentre, m_settings.peers, m_settings.strength }
-        , m_store(m_pool, m_settings.store)
+        , m_store(m_ownCalls, m_settings.store)
         , m_network(m_loop.get_executor(), m_self, m_settings.seeds, m_mirror, m_crashes,
               { [this] { return ownWork(); }, [this](const PeerWork& work) { setOthersWork(work); },
                   [this](std::size_t& position) { return m_backends.leavingSince(position); },
@@ -62,12 +63,13 @@
         , m_mirrorDuty(m_store, m_mirror, m_self,
               { [this] { return m_network.reader(); }, [this](SharedTable table) { readDone(table); },
                   [this](SharedTable table) { readFailed(table); } })
-        , m_orderDuty(m_store, m_pool, m_routes, m_backends, m_settings.host, m_settings.lease,
+        , m_orderDuty(m_store, m_ownCalls, m_routes, m_backends, m_settings.host, m_settings.lease,
               { [this] { return m_network.reader(); }, [this] { return totalDemand(); } })
         , m_suspectDuty(m_store, m_crashes, m_settings.host)
         , m_pages(m_self, m_routes, m_backends, m_mirror, m_orderDuty.lease())
         , m_context { m_loop.get_executor(), m_wire, m_routes, m_backends, m_placement, m_retries, m_demand,
-            m_speeds, m_decodeTimes, m_pool, m_lifeProbe, m_crashes, m_suspectDuty.lane(), systemRandom() }
+            m_speeds, m_decodeTimes, m_pool, m_ownCalls, m_lifeProbe, m_crashes, m_suspectDuty.lane(),
+            systemRandom() }
         , m_readyServer(
               m_loop.get_executor(), { [this] { return ready(); }, [this] { return metrics(); }, {} })
         , m_metricsServer(m_loop.get_executor(), pageHooks())
@@ -92,6 +94,7 @@
         m_context.onServerBarred = [this](const BackendLifetime&) { m_metrics.onServerWord("barred"); };
         m_directory.onGone = [this](const BackendRecord& record) {
             m_pool.forget(record.address);
+            m_ownCalls.forget(record.address);
             if (!record.draining)
                 m_crashes.noteGone(lifetimeOf(record), bootTime());
         };
@@ -323,6 +326,7 @@
         for (;;) {
             co_await sleepFor(sweepPause);
             m_pool.sweep();
+            m_ownCalls.sweep();
             m_directory.sweep(bootTime());
             sweepCrashes();
             m_backends.forgetPartsBefore(bootTime() - m_placement.options().partLifetime);
@@ -389,6 +393,7 @@
     Reader m_readSettings;
     boost::asio::io_context m_loop { 1 };
     ConnectionPool m_pool;
+    ConnectionPool m_ownCalls;
     LifeProbe m_lifeProbe;
     ServingWire m_wire;
     RouteTable m_routes;
--- a/Source/Forwarding/BackendConnection.cpp
+++ b/Source/Forwarding/BackendConnection.cpp
@@ -28,6 +28,10 @@
     constexpr Nanoseconds unacknowledged = std::chrono::milliseconds(600);
     constexpr std::size_t pieceBytes = 16 << 10;
     constexpr std::uint32_t mostHeaderBytes = 64 << 10;
+    // What is read ahead of the parser: a head, or the line in front of a chunk, and one piece.
+    constexpr std::size_t mostBufferBytes = mostHeaderBytes + pieceBytes;
+    // Interim answers (1xx) before the answer itself.
+    constexpr int mostInterim = 8;
     // An idle connection is used until so long before the server closes it.
     constexpr Nanoseconds keepAliveMargin = std::chrono::milliseconds(700);
     // Idle time of a connection whose server names none.
@@ -123,7 +127,7 @@
     Address m_address;
     tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { mostBufferBytes };
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, pieceBytes> m_piece {};
     bool m_closed = false;
@@ -194,7 +198,9 @@
     const Impl::Guard guard(impl, deadline);
     impl->m_whole = false;
     impl->m_keep = false;
-    for (;;) {
+    for (int interim = 0;; ++interim) {
+        if (interim > mostInterim)
+            co_return std::make_error_code(std::errc::bad_message);
         auto& parser = impl->m_parser.emplace();
         parser.header_limit(mostHeaderBytes);
         parser.body_limit(boost::none);
--- /dev/null
+++ b/Source/Forwarding/ByteBudget.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstddef>
+
+namespace almondscale {
+
+// Bounds what a host holds of messages that are not whole yet. Each may hold a little; what is
+// beyond is shared, so that messages without an end do not take the memory of all others.
+class ByteBudget {
+public:
+    // One message's part; it is free again with this object.
+    class Share {
+    public:
+        explicit Share(ByteBudget& budget)
+            : m_budget(budget)
+        {
+        }
+        ~Share() { m_budget.m_shared -= m_shared; }
+        Share(const Share&) = delete;
+        Share& operator=(const Share&) = delete;
+
+        // Whether the message may hold so many bytes in all.
+        bool setSize(std::size_t bytes);
+
+    private:
+        ByteBudget& m_budget;
+        std::size_t m_shared = 0;
+    };
+
+    // Bytes that messages hold beyond what each may.
+    std::size_t shared() const { return m_shared; }
+
+private:
+    std::size_t m_shared = 0;
+};
+
+} // namespace almondscale
--- a/Source/Forwarding/CallerSession.cpp
+++ b/Source/Forwarding/CallerSession.cpp
@@ -131,6 +131,7 @@
     {
         const auto limits = m_context.routes.manifest()->limits;
         RequestReader reader(limits);
+        ByteBudget::Share held(m_context.heldBytes);
         m_idle = true;
         const auto idleUntil = Deadline::after(bootTime(), limits.idleTimeout + idleSlack);
         auto deadline = idleUntil;
@@ -144,6 +145,10 @@
                 co_await refuse(reader.error());
                 co_return false;
             }
+            if (!held.setSize(reader.bodyBytes())) {
+                co_await refuse(ErrorKind::QueueFull);
+                co_return false;
+            }
             if (reader.started() && m_idle) {
                 m_idle = false;
                 deadline = Deadline::after(bootTime(), limits.headerTimeout);
--- a/Source/Forwarding/RequestReader.cpp
+++ b/Source/Forwarding/RequestReader.cpp
@@ -83,6 +83,8 @@
 
 bool RequestReader::headDone() const { return m_impl->m_parser.is_header_done(); }
 
+std::size_t RequestReader::bodyBytes() const { return m_impl->m_parser.get().body().size(); }
+
 ReceivedRequest RequestReader::take()
 {
     auto message = m_impl->m_parser.release();
--- a/Source/Forwarding/RequestReader.h
+++ b/Source/Forwarding/RequestReader.h
@@ -43,6 +43,8 @@
     bool wantsContinue() const;
     // Whether the head has arrived.
     bool headDone() const;
+    // Bytes of the body so far.
+    std::size_t bodyBytes() const;
     // The request; to be called once, when it is whole.
     ReceivedRequest take();
 
--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -212,7 +212,7 @@
         }
         if (strays == mostStrays)
             co_return std::make_error_code(std::errc::bad_message);
-        auto skipped = co_await m_connection->readWholeBody(mostAnswerBytes, deadline);
+        auto skipped = co_await readRest(deadline);
         if (!skipped)
             co_return skipped.error();
     }
@@ -303,7 +303,7 @@
     const BackendId& id, const BackendReply& reply, Deadline deadline)
 {
     note(id, reply.wrongBackend ? BackendOutcome::Broken : BackendOutcome::Refused);
-    const auto body = co_await m_connection->readWholeBody(mostAnswerBytes, deadline);
+    const auto body = co_await m_connection->readWholeBody(mostRefusalBytes, deadline);
     if (body)
         m_context.pool.giveBack(std::move(m_connection));
     dropConnection();
@@ -311,9 +311,25 @@
     co_return AttemptEnd::NotRun;
 }
 
+awaitable<Result<std::string>> RequestRun::Impl::readRest(Deadline deadline)
+{
+    ByteBudget::Share share(m_context.heldBytes);
+    std::string body;
+    for (;;) {
+        auto piece = co_await m_connection->readBody(deadline);
+        if (!piece)
+            co_return piece.error();
+        body += piece.value().bytes;
+        if (body.size() > mostAnswerBytes || !share.setSize(body.size()))
+            co_return std::make_error_code(std::errc::message_size);
+        if (piece.value().last)
+            co_return body;
+    }
+}
+
 awaitable<AttemptEnd> RequestRun::Impl::takeWhole(const BackendId& id, BackendReply reply, Deadline deadline)
 {
-    auto body = co_await m_connection->readWholeBody(mostAnswerBytes, deadline);
+    auto body = co_await readRest(deadline);
     if (!body)
         co_return endOfError(id, body.error());
     // A success without its server's proof is not that server's answer.
--- a/Source/Forwarding/RequestRunImpl.h
+++ b/Source/Forwarding/RequestRunImpl.h
@@ -12,6 +12,9 @@
 // The largest whole answer that is held for a caller, in bytes.
 inline constexpr std::size_t mostAnswerBytes = 8 << 20;
 
+// A refusal, or the handle of a prefill, is some hundred bytes.
+inline constexpr std::size_t mostRefusalBytes = 64 << 10;
+
 inline Nanoseconds fromMs(double ms) { return Nanoseconds(static_cast<std::int64_t>(ms * 1e6)); }
 
 // The state of one request's run; its parts are in RequestRun.cpp, RequestRunStream.cpp and
@@ -88,6 +91,9 @@
     // Takes over an answer that says the request did not run.
     awaitable<AttemptEnd> endOfRefusal(const BackendId& id, const BackendReply& reply, Deadline deadline);
 
+    // Reads what is left of an answer, within what this host can hold.
+    awaitable<Result<std::string>> readRest(Deadline deadline);
+
     // Delivers a whole answer, or keeps it if it is a failure after which another server may be tried.
     awaitable<AttemptEnd> takeWhole(const BackendId& id, BackendReply reply, Deadline deadline);
 
--- a/Source/Forwarding/RequestRunStream.cpp
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -21,6 +21,8 @@
     constexpr Nanoseconds streamSilence = milliseconds(1000);
     // Of the priorities that engines know, 0 to 9, the one that yields to all others.
     constexpr Priority leastUrgent { 9 };
+    // An event carries some tokens.
+    constexpr std::size_t mostEventBytes = 64 << 10;
     // Time for freeing a KV cache, which expires by itself.
     constexpr Nanoseconds freeTime = milliseconds(500);
 
@@ -109,7 +111,7 @@
         co_await endOfRefusal(id, reply.value(), deadline);
         co_return std::nullopt;
     }
-    auto body = co_await m_connection->readWholeBody(mostAnswerBytes, deadline);
+    auto body = co_await m_connection->readWholeBody(mostRefusalBytes, deadline);
     if (!body) {
         noteLost(id, body.error());
         co_return std::nullopt;
@@ -129,7 +131,7 @@
 
 awaitable<void> RequestRun::Impl::freeAt(ServingContext& context, KvSource source)
 {
-    const auto freed = co_await callHttp(context.pool, source.engine,
+    const auto freed = co_await callHttp(context.ownCalls, source.engine,
         context.wire.encodeFreeHandle(source.handle), std::string(), Deadline::after(bootTime(), freeTime));
     if (!freed)
         LogEvent("kv_not_freed").with("engine", source.engine.text()).with("error", freed.error().message());
@@ -202,6 +204,9 @@
             co_return endOfError(id, piece.error());
         const bool last = piece.value().last;
         auto events = m_cutter.take(piece.value().bytes);
+        // Bytes that end no event are no answer.
+        if (m_cutter.unfinishedBytes() > mostEventBytes)
+            co_return endOfError(id, std::make_error_code(std::errc::message_size));
         if (!m_cutter.lastId().empty())
             m_lastEvent = m_cutter.lastId();
         // The head waits for the first event, so that the request can go elsewhere until then.
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -2,6 +2,7 @@
 
 #include "Core/RandomSource.h"
 #include "Forwarding/BrokenRun.h"
+#include "Forwarding/ByteBudget.h"
 #include "Forwarding/ConnectionPool.h"
 #include "Forwarding/LifeProbe.h"
 #include "Forwarding/RequestEnd.h"
@@ -31,6 +32,9 @@
     EngineSpeeds& speeds;
     DecodeTimes& decodeTimes;
     ConnectionPool& pool;
+    // Connections for calls of this host's own, whose answers name no request: a late second
+    // copy of one must not meet a caller's request.
+    ConnectionPool& ownCalls;
     LifeProbe& lifeProbe;
     CrashRecords& crashes;
     SuspectLane lane;
@@ -48,6 +52,8 @@
     // so that they come back through the balancer.
     bool servedElsewhere = false;
     int openRequests = 0;
+    // Whole answers and callers' bodies that are being read.
+    ByteBudget heldBytes = {};
 
     bool leavesCallers() const { return stopping || servedElsewhere; }
 };
--- a/Source/Serving/EventCutter.h
+++ b/Source/Serving/EventCutter.h
@@ -16,6 +16,7 @@
     const std::string& lastId() const { return m_lastId; }
     // Whether bytes of an unfinished event are left.
     bool unfinished() const { return !m_rest.empty(); }
+    std::size_t unfinishedBytes() const { return m_rest.size(); }
     // Forgets an unfinished event, before the stream goes on at another server.
     void dropUnfinished() { m_rest.clear(); }
 
--- a/Tests/Forwarding/ForwardingFixture.h
+++ b/Tests/Forwarding/ForwardingFixture.h
@@ -19,12 +19,13 @@
 public:
     ForwardingFixture()
         : pool(loop.get_executor())
+        , ownCalls(loop.get_executor())
         , wire(platform::makeServingWire())
         , placement(backends, DataCentre("a"))
         , retries(bounds(), 1)
         , lifeProbe(pool)
         , context { loop.get_executor(), wire, routes, backends, placement, retries, demand, speeds,
-            decodeTimes, pool, lifeProbe, crashes, lane(), seededRandom(1) }
+            decodeTimes, pool, ownCalls, lifeProbe, crashes, lane(), seededRandom(1) }
         , address(freeLoopbackAddress())
         , listener(loop.get_executor(), [this](tcp::socket socket) {
             const auto session = std::make_shared<CallerSession>(context, std::move(socket));
@@ -142,6 +143,7 @@
 
     boost::asio::io_context loop;
     ConnectionPool pool;
+    ConnectionPool ownCalls;
     ServingWire wire;
     RouteTable routes;
     BackendTable backends;
