Tell whose word keeps work from a server, and hear it in reports and orders too

What was open of the servers' own word that they leave: it was not read in answers to reports and orders, engines that had said so were still counted and ordered by the split, the cache of a prefill was fetched from an engine however long ago it had said so, and the page of servers told state and time but not whose word.

Change: one decoder in platform/ for all answers; OrderDuty passes the word on, and such engines are neither ordered nor counted. A prefill whose engine said more than a second ago that it leaves is made again elsewhere; within the second its cache is fetched, since the engine serves for two at least and a second prefill would keep the caller waiting.

Tests for each; the one of the prefill and the one of the page need the change to pass or to compile.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -59,12 +59,15 @@
         , m_network(m_loop.get_executor(), m_self, m_settings.seeds, m_mirror, m_crashes,
               { [this] { return ownWork(); }, [this](const PeerWork& work) { setOthersWork(work); },
                   [this](std::size_t& position) { return m_backends.leavingSince(position); },
-                  [this](const BackendLifetime& server) { return m_backends.noteLeaving(server); } })
+                  [this](const BackendLifetime& server) {
+                      return m_backends.noteLeaving(server, { bootTime(), false });
+                  } })
         , m_mirrorDuty(m_store, m_mirror, m_self,
               { [this] { return m_network.reader(); }, [this](SharedTable table) { readDone(table); },
                   [this](SharedTable table) { readFailed(table); } })
         , m_orderDuty(m_store, m_ownCalls, m_routes, m_backends, m_settings.host, m_settings.lease,
-              { [this] { return m_network.reader(); }, [this] { return totalDemand(); } })
+              { [this] { return m_network.reader(); }, [this] { return totalDemand(); },
+                  [this](const BackendId& engine) { takeLeaving(engine); } })
         , m_suspectDuty(m_store, m_crashes, m_settings.host)
         , m_pages(m_self, m_routes, m_backends, m_mirror, m_orderDuty.lease())
         , m_context { m_loop.get_executor(), m_wire, m_routes, m_backends, m_placement, m_retries, m_demand,
@@ -282,6 +285,16 @@
         m_network.publish();
     }
 
+    // An engine said that it leaves in an answer to this host's own call.
+    void takeLeaving(const BackendId& engine)
+    {
+        const auto* backend = m_backends.find(engine);
+        if (!backend || !m_backends.noteLeaving(lifetimeOf(backend->record), { bootTime(), true }))
+            return;
+        LogEvent("server_leaving").with("backend", engine);
+        m_context.onServerLeaving(lifetimeOf(backend->record));
+    }
+
     ServiceDemands totalDemand() const
     {
         PeerWork work { {}, m_demand.demand(bootTime()), {} };
--- a/Programs/almondscale-host/OrderDuty.cpp
+++ b/Programs/almondscale-host/OrderDuty.cpp
@@ -105,6 +105,10 @@
     const auto address = engine->record.address;
     const auto report = co_await platform::readEngineReport(
         m_pool, assignment.engine, address, Deadline::after(bootTime(), answerTime));
+    if (report && report->leaving) {
+        m_hooks.onLeaving(assignment.engine);
+        co_return;
+    }
     if (!report || report->changing || report->role == assignment.role) {
         // Its registration lags behind, or it does not answer: it counts as ordered for now.
         m_split.onOrdered(assignment, bootTime());
@@ -125,6 +129,8 @@
         .with("fencing", m_lease.fencing().count())
         .with("accepted_before", report->accepted.count())
         .with("status", status);
+    if (reply && platform::saysLeaving(reply.value().head.fields))
+        m_hooks.onLeaving(assignment.engine);
     // Without an answer the order may still be carried out, so it stays noted.
     if (reply && status != accepted && status != holdsAlready)
         m_split.onRefused(assignment.engine);
--- a/Programs/almondscale-host/OrderDuty.h
+++ b/Programs/almondscale-host/OrderDuty.h
@@ -19,6 +19,8 @@
         std::function<bool()> competes;
         // The demand at all hosts.
         std::function<std::map<ServiceName, EngineDemand>()> demand;
+        // Told of an engine that says in an answer that it leaves.
+        std::function<void(const BackendId&)> onLeaving;
     };
 
     OrderDuty(platform::StoreClient&, ConnectionPool&, const RouteTable&, const BackendTable&, HostId,
--- a/Programs/almondscale-host/StatusPages.cpp
+++ b/Programs/almondscale-host/StatusPages.cpp
@@ -19,6 +19,16 @@
         return now < backend.avoidUntil ? "avoided" : "ready";
     }
 
+    // Whose word it is that the server gets no new work.
+    const char* wordWord(const Backend& backend, const BackendTable& backends, MonotonicTime now)
+    {
+        if (backend.record.draining)
+            return "registration";
+        if (const auto word = backends.leavingWord(backend.record.id))
+            return word->here ? "own answer" : "other host";
+        return backends.barredUntil(backend.record.id).passed(now) ? "" : "own answer";
+    }
+
     std::int64_t msLeft(Deadline deadline, MonotonicTime now)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(deadline.remaining(now)).count();
@@ -109,6 +119,7 @@
             .text("address", backend.record.address.text())
             .text("role", backend.record.role ? engineRoleWord(*backend.record.role) : "")
             .text("state", stateWord(backend, m_backends, now))
+            .text("word", wordWord(backend, m_backends, now))
             .integer("barred_ms", msLeft(m_backends.barredUntil(entry.first), now))
             .integer("open_here", backend.own.requests)
             .integer("open_elsewhere", backend.others.requests)
--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -221,7 +221,7 @@
 void RequestRun::Impl::heed(const BackendReply& reply)
 {
     m_context.crashes.noteAlive(m_server, m_sentAt);
-    if (reply.leaving && m_context.backends.noteLeaving(m_server)) {
+    if (reply.leaving && m_context.backends.noteLeaving(m_server, { bootTime(), true })) {
         LogEvent("server_leaving").with("request", m_request.id).with("backend", m_server.backend);
         if (m_context.onServerLeaving)
             m_context.onServerLeaving(m_server);
--- a/Source/Forwarding/RequestRunImpl.h
+++ b/Source/Forwarding/RequestRunImpl.h
@@ -116,6 +116,9 @@
     awaitable<AttemptEnd> decode(std::optional<KvSource> source, DataCentre prefilledIn,
         std::optional<PlacementChoice> direct = std::nullopt);
 
+    // The engine that holds the prefill said too long ago that it leaves.
+    bool sourceHasLeft() const;
+
     // Until when the next part of a stream is waited for.
     Deadline silenceDeadline() const;
 
--- a/Source/Forwarding/RequestRunStream.cpp
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -23,6 +23,9 @@
     constexpr Priority leastUrgent { 9 };
     // An event carries some tokens.
     constexpr std::size_t mostEventBytes = 64 << 10;
+    // An engine that says that it leaves goes on for two seconds at least; what it has read may
+    // be fetched from it until then.
+    constexpr Nanoseconds leavingSourceTime = milliseconds(1000);
     // Time for freeing a KV cache, which expires by itself.
     constexpr Nanoseconds freeTime = milliseconds(500);
 
@@ -170,6 +173,8 @@
         if (stopped())
             co_return AttemptEnd::NotRun;
     }
+    if (source && sourceHasLeft())
+        co_return AttemptEnd::NotRun;
     const auto id = m_backend;
     ++m_arrivals;
     auto call = callTo(id);
@@ -188,6 +193,12 @@
     co_return co_await forwardStream(id, std::move(reply.value()));
 }
 
+bool RequestRun::Impl::sourceHasLeft() const
+{
+    const auto word = m_context.backends.leavingWord(m_prefill->backend);
+    return word && bootTime() - word->heardAt > leavingSourceTime;
+}
+
 Deadline RequestRun::Impl::silenceDeadline() const
 {
     if (!m_route->repeatable() || m_runs + 1 >= m_route->maxAttempts)
--- a/Source/Serving/BackendTable.cpp
+++ b/Source/Serving/BackendTable.cpp
@@ -96,14 +96,21 @@
     return backend && maySendTo(*backend, now);
 }
 
-bool BackendTable::noteLeaving(const BackendLifetime& server)
+bool BackendTable::noteLeaving(const BackendLifetime& server, const LeavingWord& word)
 {
-    if (!m_leaving.insert(server).second)
+    if (!m_leaving.emplace(server, word).second)
         return false;
     m_leavingInOrder.push_back(server);
     return true;
 }
 
+std::optional<LeavingWord> BackendTable::leavingWord(const BackendId& id) const
+{
+    const auto* backend = find(id);
+    const auto word = backend ? m_leaving.find(lifetimeOf(backend->record)) : m_leaving.end();
+    return word == m_leaving.end() ? std::nullopt : std::optional(word->second);
+}
+
 std::vector<BackendLifetime> BackendTable::leavingSince(std::size_t& position) const
 {
     const auto begin = m_leavingInOrder.begin() + static_cast<std::ptrdiff_t>(position);
--- a/Source/Serving/BackendTable.h
+++ b/Source/Serving/BackendTable.h
@@ -4,6 +4,7 @@
 #include "Serving/Backend.h"
 #include "Serving/BackendLifetime.h"
 #include "Serving/BackendOutcome.h"
+#include "Serving/LeavingWord.h"
 #include "Serving/SentPart.h"
 
 #include <deque>
@@ -43,7 +44,9 @@
     bool maySendTo(const BackendId&, MonotonicTime now) const;
     // The server said in an answer that it leaves; whether that is news. No registration
     // takes it back for this lifetime.
-    bool noteLeaving(const BackendLifetime&);
+    bool noteLeaving(const BackendLifetime&, const LeavingWord&);
+    // Whose word it is that the server leaves, if it has said so itself.
+    std::optional<LeavingWord> leavingWord(const BackendId&) const;
     // The server wants nothing from this host until then, at least. Whether it is news.
     bool noteBarred(const BackendLifetime&, Deadline until, MonotonicTime now);
     Deadline barredUntil(const BackendId&) const;
@@ -87,7 +90,7 @@
     std::map<BackendId, Backend> m_backends;
     // Servers that said that they leave. A lifetime is not forgotten with its registration,
     // which may lapse and come back.
-    std::set<BackendLifetime> m_leaving;
+    std::map<BackendLifetime, LeavingWord> m_leaving;
     std::vector<BackendLifetime> m_leavingInOrder;
     std::map<BackendLifetime, Deadline> m_barred;
     std::map<DataCentre, int> m_lossesInRow;
--- /dev/null
+++ b/Source/Serving/LeavingWord.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "Core/MonotonicTime.h"
+
+namespace almondscale {
+
+// That a backend server said in an answer that it leaves.
+struct LeavingWord {
+    MonotonicTime heardAt {};
+    // Whether it said so to this host; otherwise another host passed it on.
+    bool here = false;
+};
+
+} // namespace almondscale
--- a/Source/Serving/RoleSplit.cpp
+++ b/Source/Serving/RoleSplit.cpp
@@ -17,7 +17,7 @@
 
     bool isEngineOf(const Backend& backend, const ServiceName& service)
     {
-        return backend.record.service == service && backend.record.role && !backend.record.draining;
+        return backend.record.service == service && backend.record.role;
     }
 
 } // namespace
@@ -103,7 +103,7 @@
     std::vector<const Backend*> decode;
     for (const auto& entry : m_backends.all()) {
         const auto& backend = entry.second;
-        if (!isEngineOf(backend, service))
+        if (!isEngineOf(backend, service) || m_backends.isLeaving(backend))
             continue;
         auto role = *backend.record.role;
         const auto order = m_orders.find(entry.first);
--- a/Tests/Forwarding/RequestRunTest.cpp
+++ b/Tests/Forwarding/RequestRunTest.cpp
@@ -59,6 +59,9 @@
     }
 
     std::vector<std::string> sources;
+    // The engine that began to leave, and what was heard of that.
+    std::string left;
+    std::size_t heard = 0;
     std::vector<std::string> resumedAfter;
 };
 
@@ -481,6 +484,35 @@
     CHECK(decode.requests == 1);
 }
 
+TEST_CASE_METHOD(
+    StreamFixture, "Prefill of an engine that has said for long that it leaves, is made again at another")
+{
+    servers.clear();
+    backends.remove(BackendId("p"));
+    const std::string handle = R"({"kvHandle":"h1","tokens":1000,"version":1})";
+    for (const std::string id : { "p1", "p2" })
+        addServer(id, EngineRole::Prefill,
+            [this, id, handle](
+                const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
+                // Another host heard it while the first of them read the prompt.
+                if (backends.leavingSince(heard).empty() && left.empty()) {
+                    left = id;
+                    backends.noteLeaving(
+                        lifetimeOf(backends.find(BackendId(id))->record), { bootTime() - 2s, false });
+                }
+                co_await LoopbackServer::write(socket, answerText(request, 200, handle, ""));
+                co_return true;
+            });
+    addServer("d", EngineRole::Decode, stream(2, 2));
+    addServer("d2", EngineRole::Decode, stream(2, 2));
+    const auto reply = ask("POST", "/stream/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().head.status == 200);
+    REQUIRE(sources.size() == 1);
+    const auto leaver = backends.find(BackendId(left))->record.address.text();
+    CHECK(sources[0].find(leaver + "/") == std::string::npos);
+}
+
 TEST_CASE_METHOD(
     ForwardingFixture, "Server that asks for a pause, gets nothing until it ends, and callers are told so")
 {
--- a/Tests/Host/StatusPagesTest.cpp
+++ b/Tests/Host/StatusPagesTest.cpp
@@ -132,3 +132,24 @@
 {
     CHECK_FALSE(pages.page("/almondscale/ready", {}, now));
 }
+
+TEST_CASE_METHOD(
+    StatusPagesFixture, "Servers page tells whose word keeps new work from a server, and for how long")
+{
+    const auto wordOf = [&](const char* id) {
+        const auto json = page("/servers");
+        for (const auto& server : jsonMember(json, "servers")->GetArray()) {
+            if (jsonString(server, "id") == id)
+                return jsonString(server, "state") + ", " + jsonString(server, "word") + ", "
+                    + std::to_string(jsonInteger(server, "barred_ms"));
+        }
+        return std::string();
+    };
+    CHECK(wordOf("desk-1") == "draining, registration, 0");
+    CHECK(wordOf("engine-1") == "ready, , 0");
+    const auto engine = lifetimeOf(backends.find(BackendId("engine-1"))->record);
+    backends.noteBarred(engine, Deadline::after(now, 700ms), now);
+    CHECK(wordOf("engine-1") == "barred, own answer, 700");
+    backends.noteLeaving(engine, { now, false });
+    CHECK(wordOf("engine-1") == "leaving, other host, 700");
+}
--- a/Tests/PlatformAdapter/OrderCodecTest.cpp
+++ b/Tests/PlatformAdapter/OrderCodecTest.cpp
@@ -25,3 +25,14 @@
     CHECK_FALSE(decodeReport("{}"));
     CHECK_FALSE(decodeReport("nothing"));
 }
+
+TEST_CASE("Answer whose server leaves is told by its head, others are not")
+{
+    HttpFields fields;
+    CHECK_FALSE(platform::saysLeaving(fields));
+    fields.add("server-leaving", "1");
+    CHECK(platform::saysLeaving(fields));
+    HttpFields stays;
+    stays.add("Server-Leaving", "0");
+    CHECK_FALSE(platform::saysLeaving(stays));
+}
--- a/Tests/Serving/BackendTableTest.cpp
+++ b/Tests/Serving/BackendTableTest.cpp
@@ -166,8 +166,8 @@
     BackendTableFixture, "Server that said it leaves, registered again as ready, still gets no new work")
 {
     const auto record = table.find(first)->record;
-    CHECK(table.noteLeaving(lifetimeOf(record)));
-    CHECK_FALSE(table.noteLeaving(lifetimeOf(record)));
+    CHECK(table.noteLeaving(lifetimeOf(record), { testStart, true }));
+    CHECK_FALSE(table.noteLeaving(lifetimeOf(record), { testStart, true }));
     CHECK(table.usable(model, testStart).size() == 1);
     // Its registration lapses while the store is away, and comes back.
     table.remove(first);
@@ -183,7 +183,7 @@
     BackendTableFixture, "Server that leaves, with its address used again, does not bar the new one")
 {
     auto record = table.find(first)->record;
-    table.noteLeaving(lifetimeOf(record));
+    table.noteLeaving(lifetimeOf(record), { testStart, true });
     table.remove(first);
     record.id = BackendId("e3");
     table.put(record);
--- a/Tests/Serving/RoleSplitTest.cpp
+++ b/Tests/Serving/RoleSplitTest.cpp
@@ -179,6 +179,16 @@
     CHECK(carryOut(split.decide(model, ordinary, testStart + 4s), testStart + 4s) == 1);
 }
 
+TEST_CASE_METHOD(
+    RoleSplitFixture, "Split, with an engine that has said that it leaves, orders and counts the others")
+{
+    for (int i = 4; i < 7; ++i)
+        table.noteLeaving(
+            lifetimeOf(table.find(BackendId("e" + std::to_string(i)))->record), { testStart, true });
+    // Four engines prefill and two decode of the six that stay.
+    CHECK(split.decide(model, EngineDemand(), testStart).empty());
+}
+
 TEST_CASE("Split of a fleet, of any size, leaves an engine for each role")
 {
     const BackendTable empty;
