Tell all hosts of an engine before it is ordered to another role

Cause: hosts went on sending to an engine that was turned until its registration showed the new role, and each was refused; with 195 hosts a host's part of the retry budget is less than four. It was so before, on every fleet, but there were few orders under load.

Change: the holder of the lease announces the engines over the links, waits 200 ms, then orders; every host takes an announced engine for barred until its registration shows the role or the time of a change and of the registrations' lag is over. A surplus of decode engines is given up one by one, and only where prefill engines are busy for 65 % of their time; lacking ones still come several at a time.

Left: an engine that refuses its order gets no work until the time is over.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -61,12 +61,18 @@
                   [this](std::size_t& position) { return m_backends.leavingSince(position); },
                   [this](const BackendLifetime& server) {
                       return m_backends.noteLeaving(server, { bootTime(), false });
-                  } })
+                  },
+                  [this](std::size_t& position) { return m_backends.turnsSince(position); },
+                  [this](const RoleTurn& turn) { return m_backends.noteTurn(turn, bootTime()); } })
         , m_mirrorDuty(m_store, m_mirror, m_self,
               { [this] { return m_network.reader(); }, [this](SharedTable table) { readDone(table); },
                   [this](SharedTable table) { readFailed(table); } })
         , m_orderDuty(m_store, m_ownCalls, m_routes, m_backends, m_settings.host, m_settings.lease,
               { [this] { return m_network.reader(); }, [this] { return totalDemand(); },
+                  [this](const RoleTurn& turn) {
+                      if (m_backends.noteTurn(turn, bootTime()))
+                          m_network.publish();
+                  },
                   [this](const BackendId& engine) { takeLeaving(engine); } })
         , m_suspectDuty(m_store, m_crashes, m_settings.host)
         , m_pages(m_self, m_routes, m_backends, m_mirror, m_orderDuty.lease())
--- a/Programs/almondscale-host/OrderDuty.cpp
+++ b/Programs/almondscale-host/OrderDuty.cpp
@@ -14,6 +14,10 @@
     constexpr Nanoseconds step = std::chrono::milliseconds(200);
     // An engine answers an order or a report in a few milliseconds.
     constexpr Nanoseconds answerTime = std::chrono::milliseconds(500);
+    // News passes three links, each of which tells it within 20 to 60 ms.
+    constexpr Nanoseconds announceTime = std::chrono::milliseconds(200);
+    // From a change of role until hosts read it in the engine's registration.
+    constexpr Nanoseconds registrationLag = std::chrono::milliseconds(2500);
     // An order accepted by an engine, or one that holds already.
     constexpr int accepted = 202;
     constexpr int holdsAlready = 200;
@@ -92,11 +96,26 @@
         const auto found = demand.find(entry.first);
         const auto wanted
             = m_split.decide(entry.first, found == demand.end() ? EngineDemand() : found->second, bootTime());
+        if (wanted.empty())
+            continue;
+        for (const auto& assignment : wanted)
+            announce(assignment, entry.second.engine->roleChange);
+        // Requests that are on their way to the engines are taken before the order.
+        co_await sleepFor(announceTime);
         for (const auto& assignment : wanted)
             co_await order(assignment);
     }
 }
 
+void OrderDuty::announce(const RoleAssignment& assignment, Nanoseconds roleChange)
+{
+    const auto* engine = m_backends.find(assignment.engine);
+    if (!engine)
+        return;
+    const auto until = Deadline::after(bootTime(), announceTime + roleChange + registrationLag);
+    m_hooks.onTurn({ lifetimeOf(engine->record), assignment.role, until });
+}
+
 awaitable<void> OrderDuty::order(RoleAssignment assignment)
 {
     const auto* engine = m_backends.find(assignment.engine);
--- a/Programs/almondscale-host/OrderDuty.h
+++ b/Programs/almondscale-host/OrderDuty.h
@@ -19,6 +19,8 @@
         std::function<bool()> competes;
         // The demand at all hosts.
         std::function<std::map<ServiceName, EngineDemand>()> demand;
+        // An engine is about to be turned; every host is told, so that none sends it more.
+        std::function<void(const RoleTurn&)> onTurn;
         // Told of an engine that says in an answer that it leaves.
         std::function<void(const BackendId&)> onLeaving;
     };
@@ -34,6 +36,7 @@
 
 private:
     awaitable<void> giveOrders();
+    void announce(const RoleAssignment&, Nanoseconds roleChange);
     awaitable<void> order(RoleAssignment);
     void noteHolding();
 
--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -103,6 +103,12 @@
         return static_cast<std::uint32_t>(std::max<std::int64_t>(0, age));
     }
 
+    std::uint32_t msLeft(Deadline until, MonotonicTime now)
+    {
+        return static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(until.remaining(now)).count());
+    }
+
     flatbuffers::Offset<peerwire::CrashRecord> encodeCrash(
         flatbuffers::FlatBufferBuilder& builder, const CrashRecord& record, MonotonicTime now)
     {
@@ -224,6 +230,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::Lifetime>>> leavingList;
     if (!leaving.empty())
         leavingList = builder.CreateVector(leaving);
+    std::vector<flatbuffers::Offset<peerwire::Turn>> turns;
+    for (const auto& turn : frame.turns)
+        turns.push_back(peerwire::CreateTurn(builder,
+            peerwire::CreateLifetime(
+                builder, builder.CreateString(turn.engine.backend.text()), turn.engine.startedAtMs),
+            turn.role == EngineRole::Decode, msLeft(turn.until, now)));
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::Turn>>> turnList;
+    if (!turns.empty())
+        turnList = builder.CreateVector(turns);
     const auto loadList = builder.CreateVectorOfStructs(
         frame.work ? encodeLoads(frame.work->loads) : std::vector<peerwire::Load>());
     flatbuffers::Offset<flatbuffers::String> host;
@@ -239,7 +254,7 @@
         partList = encodeParts(builder, frame.work->parts);
     }
     builder.Finish(peerwire::CreatePeerFrame(builder, host, dataCentre, frame.work.has_value(), loadList,
-        demandList, newsList, partList, frame.whole, crashList, leavingList));
+        demandList, newsList, partList, frame.whole, crashList, leavingList, turnList));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -269,6 +284,17 @@
         for (const auto* each : *from->leaving())
             frame.leaving.push_back({ BackendId(textOf(each->server())), each->started_at_ms() });
     }
+    if (from->turns()) {
+        for (const auto* each : *from->turns()) {
+            if (!each->engine())
+                continue;
+            RoleTurn turn;
+            turn.engine = { BackendId(textOf(each->engine()->server())), each->engine()->started_at_ms() };
+            turn.role = each->decode() ? EngineRole::Decode : EngineRole::Prefill;
+            turn.until = Deadline::after(now, std::chrono::milliseconds(each->left_ms()));
+            frame.turns.push_back(std::move(turn));
+        }
+    }
     return frame;
 }
 
--- a/Source/Peers/PeerFrame.h
+++ b/Source/Peers/PeerFrame.h
@@ -51,6 +51,8 @@
     std::vector<CrashRecord> crashes;
     // Servers that said in an answer that they leave.
     std::vector<BackendLifetime> leaving;
+    // Engines that change their role.
+    std::vector<RoleTurn> turns;
 };
 
 // The frame's bytes without a length in front; ages in it are counted until `now`.
--- a/Source/Peers/PeerFrames_generated.h
+++ b/Source/Peers/PeerFrames_generated.h
@@ -38,6 +38,9 @@
 struct Lifetime;
 struct LifetimeBuilder;
 
+struct Turn;
+struct TurnBuilder;
+
 struct PeerFrame;
 struct PeerFrameBuilder;
 
@@ -726,6 +729,68 @@
       started_at_ms);
 }
 
+struct Turn FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TurnBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENGINE = 4,
+    VT_DECODE = 6,
+    VT_LEFT_MS = 8
+  };
+  const almondscale::peerwire::Lifetime *engine() const {
+    return GetPointer<const almondscale::peerwire::Lifetime *>(VT_ENGINE);
+  }
+  bool decode() const {
+    return GetField<uint8_t>(VT_DECODE, 0) != 0;
+  }
+  uint32_t left_ms() const {
+    return GetField<uint32_t>(VT_LEFT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENGINE) &&
+           verifier.VerifyTable(engine()) &&
+           VerifyField<uint8_t>(verifier, VT_DECODE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_LEFT_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct TurnBuilder {
+  typedef Turn Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_engine(flatbuffers::Offset<almondscale::peerwire::Lifetime> engine) {
+    fbb_.AddOffset(Turn::VT_ENGINE, engine);
+  }
+  void add_decode(bool decode) {
+    fbb_.AddElement<uint8_t>(Turn::VT_DECODE, static_cast<uint8_t>(decode), 0);
+  }
+  void add_left_ms(uint32_t left_ms) {
+    fbb_.AddElement<uint32_t>(Turn::VT_LEFT_MS, left_ms, 0);
+  }
+  explicit TurnBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Turn> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Turn>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Turn> CreateTurn(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<almondscale::peerwire::Lifetime> engine = 0,
+    bool decode = false,
+    uint32_t left_ms = 0) {
+  TurnBuilder builder_(_fbb);
+  builder_.add_left_ms(left_ms);
+  builder_.add_engine(engine);
+  builder_.add_decode(decode);
+  return builder_.Finish();
+}
+
 struct PeerFrame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PeerFrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -738,7 +803,8 @@
     VT_PARTS = 16,
     VT_WHOLE = 18,
     VT_CRASHES = 20,
-    VT_LEAVING = 22
+    VT_LEAVING = 22,
+    VT_TURNS = 24
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -770,6 +836,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Lifetime>> *leaving() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Lifetime>> *>(VT_LEAVING);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Turn>> *turns() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Turn>> *>(VT_TURNS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -794,6 +863,9 @@
            VerifyOffset(verifier, VT_LEAVING) &&
            verifier.VerifyVector(leaving()) &&
            verifier.VerifyVectorOfTables(leaving()) &&
+           VerifyOffset(verifier, VT_TURNS) &&
+           verifier.VerifyVector(turns()) &&
+           verifier.VerifyVectorOfTables(turns()) &&
            verifier.EndTable();
   }
 };
@@ -832,6 +904,9 @@
   void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Lifetime>>> leaving) {
     fbb_.AddOffset(PeerFrame::VT_LEAVING, leaving);
   }
+  void add_turns(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Turn>>> turns) {
+    fbb_.AddOffset(PeerFrame::VT_TURNS, turns);
+  }
   explicit PeerFrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -854,8 +929,10 @@
     flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::Part *>> parts = 0,
     bool whole = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::CrashRecord>>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Lifetime>>> leaving = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Lifetime>>> leaving = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Turn>>> turns = 0) {
   PeerFrameBuilder builder_(_fbb);
+  builder_.add_turns(turns);
   builder_.add_leaving(leaving);
   builder_.add_crashes(crashes);
   builder_.add_parts(parts);
@@ -880,7 +957,8 @@
     const std::vector<almondscale::peerwire::Part> *parts = nullptr,
     bool whole = false,
     const std::vector<flatbuffers::Offset<almondscale::peerwire::CrashRecord>> *crashes = nullptr,
-    const std::vector<flatbuffers::Offset<almondscale::peerwire::Lifetime>> *leaving = nullptr) {
+    const std::vector<flatbuffers::Offset<almondscale::peerwire::Lifetime>> *leaving = nullptr,
+    const std::vector<flatbuffers::Offset<almondscale::peerwire::Turn>> *turns = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<almondscale::peerwire::Load>(*loads) : 0;
@@ -889,6 +967,7 @@
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<almondscale::peerwire::Part>(*parts) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::CrashRecord>>(*crashes) : 0;
   auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::Lifetime>>(*leaving) : 0;
+  auto turns__ = turns ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::Turn>>(*turns) : 0;
   return almondscale::peerwire::CreatePeerFrame(
       _fbb,
       host__,
@@ -900,7 +979,8 @@
       parts__,
       whole,
       crashes__,
-      leaving__);
+      leaving__,
+      turns__);
 }
 
 inline const almondscale::peerwire::PeerFrame *GetPeerFrame(const void *buf) {
--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -152,6 +152,7 @@
     std::map<SharedTable, RowVersion> m_known;
     std::uint64_t m_crashesTold = 0;
     std::size_t m_leavingTold = 0;
+    std::size_t m_turnsTold = 0;
     std::weak_ptr<Impl> m_self;
 };
 
@@ -194,4 +195,6 @@
 std::uint64_t& PeerLink::crashesTold() { return m_impl->m_crashesTold; }
 std::size_t& PeerLink::leavingTold() { return m_impl->m_leavingTold; }
 
+std::size_t& PeerLink::turnsTold() { return m_impl->m_turnsTold; }
+
 } // namespace almondscale
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -43,6 +43,8 @@
     std::uint64_t& crashesTold();
     // How many of the servers that leave were told over the link.
     std::size_t& leavingTold();
+    // The same for engines that change their role.
+    std::size_t& turnsTold();
 
 private:
     class Impl;
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -261,6 +261,8 @@
         frame.crashes = m_crashes.changesSince(link.crashesTold(), mostCrashes);
         if (m_hooks.leavingSince)
             frame.leaving = m_hooks.leavingSince(link.leavingTold());
+        if (m_hooks.turnsSince)
+            frame.turns = m_hooks.turnsSince(link.turnsTold());
         return frame;
     }
 
@@ -279,6 +281,10 @@
             m_crashes.merge(record);
         for (const auto& server : frame.leaving)
             news = (m_hooks.onLeaving && m_hooks.onLeaving(server)) || news;
+        for (const auto& turn : frame.turns) {
+            if (!turn.until.passed(now))
+                news = (m_hooks.onTurn && m_hooks.onTurn(turn)) || news;
+        }
         if (news || crashesBefore < m_crashes.version())
             publish();
         m_sum.stale = true;
--- a/Source/Peers/PeerNetwork.h
+++ b/Source/Peers/PeerNetwork.h
@@ -27,6 +27,9 @@
         std::function<std::vector<BackendLifetime>(std::size_t& position)> leavingSince = {};
         // Takes over such a server; whether it is news.
         std::function<bool(const BackendLifetime&)> onLeaving = {};
+        // The same for engines that change their role.
+        std::function<std::vector<RoleTurn>(std::size_t& position)> turnsSince = {};
+        std::function<bool(const RoleTurn&)> onTurn = {};
     };
 
     // The seeds are addresses of other hosts that may be stale.
--- a/Source/Serving/BackendTable.cpp
+++ b/Source/Serving/BackendTable.cpp
@@ -86,6 +86,9 @@
 {
     if (isLeaving(backend))
         return false;
+    const auto turn = m_turns.empty() ? m_turns.end() : m_turns.find(lifetimeOf(backend.record));
+    if (turn != m_turns.end() && turn->second.role != backend.record.role && !turn->second.until.passed(now))
+        return false;
     const auto barred = m_barred.empty() ? m_barred.end() : m_barred.find(lifetimeOf(backend.record));
     return barred == m_barred.end() || barred->second.passed(now);
 }
@@ -150,6 +153,24 @@
     return first;
 }
 
+bool BackendTable::noteTurn(const RoleTurn& turn, MonotonicTime now)
+{
+    auto& known = m_turns[turn.engine];
+    // Told over several links, a turn comes with ends that differ by the way's time.
+    if (known.role == turn.role && !known.until.passed(now))
+        return false;
+    known = turn;
+    m_turnsInOrder.push_back(turn);
+    return true;
+}
+
+std::vector<RoleTurn> BackendTable::turnsSince(std::size_t& position) const
+{
+    const auto begin = m_turnsInOrder.begin() + static_cast<std::ptrdiff_t>(position);
+    position = m_turnsInOrder.size();
+    return { begin, m_turnsInOrder.end() };
+}
+
 void BackendTable::open(const BackendId& id, const BackendLoad& load)
 {
     const auto found = m_backends.find(id);
--- a/Source/Serving/BackendTable.h
+++ b/Source/Serving/BackendTable.h
@@ -5,6 +5,7 @@
 #include "Serving/BackendLifetime.h"
 #include "Serving/BackendOutcome.h"
 #include "Serving/LeavingWord.h"
+#include "Serving/RoleTurn.h"
 #include "Serving/SentPart.h"
 
 #include <deque>
@@ -38,8 +39,8 @@
 
     // By its registration or its own word.
     bool isLeaving(const Backend&) const;
-    // Whether the server may be sent new work: it is not leaving, and has not asked for a
-    // pause that lasts.
+    // Whether the server may be sent new work: it is not leaving or changing its role, and has
+    // not asked for a pause that lasts.
     bool maySendTo(const Backend&, MonotonicTime now) const;
     bool maySendTo(const BackendId&, MonotonicTime now) const;
     // The server said in an answer that it leaves; whether that is news. No registration
@@ -56,6 +57,11 @@
     // the position to the end.
     std::vector<BackendLifetime> leavingSince(std::size_t& position) const;
 
+    // An engine changes its role; whether it is news.
+    bool noteTurn(const RoleTurn&, MonotonicTime now);
+    // Such engines in the order in which this host heard of them; sets the position to the end.
+    std::vector<RoleTurn> turnsSince(std::size_t& position) const;
+
     void open(const BackendId&, const BackendLoad&);
     void close(const BackendId&, const BackendLoad&);
     // An attempt begins. The first one at a server that broke is a trial: others wait for
@@ -93,6 +99,8 @@
     std::map<BackendLifetime, LeavingWord> m_leaving;
     std::vector<BackendLifetime> m_leavingInOrder;
     std::map<BackendLifetime, Deadline> m_barred;
+    std::map<BackendLifetime, RoleTurn> m_turns;
+    std::vector<RoleTurn> m_turnsInOrder;
     std::map<DataCentre, int> m_lossesInRow;
     // In the order of time.
     std::deque<ToldPart> m_toldParts;
--- a/Source/Serving/RoleSplit.cpp
+++ b/Source/Serving/RoleSplit.cpp
@@ -52,6 +52,8 @@
         if (busiest(decode) < busiest(best))
             best = decode;
     }
+    if (now == decoding && best < now && busiest(now) < m_options.crowdedPrefill)
+        return now;
     return now != decoding || busiest(best) < (1 - m_options.worthwhileGain) * busiest(now) ? best : now;
 }
 
@@ -133,11 +135,9 @@
         return {};
     const bool traffic = demand.requests > leastRequests;
     const auto since = (lacking > 0 ? m_lackSince : m_surplusSince).emplace(service, now).first->second;
-    // Far from what the demand needs, waiting costs more than an order.
-    const bool far = demand.decodeMs > 0 && std::abs(lacking) >= m_options.farOff;
-    if (traffic && now - since < (lacking > 0 || far ? m_options.lackDwell : m_options.surplusDwell))
+    if (traffic && now - since < (lacking > 0 ? m_options.lackDwell : m_options.surplusDwell))
         return {};
-    if (traffic && lacking < 0 && now - m_lastOrderAt < (far ? m_options.farPause : m_options.pause))
+    if (traffic && lacking < 0 && now - m_lastOrderAt < m_options.pause)
         return {};
 
     auto& from = lacking > 0 ? prefill : decode;
@@ -154,8 +154,8 @@
         return a->load().requests + a->load().prefillMs < b->load().requests + b->load().prefillMs;
     });
     int together = traffic ? changesTogether(engines, static_cast<int>(prefill.size())) : engines;
-    if (far)
-        together = std::max(together, std::abs(lacking) / 2);
+    if (demand.decodeMs > 0 && lacking >= m_options.farOff)
+        together = std::max(together, lacking / 2);
     const auto most = static_cast<std::size_t>(std::min(std::abs(lacking), together));
     std::vector<RoleAssignment> orders;
     for (const auto* engine : from) {
--- a/Source/Serving/RoleSplit.h
+++ b/Source/Serving/RoleSplit.h
@@ -22,6 +22,9 @@
     // An engine changes for the demand where the busier role is above this part of its time,
     // and this part less busy afterwards.
     double crowdedShare = 0.5;
+    // A decode engine is given up later than that: prompts wait for their turn, but a place that
+    // is missing loses the prefill, too. Parts that are read for the first time look like a crowd.
+    double crowdedPrefill = 0.65;
     double worthwhileGain = 0.12;
     // With so many engines that prefill, a surplus of decode engines is left as it is while
     // demand keeps less than this part of them busy: each order costs, and would serve nobody.
@@ -41,9 +44,10 @@
     Nanoseconds lapseTime = std::chrono::seconds(12);
     // Time after an order in which no further decode engine is turned, but before any traffic.
     Nanoseconds pause = std::chrono::seconds(5);
-    // So many engines from what the demand needs, half of them change at a time, with this pause.
+    // With so many decode engines too few for the demand, half of them change at a time. Hosts
+    // go on sending to an engine that was turned until they hear of it, so a surplus is given
+    // up one by one.
     int farOff = 3;
-    Nanoseconds farPause = std::chrono::seconds(3);
     // An order without effect is given up after this.
     Nanoseconds orderTime = std::chrono::seconds(9);
 };
--- a/Tests/Peers/PeerFrameTest.cpp
+++ b/Tests/Peers/PeerFrameTest.cpp
@@ -37,6 +37,8 @@
     end.apart = true;
     frame.crashes = { { Fingerprint(77), { end } } };
     frame.leaving = { end.server };
+    frame.turns = { { end.server, EngineRole::Decode, Deadline::after(now, 4s) },
+        { end.server, EngineRole::Prefill, Deadline(now) } };
 
     const auto decoded = decodePeerFrame(encodePeerFrame(frame, now), now);
     REQUIRE(decoded);
@@ -58,6 +60,11 @@
     CHECK(decoded->news[0].rows.rows[1].removed);
     REQUIRE(decoded->leaving.size() == 1);
     CHECK(decoded->leaving[0] == end.server);
+    REQUIRE(decoded->turns.size() == 2);
+    CHECK(decoded->turns[0].engine == end.server);
+    CHECK(decoded->turns[0].role == EngineRole::Decode);
+    CHECK(decoded->turns[0].until.remaining(now) == 4s);
+    CHECK(decoded->turns[1].until.passed(now));
     REQUIRE(decoded->crashes.size() == 1);
     CHECK(decoded->crashes[0].content == Fingerprint(77));
     REQUIRE(decoded->crashes[0].ends.size() == 1);
--- a/Tests/Serving/BackendTableTest.cpp
+++ b/Tests/Serving/BackendTableTest.cpp
@@ -212,3 +212,29 @@
     CHECK_FALSE(table.firstBarEnd(ServiceName("other"), testStart));
     CHECK_FALSE(table.firstBarEnd(model, testStart + 3s));
 }
+
+TEST_CASE("Engine that is ordered to another role gets no new work until it has it, or the time is over")
+{
+    BackendTable table;
+    auto record = engineRecord("d1", EngineRole::Decode);
+    table.put(record);
+    table.put(engineRecord("d2", EngineRole::Decode, "a", 2));
+    const auto usable = [&](EngineRole role, MonotonicTime now) { return table.usable(model, now, role).size(); };
+    const RoleTurn turn { lifetimeOf(record), EngineRole::Prefill, Deadline(testStart + 5s) };
+    CHECK(table.noteTurn(turn, testStart));
+    // Heard again over another link.
+    CHECK_FALSE(table.noteTurn(turn, testStart + 1s));
+    std::size_t told = 0;
+    CHECK(table.turnsSince(told).size() == 1);
+    CHECK(table.turnsSince(told).empty());
+    CHECK(usable(EngineRole::Decode, testStart + 1s) == 1);
+    CHECK(usable(EngineRole::Decode, testStart + 6s) == 2);
+    record.role = EngineRole::Prefill;
+    table.put(record);
+    CHECK(usable(EngineRole::Prefill, testStart + 3s) == 1);
+    // A later start of the engine is not meant.
+    record.role = EngineRole::Decode;
+    record.startedAtMs = 77;
+    table.put(record);
+    CHECK(usable(EngineRole::Decode, testStart + 3s) == 2);
+}
