--- a/Tests/Serving/BackendTableTest.cpp
+++ b/Tests/Serving/BackendTableTest.cpp
@@ -219,7 +219,8 @@
     auto record = engineRecord("d1", EngineRole::Decode);
     table.put(record);
     table.put(engineRecord("d2", EngineRole::Decode, "a", 2));
-    const auto usable = [&](EngineRole role, MonotonicTime now) { return table.usable(model, now, role).size(); };
+    const auto usable
+        = [&](EngineRole role, MonotonicTime now) { return table.usable(model, now, role).size(); };
     const RoleTurn turn { lifetimeOf(record), EngineRole::Prefill, Deadline(testStart + 5s) };
     CHECK(table.noteTurn(turn, testStart));
     // Heard again over another link.
