Streams that would come late for want of a place yield to those in time

An engine admits the urgent first. A stream that waits for its place past its target is now sent as the least urgent and is not counted as queue for those that can be in time, as prefills are since long. The wait follows from what is learned of this fleet: places, milliseconds that a place is held, time to the first event. That time now follows the fastest streams by fixed steps; it crept up to the wait itself under a long crowd (a hold of 12 times the places where 3 were needed).

--- a/Source/Forwarding/RequestRunImpl.h
+++ b/Source/Forwarding/RequestRunImpl.h
@@ -104,6 +104,8 @@
     awaitable<AttemptEnd> attemptStream();
 
     // Milliseconds of prefill that the request takes where its shared part is cached.
+    std::optional<PlacementChoice> chooseDecode(
+        const DataCentre& prefilledIn, const Placement::Excluded&) const;
     double cachedWorkMs() const;
 
     awaitable<std::optional<std::string>> prefillAt(PlacementChoice choice, Address address);
--- a/Source/Forwarding/RequestRunStream.cpp
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -35,7 +35,7 @@
 {
     const auto& prompt = *m_request.prompt;
     // Without an engine to decode, a prefill would be work for nothing.
-    if (!m_context.placement.chooseDecode(m_service, *m_engine, prompt, DataCentre(), m_excluded, bootTime()))
+    if (!chooseDecode(DataCentre(), m_excluded))
         co_return noServer();
     const Choose choose = [this, &prompt](const Placement::Excluded& excluded) {
         return m_context.placement.choosePrefill(
@@ -76,6 +76,15 @@
     co_return end;
 }
 
+std::optional<PlacementChoice> RequestRun::Impl::chooseDecode(
+    const DataCentre& prefilledIn, const Placement::Excluded& excluded) const
+{
+    const StreamNeeds needs { m_context.decodeTimes.toFirstMs(m_route->name),
+        m_context.decodeTimes.holdMs(m_route->name), Deadline(m_arrivedAt + m_route->target) };
+    return m_context.placement.chooseDecode(
+        m_service, *m_engine, *m_request.prompt, needs, prefilledIn, excluded, bootTime());
+}
+
 double RequestRun::Impl::cachedWorkMs() const
 {
     const auto& prompt = *m_request.prompt;
@@ -151,21 +160,21 @@
     const auto& prompt = *m_request.prompt;
     std::optional<OpenWork> work;
     m_directWork.reset();
+    bool deferred = false;
     // The cache of a prefill stays where it is until an engine that can be reached takes it.
     for (bool connected = false; !connected;) {
-        const Choose choose = [this, &prompt, &prefilledIn, &direct](const Placement::Excluded& excluded) {
+        const Choose choose = [this, &prefilledIn, &direct](const Placement::Excluded& excluded) {
             if (direct && excluded.count(direct->backend) == 0)
                 return direct;
-            return m_context.placement.chooseDecode(
-                m_service, *m_engine, prompt, prefilledIn, excluded, bootTime());
+            return chooseDecode(prefilledIn, excluded);
         };
         const auto choice = co_await chooseServer(choose, m_excluded);
         if (!choice)
             co_return noServer();
         m_backend = choice->backend;
         m_excluded.insert(m_backend);
-        work.emplace(
-            m_context.backends, m_backend, BackendLoad { 0, 1, static_cast<double>(prompt.prompt.count()) });
+        work.emplace(m_context.backends, m_backend, choice->streamLoad(prompt.prompt));
+        deferred = choice->deferred;
         if (direct && direct->backend == m_backend)
             m_directWork.emplace(m_context.backends, m_backend, BackendLoad { direct->workMs, 0, 0 });
         connected = co_await openConnection(
@@ -179,6 +188,8 @@
     ++m_arrivals;
     auto call = callTo(id);
     call.source = std::move(source);
+    if (deferred)
+        call.priority = leastUrgent;
     const auto deadline = silenceDeadline();
     auto reply = co_await exchange(call, deadline);
     if (!reply)
--- a/Source/Serving/BackendLoad.h
+++ b/Source/Serving/BackendLoad.h
@@ -10,7 +10,8 @@
     int requests = 0;
     // Tokens that the running requests keep in the engine's memory.
     double contextTokens = 0;
-    // Prefill work that yields to all other, in the same milliseconds.
+    // Work that yields to all other, in milliseconds: of prefill, or for which streams hold
+    // their places.
     double deferredMs = 0;
 
     BackendLoad& operator+=(const BackendLoad& other)
--- a/Source/Serving/DecodeTimes.cpp
+++ b/Source/Serving/DecodeTimes.cpp
@@ -8,11 +8,13 @@
 
     // Before any stream of a route has ended.
     constexpr double guessedHoldMs = 300;
+    constexpr double guessedFirstMs = 50;
     // Weight of the newest stream in the average.
     constexpr double newestWeight = 0.05;
-    // A first event that comes sooner is believed at once, a later one by this part: most of
-    // what makes it late is the wait for a place.
-    constexpr double laterWeight = 0.01;
+    // Most of what makes a first event late is the wait for a place, so that the time follows
+    // the fastest ones: half of the way down at once, up by so many milliseconds a stream.
+    constexpr double soonerWeight = 0.5;
+    constexpr double laterStepMs = 0.01;
 
     double toMs(Nanoseconds time) { return static_cast<double>(time.count()) / 1e6; }
 
@@ -27,7 +29,7 @@
         return;
     }
     auto& times = known->second;
-    times.toFirstMs += (firstMs - times.toFirstMs) * (firstMs < times.toFirstMs ? 0.5 : laterWeight);
+    times.toFirstMs += firstMs < times.toFirstMs ? soonerWeight * (firstMs - times.toFirstMs) : laterStepMs;
     const double held = toMs(toEnd - toFirst) + std::min(firstMs, times.toFirstMs);
     times.holdMs += (held - times.holdMs) * newestWeight;
 }
@@ -38,12 +40,10 @@
     return known == m_times.end() ? guessedHoldMs : known->second.holdMs;
 }
 
-std::optional<double> DecodeTimes::toFirstMs(const std::string& route) const
+double DecodeTimes::toFirstMs(const std::string& route) const
 {
     const auto known = m_times.find(route);
-    if (known == m_times.end())
-        return std::nullopt;
-    return known->second.toFirstMs;
+    return known == m_times.end() ? guessedFirstMs : known->second.toFirstMs;
 }
 
 } // namespace almondscale
--- a/Source/Serving/DecodeTimes.h
+++ b/Source/Serving/DecodeTimes.h
@@ -3,7 +3,6 @@
 #include "Core/MonotonicTime.h"
 
 #include <map>
-#include <optional>
 #include <string>
 
 namespace almondscale {
@@ -17,7 +16,7 @@
     // Milliseconds for which such a request holds its place, without its wait for one.
     double holdMs(const std::string& route) const;
     // Milliseconds from the send to the first event at an engine with a free place.
-    std::optional<double> toFirstMs(const std::string& route) const;
+    double toFirstMs(const std::string& route) const;
 
 private:
     struct Times {
--- a/Source/Serving/Placement.cpp
+++ b/Source/Serving/Placement.cpp
@@ -109,32 +109,60 @@
     return home && m_options.warmBeforeMs && backend.record.startedAtMs <= *m_options.warmBeforeMs;
 }
 
+struct Placement::DecodeQuery {
+    std::vector<const Backend*> engines;
+    const EngineSpec& spec;
+    const PromptShape& prompt;
+    const StreamNeeds& needs;
+    const DataCentre& prefilledIn;
+};
+
 std::optional<PlacementChoice> Placement::chooseDecode(const ServiceName& service, const EngineSpec& spec,
-    const PromptShape& prompt, const DataCentre& prefilledIn, const Excluded& excluded,
-    MonotonicTime now) const
+    const PromptShape& prompt, const StreamNeeds& needs, const DataCentre& prefilledIn,
+    const Excluded& excluded, MonotonicTime now) const
 {
+    DecodeQuery query { {}, spec, prompt, needs, prefilledIn };
+    for (const auto* backend : m_backends.usable(service, now, EngineRole::Decode)) {
+        if (excluded.count(backend->record.id) == 0)
+            query.engines.push_back(backend);
+    }
+    auto best = bestDecode(query, false);
+    const bool waits = best && best->aheadMs > 0;
+    const double leftMs = static_cast<double>(needs.timely.remaining(now).count()) / 1e6;
+    if (!waits || best->expectedMs <= m_options.deferFactor * leftMs)
+        return best;
+    return bestDecode(query, true);
+}
+
+std::optional<PlacementChoice> Placement::bestDecode(const DecodeQuery& query, bool deferred) const
+{
+    const double memory = static_cast<double>(std::max<std::int64_t>(1, query.spec.memory.count()));
+    const double holdMs = std::max(1.0, query.needs.holdMs);
+    const int slots = std::max(1, query.spec.slots);
     std::optional<PlacementChoice> best;
     double bestCost = 0;
-    for (const auto* backend : m_backends.usable(service, now, EngineRole::Decode)) {
-        if (excluded.count(backend->record.id) > 0)
-            continue;
+    for (const auto* backend : query.engines) {
         const auto load = backend->load();
-        const double memory = static_cast<double>(std::max<std::int64_t>(1, spec.memory.count()));
-        const double filled = (load.contextTokens + static_cast<double>(prompt.prompt.count())) / memory;
+        const double filled
+            = (load.contextTokens + static_cast<double>(query.prompt.prompt.count())) / memory;
         const double running = std::max(0, load.requests) + 1;
-        // A full engine makes the request wait for another to end, most of an answer's time.
+        // Those that yield are passed in the queue.
+        const double passed = deferred ? 0 : std::max(0.0, load.deferredMs) / holdMs;
+        const double queued = std::max(0.0, running - passed - slots);
         double cost = running * stepMsPerRequest * 10 * backend->delayFactor();
         cost += failureMs * backend->failureShare;
         if (filled > m_options.memoryShare)
             cost += 1000 * (filled - m_options.memoryShare);
-        if (running > spec.slots)
-            cost += 100 * (running - spec.slots);
-        if (backend->record.dataCentre != prefilledIn)
+        cost += 100 * queued;
+        if (backend->record.dataCentre != query.prefilledIn)
             cost += m_options.otherDataCentreMs;
-        if (!best || cost < bestCost) {
-            best = PlacementChoice { backend->record.id, cost, cost, cost, 0, {}, false };
-            bestCost = cost;
-        }
+        if (best && cost >= bestCost)
+            continue;
+        const double waitMs = holdMs * queued / slots;
+        const double ordinary = query.needs.firstMs + waitMs;
+        const double expected = ordinary * backend->delayFactor();
+        best = PlacementChoice { backend->record.id, expected, holdMs, ordinary, waitMs, {}, deferred };
+        bestCost = cost;
     }
     return best;
 }
--- a/Source/Serving/Placement.h
+++ b/Source/Serving/Placement.h
@@ -6,6 +6,7 @@
 #include "Serving/EngineSpec.h"
 #include "Serving/EngineSpeedModel.h"
 #include "Serving/PromptShape.h"
+#include "Serving/StreamNeeds.h"
 
 #include <functional>
 #include <optional>
@@ -28,8 +29,9 @@
     // What an answer that comes late weighs, in milliseconds. Later still weighs no
     // more: a request that is late everywhere stays where its part is.
     double lateMs = 600;
-    // A prefill yields to others when it is expected to take more than this part of what
-    // is left for it. Above 1 a crowd's queue settles where all of it is late.
+    // A prefill, and a stream that has to wait for its place, yields to others when it is
+    // expected to take more than this part of what is left for it. Above 1 a crowd's queue settles where all
+    // of it is late.
     double deferFactor = 1;
     // All hosts prefer the same engine for a part's second copy, and so on.
     double rankMs = 10;
@@ -66,11 +68,16 @@
     double aheadMs = 0;
     // Tokens of the prompt that the server is believed to keep.
     TokenCount cached;
-    // The prefill comes late everywhere and yields to those that can be in time.
+    // The answer comes late everywhere and yields to those that can be in time.
     bool deferred = false;
 
     // What the prefill adds to the work of its engine.
     BackendLoad prefillLoad() const { return { deferred ? 0 : workMs, 0, 0, deferred ? workMs : 0 }; }
+    // What a stream of the prompt adds to the work of its engine.
+    BackendLoad streamLoad(TokenCount prompt) const
+    {
+        return { 0, 1, static_cast<double>(prompt.count()), deferred ? workMs : 0 };
+    }
 };
 
 // Chooses backend servers by expected completion. It answers a load of long
@@ -90,7 +97,7 @@
         const ServiceName&, const PromptShape&, const Excluded&, Deadline timely, MonotonicTime now) const;
     // The engine that decodes after a prefill in the data centre.
     std::optional<PlacementChoice> chooseDecode(const ServiceName&, const EngineSpec&, const PromptShape&,
-        const DataCentre& prefilledIn, const Excluded&, MonotonicTime now) const;
+        const StreamNeeds&, const DataCentre& prefilledIn, const Excluded&, MonotonicTime now) const;
     // An engine that decodes and has room to read the prompt itself, beside its streams; none if
     // that takes longer than a pause that their callers allow.
     std::optional<PlacementChoice> chooseDirect(const ServiceName&, const EngineSpec&, const PromptShape&,
@@ -102,7 +109,9 @@
 
 private:
     struct PrefillQuery;
+    struct DecodeQuery;
     std::optional<PlacementChoice> bestPrefill(const PrefillQuery&, bool deferred) const;
+    std::optional<PlacementChoice> bestDecode(const DecodeQuery&, bool deferred) const;
     bool keepsPart(const Backend&, const PromptShape&, bool home, MonotonicTime now) const;
 
     const BackendTable& m_backends;
--- a/Tests/Serving/PlacementTest.cpp
+++ b/Tests/Serving/PlacementTest.cpp
@@ -89,8 +89,10 @@
 TEST_CASE_METHOD(
     PlacementFixture, "Prompt, decoded after a prefill, stays in that data centre while it has room")
 {
+    const StreamNeeds needs { 20, 300, Deadline::after(testStart, std::chrono::seconds(1)) };
     const auto decodeFor = [&](const char* dataCentre) {
-        return placement.chooseDecode(model, spec, prompt, DataCentre(dataCentre), {}, testStart)->backend;
+        return placement.chooseDecode(model, spec, prompt, needs, DataCentre(dataCentre), {}, testStart)
+            ->backend;
     };
     CHECK(decodeFor("a") == BackendId("d0"));
     CHECK(decodeFor("b") == BackendId("d1"));
@@ -98,6 +100,29 @@
     CHECK(decodeFor("a") == BackendId("d1"));
 }
 
+TEST_CASE_METHOD(PlacementFixture, "Stream, too late for its place in a crowd, yields to one that is in time")
+{
+    const double holdMs = 640;
+    const auto decodeWithin = [&](Nanoseconds left) {
+        const StreamNeeds needs { 20, holdMs, Deadline(testStart + left) };
+        return *placement.chooseDecode(model, spec, prompt, needs, DataCentre("a"), {}, testStart);
+    };
+    for (const auto* id : { "d0", "d1" })
+        table.open(BackendId(id), BackendLoad { 0, spec.slots - 1, 0 });
+    CHECK_FALSE(decodeWithin(0ms).deferred);
+    for (const auto* id : { "d0", "d1" })
+        table.open(BackendId(id), BackendLoad { 0, 20, 0 });
+    CHECK(decodeWithin(100ms).deferred);
+    CHECK(decodeWithin(100ms).expectedMs == Approx(220));
+    CHECK_FALSE(decodeWithin(300ms).deferred);
+    for (const auto* id : { "d0", "d1" }) {
+        for (int i = 0; i < 40; ++i)
+            table.open(BackendId(id), decodeWithin(0ms).streamLoad(TokenCount(0)));
+    }
+    CHECK_FALSE(decodeWithin(300ms).deferred);
+    CHECK(decodeWithin(300ms).expectedMs == Approx(220));
+}
+
 TEST_CASE_METHOD(PlacementFixture, "Request for a plain service, placed among busy servers, takes a free one")
 {
     auto record = engineRecord("s0", EngineRole::Decode, "a", 30);
--- a/Tests/Serving/PlayedFleet.cpp
+++ b/Tests/Serving/PlayedFleet.cpp
@@ -28,6 +28,7 @@
     double pieces = 0;
     double targetMs = 0;
     bool direct = false;
+    BackendLoad load;
 };
 
 PlayedFleet::PlayedFleet(const PlayedFleetSpec& spec, std::uint64_t seed)
@@ -134,8 +135,7 @@
     prompt.prompt = prompt.shared + TokenCount(static_cast<std::int64_t>(std::max(16.0, own)));
     const auto route = routeOf(kind);
     m_demand.onRequest(model, prompt, cachedWorkMs(prompt), m_times.holdMs(route), now());
-    const auto timely = Deadline(now() + Nanoseconds(static_cast<std::int64_t>(played.targetMs * 1e6)));
-    const auto prefill = m_placement->choosePrefill(model, prompt, {}, timely, now());
+    const auto prefill = m_placement->choosePrefill(model, prompt, {}, timely(*job), now());
     const auto direct = m_placement->chooseDirect(model, m_engineSpec, prompt, allowedPause, {}, now());
     // No caller waits for longer.
     if (prefill && prefill->expectedMs > patienceMs && !direct)
@@ -182,7 +182,7 @@
         at.stalledMs += stallMs;
         m_demand.addWork(model, -cachedWorkMs(job->prompt), choice.workMs * m_spec.slots, now());
         this->at(m_nowMs + beforeFirst, [this, id, reading] { m_table.close(id, reading); });
-        decodeAt(job, at, beforeFirst);
+        decodeAt(job, choice, beforeFirst);
         return;
     }
     m_table.open(choice.backend, choice.prefillLoad());
@@ -196,19 +196,27 @@
         m_table.noteSpeed(choice.backend, Nanoseconds(static_cast<std::int64_t>((m_nowMs - sent) * 1e6)),
             Nanoseconds(static_cast<std::int64_t>(choice.ordinaryMs * 1e6)));
         m_speeds.notePrefill(model, { job->prompt.prompt, choice.cached, choice.aheadMs, m_nowMs - sent });
+        const auto route = routeOf(job->kind);
+        const StreamNeeds needs { m_times.toFirstMs(route), m_times.holdMs(route), timely(*job) };
         const auto decode
-            = m_placement->chooseDecode(model, m_engineSpec, job->prompt, DataCentre("a"), {}, now());
+            = m_placement->chooseDecode(model, m_engineSpec, job->prompt, needs, DataCentre("a"), {}, now());
         if (decode)
-            decodeAt(job, engine(decode->backend),
-                m_spec.transferMsPerToken * static_cast<double>(job->prompt.prompt.count()));
+            decodeAt(
+                job, *decode, m_spec.transferMsPerToken * static_cast<double>(job->prompt.prompt.count()));
     });
 }
 
-void PlayedFleet::decodeAt(const std::shared_ptr<Job>& job, Engine& engine, double beforeFirstMs)
+Deadline PlayedFleet::timely(const Job& job) const
 {
-    const auto id = engine.id;
-    const BackendLoad load { 0, 1, static_cast<double>(job->prompt.prompt.count()) };
-    m_table.open(id, load);
+    return Deadline(testStart + Nanoseconds(static_cast<std::int64_t>((job.arrivedMs + job.targetMs) * 1e6)));
+}
+
+void PlayedFleet::decodeAt(
+    const std::shared_ptr<Job>& job, const PlacementChoice& choice, double beforeFirstMs)
+{
+    auto& engine = this->engine(choice.backend);
+    job->load = choice.streamLoad(job->prompt.prompt);
+    m_table.open(engine.id, job->load);
     job->sentMs = m_nowMs;
     auto start = [this, job, &engine, beforeFirstMs] {
         ++engine.running;
@@ -221,7 +229,7 @@
     if (engine.running < m_spec.slots)
         start();
     else
-        engine.waiting.emplace_back(std::move(start));
+        engine.waiting[choice.deferred].emplace_back(std::move(start));
 }
 
 void PlayedFleet::endStream(const std::shared_ptr<Job>& job, Engine& engine, double firstMs, double stalledMs)
@@ -233,15 +241,16 @@
         return;
     }
     --engine.running;
-    m_table.close(engine.id, BackendLoad { 0, 1, static_cast<double>(job->prompt.prompt.count()) });
+    m_table.close(engine.id, job->load);
     const auto since
         = [&](double ms) { return Nanoseconds(static_cast<std::int64_t>((ms - job->sentMs) * 1e6)); };
     if (!job->direct)
         m_times.noteStream(routeOf(job->kind), since(firstMs), since(m_nowMs));
-    if (engine.waiting.empty())
+    auto& waiting = engine.waiting[engine.waiting[0].empty()];
+    if (waiting.empty())
         return;
-    const auto next = std::move(engine.waiting.front());
-    engine.waiting.pop_front();
+    const auto next = std::move(waiting.front());
+    waiting.pop_front();
     next();
 }
 
--- a/Tests/Serving/PlayedFleet.h
+++ b/Tests/Serving/PlayedFleet.h
@@ -9,6 +9,7 @@
 #include "Core/RandomSource.h"
 #include "ServingFixtures.h"
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <list>
@@ -69,7 +70,8 @@
         int running = 0;
         // Milliseconds for which its streams have stood still, in all.
         double stalledMs = 0;
-        std::deque<std::function<void()>> waiting;
+        // Those that wait for a place, and those that yield to them.
+        std::array<std::deque<std::function<void()>>, 2> waiting;
     };
 
     struct Job;
@@ -80,7 +82,8 @@
     void arrive(std::size_t kind);
     void sendOn(const std::shared_ptr<Job>& job, const PlacementChoice& choice, bool direct);
     void endStream(const std::shared_ptr<Job>& job, Engine& engine, double firstMs, double stalledMs);
-    void decodeAt(const std::shared_ptr<Job>& job, Engine& engine, double beforeFirstMs);
+    Deadline timely(const Job& job) const;
+    void decodeAt(const std::shared_ptr<Job>& job, const PlacementChoice& choice, double beforeFirstMs);
     void decideSplit();
     void turn(const RoleAssignment& order, bool atOnce);
     void setRole(Engine& engine, EngineRole role);
