Soak: a backend server that ended answers nothing, also where it just accepted

KNOWN-RED.txt had "requests that end each server that runs them": four servers ended by the prefill request, bound three.

The stand-in kept the connections that it had accepted and whose coroutine had not begun when it ended, and served them on. A server that answers has not ended, so the hosts were right. Ruled out: the direct reading by decode engines (s6 had been ordered to prefill at the start), the lane, records lost between hosts.

--- a/Tests/Soak/fakes.py
+++ b/Tests/Soak/fakes.py
@@ -41,13 +41,28 @@
     def __init__(self, address):
         self.address = address
         self.server = None
+        # Stands for one life of the process; no connection outlasts it, not even one just accepted.
+        self.life = None
         self.writers = set()
+        self.tasks = set()
 
     async def start(self):
+        life = self.life = object()
+
+        def accept(reader, writer):
+            if self.life is not life:
+                writer.transport.abort()
+                return
+            self.writers.add(writer)
+            task = asyncio.create_task(self.serve(reader, writer))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
         host, port = self.address.split(":")
-        self.server = await asyncio.start_server(self.serve, host, int(port), reuse_address=True)
+        self.server = await asyncio.start_server(accept, host, int(port), reuse_address=True)
 
     def crash(self):
+        self.life = None
         if self.server:
             self.server.close()
             self.server = None
@@ -55,7 +70,6 @@
             writer.transport.abort()
 
     async def serve(self, reader, writer):
-        self.writers.add(writer)
         try:
             while True:
                 line, fields, body = await read_message(reader)
