Streams that wait for a place: refused at once where none comes, not cut

Both are cases of the users' list, slow but sound streams that are cut.

- A request whose place cannot come by its deadline is refused before its prefill, with Retry-After.
- The second of silence counts from when the place is expected; a stream that yields waits until its deadline.

Both tests fail without the change (200 with a prefill; sent twice).

--- a/Source/Forwarding/RequestRunImpl.h
+++ b/Source/Forwarding/RequestRunImpl.h
@@ -103,9 +103,13 @@
 
     awaitable<AttemptEnd> attemptStream();
 
-    // Milliseconds of prefill that the request takes where its shared part is cached.
+    // The answer cannot come by the deadline.
+    AttemptEnd tooLate();
+
     std::optional<PlacementChoice> chooseDecode(
         const DataCentre& prefilledIn, const Placement::Excluded&) const;
+
+    // Milliseconds of prefill that the request takes where its shared part is cached.
     double cachedWorkMs() const;
 
     awaitable<std::optional<std::string>> prefillAt(PlacementChoice choice, Address address);
@@ -145,6 +149,8 @@
     MonotonicTime m_prefilledAt {};
     // The reading of a prompt by the engine that decodes, until its first event.
     std::optional<OpenWork> m_directWork;
+    // Until when the stream may have to wait for its place.
+    Deadline m_placeBy;
     // When the first event of a stream went to the caller.
     MonotonicTime m_firstEventAt {};
 
--- a/Source/Forwarding/RequestRunStream.cpp
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -17,7 +17,8 @@
     constexpr Nanoseconds prefillSlack = milliseconds(700);
     // From the end of a prefill to the first event of the answer.
     constexpr Nanoseconds decodeTime = milliseconds(150);
-    // A decode engine that is silent for this long, where the request may go elsewhere.
+    // A decode engine that is silent for this long beyond the wait for a place, where the request
+    // may go elsewhere.
     constexpr Nanoseconds streamSilence = milliseconds(1000);
     // Of the priorities that engines know, 0 to 9, the one that yields to all others.
     constexpr Priority leastUrgent { 9 };
@@ -34,9 +35,12 @@
 awaitable<AttemptEnd> RequestRun::Impl::attemptStream()
 {
     const auto& prompt = *m_request.prompt;
-    // Without an engine to decode, a prefill would be work for nothing.
-    if (!chooseDecode(DataCentre(), m_excluded))
+    // Without an engine to decode in time, a prefill would be work for nothing.
+    const auto place = chooseDecode(DataCentre(), m_excluded);
+    if (!place)
         co_return noServer();
+    if (fromMs(place->expectedMs) > m_deadline.remaining(bootTime()))
+        co_return tooLate();
     const Choose choose = [this, &prompt](const Placement::Excluded& excluded) {
         return m_context.placement.choosePrefill(
             m_service, prompt, excluded, Deadline(m_arrivedAt + m_route->target - decodeTime), bootTime());
@@ -57,11 +61,8 @@
     std::optional<KvSource> source;
     DataCentre prefilledIn;
     if (prefill) {
-        if (fromMs(prefill->expectedMs) > m_deadline.remaining(bootTime())) {
-            m_outOfServers = true;
-            m_error = ErrorKind::DeadlineUnreachable;
-            co_return AttemptEnd::NotRun;
-        }
+        if (fromMs(prefill->expectedMs) > m_deadline.remaining(bootTime()))
+            co_return tooLate();
         const auto* engine = m_context.backends.find(prefill->backend);
         prefilledIn = engine->record.dataCentre;
         const auto address = engine->record.address;
@@ -76,6 +77,13 @@
     co_return end;
 }
 
+AttemptEnd RequestRun::Impl::tooLate()
+{
+    m_outOfServers = true;
+    m_error = ErrorKind::DeadlineUnreachable;
+    return AttemptEnd::NotRun;
+}
+
 std::optional<PlacementChoice> RequestRun::Impl::chooseDecode(
     const DataCentre& prefilledIn, const Placement::Excluded& excluded) const
 {
@@ -175,6 +183,8 @@
         m_excluded.insert(m_backend);
         work.emplace(m_context.backends, m_backend, choice->streamLoad(prompt.prompt));
         deferred = choice->deferred;
+        // Those that yield wait for as long as others come.
+        m_placeBy = deferred ? m_deadline : Deadline::after(bootTime(), fromMs(choice->aheadMs));
         if (direct && direct->backend == m_backend)
             m_directWork.emplace(m_context.backends, m_backend, BackendLoad { direct->workMs, 0, 0 });
         connected = co_await openConnection(
@@ -214,7 +224,7 @@
 {
     if (!m_route->repeatable() || m_runs + 1 >= m_route->maxAttempts)
         return m_deadline;
-    return std::min(m_deadline, Deadline::after(bootTime(), streamSilence));
+    return std::min(m_deadline, Deadline::after(std::max(bootTime(), m_placeBy.at()), streamSilence));
 }
 
 awaitable<AttemptEnd> RequestRun::Impl::forwardStream(BackendId id, BackendReply reply)
--- a/Tests/Forwarding/ForwardingFixture.h
+++ b/Tests/Forwarding/ForwardingFixture.h
@@ -107,12 +107,13 @@
         };
     }
 
-    static HttpRequestHead requestHead(const std::string& method, const std::string& target)
+    static HttpRequestHead requestHead(
+        const std::string& method, const std::string& target, const std::string& patienceMs = "1000")
     {
         HttpRequestHead head { method, target, {} };
         head.fields.add("Host", "h");
         head.fields.add("Request-Id", "r1");
-        head.fields.add("Deadline-Ms", "1000");
+        head.fields.add("Deadline-Ms", patienceMs);
         if (target.find("/stream/") == 0 || target.find("/once/") == 0) {
             head.fields.add("Token-Count", "1000,20");
             head.fields.add("Prefix-Hash", "aa:800,bb:200");
@@ -120,10 +121,11 @@
         return head;
     }
 
-    Result<HttpReply> ask(const std::string& method, const std::string& target)
+    Result<HttpReply> ask(
+        const std::string& method, const std::string& target, const std::string& patienceMs = "1000")
     {
         std::optional<Result<HttpReply>> result;
-        spawn(loop.get_executor(), askInto(requestHead(method, target), result));
+        spawn(loop.get_executor(), askInto(requestHead(method, target, patienceMs), result));
         while (!result && loop.run_one() > 0) { }
         return *result;
     }
--- a/Tests/Forwarding/RequestRunTest.cpp
+++ b/Tests/Forwarding/RequestRunTest.cpp
@@ -59,6 +59,7 @@
     }
 
     std::vector<std::string> sources;
+    std::vector<std::string> urgencies;
     // The engine that began to leave, and what was heard of that.
     std::string left;
     std::size_t heard = 0;
@@ -239,6 +240,44 @@
     CHECK(backends.find(BackendId("d"))->own.prefillMs == 0);
 }
 
+TEST_CASE_METHOD(
+    StreamFixture, "Stream that gets no place in its caller's time is refused at once and not prefilled")
+{
+    addServer("d", EngineRole::Decode, stream(3, 3));
+    const OpenWork busy(backends, BackendId("d"), BackendLoad { 0, 400, 0 });
+    const auto before = bootTime();
+    const auto reply = ask("POST", "/once/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().head.status == 503);
+    CHECK(reply.value().head.fields.has("Retry-After"));
+    CHECK(bootTime() - before < 100ms);
+    CHECK(servers.front()->requests == 0);
+}
+
+TEST_CASE_METHOD(StreamFixture, "Stream that waits for its place for longer than a pause is not sent again")
+{
+    auto manifest = *routes.manifest();
+    ++manifest.version;
+    for (auto& each : manifest.routes)
+        each.timeout = 5s;
+    routes.adopt(manifest);
+    const auto waits
+        = [this](const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
+        urgencies.emplace_back(request["Request-Priority"]);
+        co_await sleepFor(1300ms);
+        co_return co_await stream(2, 2)(request, socket);
+    };
+    addServer("d1", EngineRole::Decode, waits);
+    addServer("d2", EngineRole::Decode, waits);
+    const OpenWork first(backends, BackendId("d1"), BackendLoad { 0, 300, 0 });
+    const OpenWork second(backends, BackendId("d2"), BackendLoad { 0, 300, 0 });
+    const auto reply = ask("POST", "/stream/x", "4000");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().body == event(1) + event(2));
+    // It cannot be in time, and yields.
+    CHECK(urgencies == std::vector<std::string> { "9" });
+}
+
 TEST_CASE_METHOD(
     StreamFixture, "Stream that may be resumed, broken off, goes on at another engine without gap or repeat")
 {
