Decode engines get no more requests than they took when they refused

The manifest does not say how long a queue is.

A refusal shows it: the engine gets no request for ten seconds while so many are under way there, and never less than its places. Where all are full the request is refused at once, before its prefill.

--- a/Source/Serving/Backend.h
+++ b/Source/Serving/Backend.h
@@ -20,6 +20,9 @@
     int breaksInRow = 0;
     // No new work before this, after it broke or refused.
     MonotonicTime avoidUntil {};
+    // Requests from which it refuses more, as a refusal showed, until the time beside it.
+    int fullAt = 0;
+    MonotonicTime fullUntil {};
     // The last attempt found no connection.
     bool unreachable = false;
     // One attempt is under way to see whether a broken server is back.
@@ -37,6 +40,8 @@
     // The factor for what is expected of it.
     double delayFactor() const { return slowness < ordinarySlowness ? 1 : slowness; }
 
+    bool full(MonotonicTime now) const { return fullUntil > now && load().requests >= fullAt; }
+
     BackendLoad load() const
     {
         BackendLoad sum = own;
--- a/Source/Serving/BackendTable.cpp
+++ b/Source/Serving/BackendTable.cpp
@@ -18,6 +18,8 @@
     constexpr Nanoseconds trialTime = std::chrono::milliseconds(600);
     // A refusal says that the server is full now; it drains a request in about this time.
     constexpr Nanoseconds refusalAvoidance = std::chrono::milliseconds(50);
+    // For this long it is believed to have the same room as when it refused.
+    constexpr Nanoseconds fullTime = std::chrono::seconds(10);
     // Bounds of one measurement, so that a single stall does not shut a server out.
     constexpr double leastSlowness = 0.5;
     constexpr double mostSlowness = 12;
@@ -220,6 +222,9 @@
         backend.unreachable = false;
         backend.failureShare = mixed(backend.failureShare, 1);
         backend.avoidUntil = std::max(backend.avoidUntil, now + refusalAvoidance);
+        // The refused request is one of those under way.
+        backend.fullAt = std::max(backend.record.slots, backend.load().requests - 1);
+        backend.fullUntil = now + fullTime;
         return;
     case BackendOutcome::Failed:
         backend.breaksInRow = 0;
--- a/Source/Serving/Placement.cpp
+++ b/Source/Serving/Placement.cpp
@@ -123,7 +123,7 @@
 {
     DecodeQuery query { {}, spec, prompt, needs, prefilledIn };
     for (const auto* backend : m_backends.usable(service, now, EngineRole::Decode)) {
-        if (excluded.count(backend->record.id) == 0)
+        if (excluded.count(backend->record.id) == 0 && !backend->full(now))
             query.engines.push_back(backend);
     }
     auto best = bestDecode(query, false);
--- a/Tests/Serving/PlacementTest.cpp
+++ b/Tests/Serving/PlacementTest.cpp
@@ -123,6 +123,24 @@
     CHECK(decodeWithin(300ms).expectedMs == Approx(220));
 }
 
+TEST_CASE_METHOD(PlacementFixture, "Stream, where engines refused so many, goes only where there are fewer")
+{
+    const StreamNeeds needs { 20, 300, Deadline::after(testStart, std::chrono::seconds(1)) };
+    const auto decode
+        = [&] { return placement.chooseDecode(model, spec, prompt, needs, DataCentre("a"), {}, testStart); };
+    const auto refuseAt = [&](const char* id, int requests) {
+        table.open(BackendId(id), BackendLoad { 0, requests, 0 });
+        table.noteOutcome(BackendId(id), BackendOutcome::Refused, testStart);
+    };
+    refuseAt("d0", 81);
+    CHECK(decode()->backend == BackendId("d1"));
+    refuseAt("d1", 101);
+    CHECK_FALSE(decode());
+    table.close(BackendId("d1"), BackendLoad { 0, 2, 0 });
+    REQUIRE(decode());
+    CHECK(decode()->backend == BackendId("d1"));
+}
+
 TEST_CASE_METHOD(PlacementFixture, "Request for a plain service, placed among busy servers, takes a free one")
 {
     auto record = engineRecord("s0", EngineRole::Decode, "a", 30);
