Many hosts compare few engines that decode, drawn anew for each stream

Half of the streams waited 30 ms for their place and a tenth 400, with places free elsewhere.

Eight hosts compare all engines that decode, more hosts as much fewer of each data centre, drawn for each stream. The test gives 200 streams to 40 engines without any news between them: before, all go to one engine.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -1,6 +1,7 @@
 #include "Host.h"
 
 #include "Core/LogEvent.h"
+#include "Core/RandomSource.h"
 #include "Forwarding/BootClock.h"
 #include "Forwarding/CallerSession.h"
 #include "Forwarding/HttpListener.h"
@@ -152,6 +153,8 @@
     {
         PlacementOptions options;
         options.speedOf = [this](const ServiceName& service) { return m_speeds.of(service); };
+        options.random = systemRandom();
+        options.hosts = [this] { return m_network.hostCount(); };
         const auto now = std::chrono::system_clock::now().time_since_epoch();
         options.warmBeforeMs = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
         if (m_settings.firstStart)
--- a/Source/Serving/Placement.cpp
+++ b/Source/Serving/Placement.cpp
@@ -1,6 +1,8 @@
 #include "Serving/Placement.h"
 
 #include <algorithm>
+#include <cmath>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -109,6 +111,30 @@
     return home && m_options.warmBeforeMs && backend.record.startedAtMs <= *m_options.warmBeforeMs;
 }
 
+std::vector<const Backend*> Placement::decodeEngines(
+    const ServiceName& service, const Excluded& excluded, MonotonicTime now) const
+{
+    std::map<DataCentre, std::vector<const Backend*>> there;
+    for (const auto* backend : m_backends.usable(service, now, EngineRole::Decode)) {
+        if (excluded.count(backend->record.id) == 0 && !backend->full(now))
+            there[backend->record.dataCentre].push_back(backend);
+    }
+    std::vector<const Backend*> engines;
+    const double share = static_cast<double>(m_options.hostsForAll) / std::max(1, m_options.hosts());
+    const std::size_t least = there.size() > 1 ? 1 : 2;
+    for (auto& entry : there) {
+        auto& all = entry.second;
+        const auto drawn = static_cast<std::size_t>(std::ceil(share * static_cast<double>(all.size())));
+        const auto compared = std::min(all.size(), std::max(least, drawn));
+        for (std::size_t i = 0; i < compared; ++i) {
+            if (compared < all.size())
+                std::swap(all[i], all[i + uniformBelow(m_options.random, all.size() - i)]);
+            engines.push_back(all[i]);
+        }
+    }
+    return engines;
+}
+
 struct Placement::DecodeQuery {
     std::vector<const Backend*> engines;
     const EngineSpec& spec;
@@ -121,11 +147,7 @@
     const PromptShape& prompt, const StreamNeeds& needs, const DataCentre& prefilledIn,
     const Excluded& excluded, MonotonicTime now) const
 {
-    DecodeQuery query { {}, spec, prompt, needs, prefilledIn };
-    for (const auto* backend : m_backends.usable(service, now, EngineRole::Decode)) {
-        if (excluded.count(backend->record.id) == 0 && !backend->full(now))
-            query.engines.push_back(backend);
-    }
+    const DecodeQuery query { decodeEngines(service, excluded, now), spec, prompt, needs, prefilledIn };
     auto best = bestDecode(query, false);
     const bool waits = best && best->aheadMs > 0;
     const double leftMs = static_cast<double>(needs.timely.remaining(now).count()) / 1e6;
@@ -175,11 +197,11 @@
     const double mostReadMs = m_options.directPauseShare * static_cast<double>(allowedPause.count()) / 1e6;
     std::optional<PlacementChoice> best;
     double bestCost = 0;
-    for (const auto* backend : m_backends.usable(service, now, EngineRole::Decode)) {
+    for (const auto* backend : decodeEngines(service, excluded, now)) {
         const auto load = backend->load();
         const int running = std::max(0, load.requests);
         const double ahead = std::max(0.0, load.prefillMs);
-        if (excluded.count(backend->record.id) > 0 || running >= spec.slots || ahead + readMs > mostReadMs)
+        if (running >= spec.slots || ahead + readMs > mostReadMs)
             continue;
         const double ordinary = speed.requestMs + ahead + readMs;
         const double expected = ordinary * backend->delayFactor() + failureMs * backend->failureShare;
--- a/Source/Serving/Placement.h
+++ b/Source/Serving/Placement.h
@@ -2,6 +2,7 @@
 
 #include "Core/DataCentre.h"
 #include "Core/Deadline.h"
+#include "Core/RandomSource.h"
 #include "Serving/BackendTable.h"
 #include "Serving/EngineSpec.h"
 #include "Serving/EngineSpeedModel.h"
@@ -11,6 +12,7 @@
 #include <functional>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace almondscale {
 
@@ -52,6 +54,12 @@
     double directPauseShare = 0.3;
     // What a millisecond of such reading costs for each stream that waits meanwhile.
     double directHarm = 0.15;
+    // How many hosts send to the same engines. What many hosts know of each other's work is late,
+    // and all of them would choose the same engine: of the engines that decode, this number of
+    // hosts compares all, and more hosts as much fewer, drawn anew for each request.
+    std::function<int()> hosts = [] { return 1; };
+    int hostsForAll = 8;
+    RandomSource random = seededRandom(1);
     // Part of an engine's memory that running requests may fill.
     double memoryShare = 0.92;
 };
@@ -111,6 +119,8 @@
     struct PrefillQuery;
     struct DecodeQuery;
     std::optional<PlacementChoice> bestPrefill(const PrefillQuery&, bool deferred) const;
+    // Engines that decode, some of each data centre if there are many.
+    std::vector<const Backend*> decodeEngines(const ServiceName&, const Excluded&, MonotonicTime now) const;
     std::optional<PlacementChoice> bestDecode(const DecodeQuery&, bool deferred) const;
     bool keepsPart(const Backend&, const PromptShape&, bool home, MonotonicTime now) const;
 
--- a/Tests/Serving/PlacementTest.cpp
+++ b/Tests/Serving/PlacementTest.cpp
@@ -141,6 +141,32 @@
     CHECK(decode()->backend == BackendId("d1"));
 }
 
+TEST_CASE_METHOD(PlacementFixture, "Streams of many hosts, whose news of each other is late, are spread")
+{
+    constexpr int streams = 200;
+    constexpr int engines = 40;
+    for (int i = 0; i < engines; ++i)
+        table.put(engineRecord("m" + std::to_string(i), EngineRole::Decode, i % 2 == 0 ? "a" : "b",
+            static_cast<std::uint16_t>(100 + i)));
+    for (const char* id : { "d0", "d1" })
+        table.open(BackendId(id), BackendLoad { 0, 200, 0 });
+    PlacementOptions options;
+    options.hosts = [] { return 80; };
+    const Placement ofMany(table, DataCentre("a"), options);
+    const StreamNeeds needs { 20, 300, Deadline::after(testStart, 1s) };
+    std::map<BackendId, int> chosen;
+    for (int i = 0; i < streams; ++i)
+        ++chosen[ofMany.chooseDecode(model, spec, prompt, needs, DataCentre("a"), {}, testStart)->backend];
+    int most = 0;
+    for (const auto& entry : chosen)
+        most = std::max(most, entry.second);
+    // The own data centre has half of them.
+    CHECK(most < 4 * streams / (engines / 2));
+    CHECK(chosen.size() >= engines / 4);
+    // The busy ones are passed over where a drawn one is free.
+    CHECK(chosen[BackendId("d0")] + chosen[BackendId("d1")] < streams / 10);
+}
+
 TEST_CASE_METHOD(PlacementFixture, "Request for a plain service, placed among busy servers, takes a free one")
 {
     auto record = engineRecord("s0", EngineRole::Decode, "a", 30);
