--- a/Source/Serving/Placement.h
+++ b/Source/Serving/Placement.h
@@ -32,8 +32,8 @@
     // more: a request that is late everywhere stays where its part is.
     double lateMs = 600;
     // A prefill, and a stream that has to wait for its place, yields to others when it is
-    // expected to take more than this part of what is left for it. Above 1 a crowd's queue settles where all
-    // of it is late.
+    // expected to take more than this part of what is left for it. Above 1 a crowd's queue
+    // settles where all of it is late.
     double deferFactor = 1;
     // All hosts prefer the same engine for a part's second copy, and so on.
     double rankMs = 10;
@@ -54,11 +54,12 @@
     double directPauseShare = 0.3;
     // What a millisecond of such reading costs for each stream that waits meanwhile.
     double directHarm = 0.15;
-    // How many hosts send to the same engines. What many hosts know of each other's work is late,
-    // and all of them would choose the same engine: of the engines that decode, this number of
-    // hosts compares all, and more hosts as much fewer, drawn anew for each request.
+    // How many hosts send to the same engines.
     std::function<int()> hosts = [] { return 1; };
+    // What many hosts know of each other's work is late, and all of them would choose the same
+    // engine. So many compare all engines that decode; more hosts as much fewer.
     int hostsForAll = 8;
+    // Draws the engines that are compared.
     RandomSource random = seededRandom(1);
     // Part of an engine's memory that running requests may fill.
     double memoryShare = 0.92;
