A stream that has begun is not cut for a pause

The second now counts only before the first event; a stream that has begun goes on until its deadline. What that costs: a stream whose engine falls silent for good is no longer resumed, unless its connection breaks.

Test: a stream paused for 1.3 s with no room elsewhere; it was broken off before, and is whole now.

--- a/Source/Forwarding/RequestRunStream.cpp
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -17,8 +17,8 @@
     constexpr Nanoseconds prefillSlack = milliseconds(700);
     // From the end of a prefill to the first event of the answer.
     constexpr Nanoseconds decodeTime = milliseconds(150);
-    // A decode engine that is silent for this long beyond the wait for a place, where the request
-    // may go elsewhere.
+    // A decode engine that is silent for this long beyond the wait for a place, before the first
+    // event of a request that may go elsewhere.
     constexpr Nanoseconds streamSilence = milliseconds(1000);
     // Of the priorities that engines know, 0 to 9, the one that yields to all others.
     constexpr Priority leastUrgent { 9 };
@@ -222,7 +222,9 @@
 
 Deadline RequestRun::Impl::silenceDeadline() const
 {
-    if (!m_route->repeatable() || m_runs + 1 >= m_route->maxAttempts)
+    // What has begun goes on after a pause more surely than elsewhere: an engine without room
+    // interrupts streams, and then no other has any.
+    if (m_headSent || !m_route->repeatable() || m_runs + 1 >= m_route->maxAttempts)
         return m_deadline;
     return std::min(m_deadline, Deadline::after(std::max(bootTime(), m_placeBy.at()), streamSilence));
 }
--- a/Tests/Forwarding/RequestRunTest.cpp
+++ b/Tests/Forwarding/RequestRunTest.cpp
@@ -278,6 +278,27 @@
     CHECK(urgencies == std::vector<std::string> { "9" });
 }
 
+TEST_CASE_METHOD(
+    StreamFixture, "Stream, interrupted for longer than a second with no room elsewhere, goes on")
+{
+    auto manifest = *routes.manifest();
+    ++manifest.version;
+    for (auto& each : manifest.routes)
+        each.timeout = 5s;
+    routes.adopt(manifest);
+    addServer("d", EngineRole::Decode,
+        [](const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
+            co_await LoopbackServer::write(socket, streamHead(request) + chunk(event(1)));
+            co_await sleepFor(1300ms);
+            co_await LoopbackServer::write(socket, chunk(event(2)) + "0\r\n\r\n");
+            co_return true;
+        });
+    const auto reply = ask("POST", "/stream/x", "4000");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().body == event(1) + event(2));
+    CHECK(servers.back()->requests == 1);
+}
+
 TEST_CASE_METHOD(
     StreamFixture, "Stream that may be resumed, broken off, goes on at another engine without gap or repeat")
 {
