One loop reads a whole body

RequestRun::readRest repeated BackendConnection::readWholeBody, for the sake of the bytes that all answers share. readWholeBody now takes a hook that is asked whether so many bytes may be held; the bound by a number is one such hook.

Same bounds and errors.

--- a/Source/Forwarding/BackendConnection.cpp
+++ b/Source/Forwarding/BackendConnection.cpp
@@ -251,6 +251,11 @@
 }
 
 awaitable<Result<std::string>> BackendConnection::readWholeBody(std::size_t most, Deadline deadline)
+{
+    return readWholeBody([most](std::size_t bytes) { return bytes <= most; }, deadline);
+}
+
+awaitable<Result<std::string>> BackendConnection::readWholeBody(MayHold mayHold, Deadline deadline)
 {
     std::string body;
     for (;;) {
@@ -258,7 +263,7 @@
         if (!piece)
             co_return piece.error();
         body += piece.value().bytes;
-        if (body.size() > most)
+        if (!mayHold(body.size()))
             co_return std::make_error_code(std::errc::message_size);
         if (piece.value().last)
             co_return body;
--- a/Source/Forwarding/BackendConnection.h
+++ b/Source/Forwarding/BackendConnection.h
@@ -6,6 +6,7 @@
 #include "Forwarding/Asio.h"
 #include "Serving/HttpHeads.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -36,6 +37,9 @@
     awaitable<Result<BodyPiece>> readBody(Deadline);
     // The rest of the body, at most so many bytes.
     awaitable<Result<std::string>> readWholeBody(std::size_t most, Deadline);
+    // The rest of the body, while so many bytes of it may be held.
+    using MayHold = std::function<bool(std::size_t bytes)>;
+    awaitable<Result<std::string>> readWholeBody(MayHold, Deadline);
 
     // The last response is whole and the server keeps the connection.
     bool reusable() const;
--- a/Source/Forwarding/RequestRun.cpp
+++ b/Source/Forwarding/RequestRun.cpp
@@ -314,17 +314,9 @@
 awaitable<Result<std::string>> RequestRun::Impl::readRest(Deadline deadline)
 {
     ByteBudget::Share share(m_context.heldBytes);
-    std::string body;
-    for (;;) {
-        auto piece = co_await m_connection->readBody(deadline);
-        if (!piece)
-            co_return piece.error();
-        body += piece.value().bytes;
-        if (body.size() > mostAnswerBytes || !share.setSize(body.size()))
-            co_return std::make_error_code(std::errc::message_size);
-        if (piece.value().last)
-            co_return body;
-    }
+    const BackendConnection::MayHold mayHold
+        = [&share](std::size_t bytes) { return bytes <= mostAnswerBytes && share.setSize(bytes); };
+    co_return co_await m_connection->readWholeBody(mayHold, deadline);
 }
 
 awaitable<AttemptEnd> RequestRun::Impl::takeWhole(const BackendId& id, BackendReply reply, Deadline deadline)
