Core/Milliseconds: one conversion between durations and estimates

toMs and fromMs stood in DecodeTimes, RequestRunImpl and PlacementLoadTest, and written out in nine more places of Placement, RequestRunStream and PlayedFleet. They are one pair of functions now.

--- a/Source/Forwarding/RequestRunImpl.h
+++ b/Source/Forwarding/RequestRunImpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Milliseconds.h"
 #include "Forwarding/AttemptEnd.h"
 #include "Forwarding/RequestRun.h"
 #include "Serving/EventCutter.h"
@@ -15,8 +16,6 @@
 // A refusal, or the handle of a prefill, is some hundred bytes.
 inline constexpr std::size_t mostRefusalBytes = 64 << 10;
 
-inline Nanoseconds fromMs(double ms) { return Nanoseconds(static_cast<std::int64_t>(ms * 1e6)); }
-
 // The state of one request's run; its parts are in RequestRun.cpp, RequestRunStream.cpp and
 // RequestRunSuspect.cpp.
 class RequestRun::Impl : public std::enable_shared_from_this<RequestRun::Impl> {
--- a/Source/Forwarding/RequestRunStream.cpp
+++ b/Source/Forwarding/RequestRunStream.cpp
@@ -141,9 +141,8 @@
     note(id, BackendOutcome::Answered);
     const auto taken = bootTime() - sentAt;
     m_context.backends.noteSpeed(id, taken, fromMs(choice.ordinaryMs));
-    m_context.speeds.notePrefill(m_service,
-        { m_request.prompt->prompt, choice.cached, choice.aheadMs,
-            static_cast<double>(taken.count()) / 1e6 });
+    m_context.speeds.notePrefill(
+        m_service, { m_request.prompt->prompt, choice.cached, choice.aheadMs, toMs(taken) });
     m_context.crashes.noteCompleted(m_content, true);
     m_prefilledAt = bootTime();
     co_return m_context.wire.decodeKvHandle(body.value());
--- a/Source/Serving/DecodeTimes.cpp
+++ b/Source/Serving/DecodeTimes.cpp
@@ -1,5 +1,7 @@
 #include "Serving/DecodeTimes.h"
 
+#include "Core/Milliseconds.h"
+
 #include <algorithm>
 
 namespace almondscale {
@@ -16,8 +18,6 @@
     constexpr double soonerWeight = 0.5;
     constexpr double laterStepMs = 0.01;
 
-    double toMs(Nanoseconds time) { return static_cast<double>(time.count()) / 1e6; }
-
 } // namespace
 
 void DecodeTimes::noteStream(const std::string& route, Nanoseconds toFirst, Nanoseconds toEnd)
--- a/Source/Serving/Placement.cpp
+++ b/Source/Serving/Placement.cpp
@@ -1,5 +1,7 @@
 #include "Serving/Placement.h"
 
+#include "Core/Milliseconds.h"
+
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -54,8 +56,7 @@
 std::optional<PlacementChoice> Placement::choosePrefill(const ServiceName& service, const PromptShape& prompt,
     const Excluded& excluded, Deadline timely, MonotonicTime now) const
 {
-    PrefillQuery query { prompt, {}, m_options.speedOf(service),
-        static_cast<double>(timely.remaining(now).count()) / 1e6, now };
+    PrefillQuery query { prompt, {}, m_options.speedOf(service), toMs(timely.remaining(now)), now };
     for (const auto* backend : m_backends.usable(service, now, EngineRole::Prefill)) {
         if (excluded.count(backend->record.id) == 0)
             query.ranked.emplace_back(homeRank(prompt.sharedKey, backend->record.id), backend);
@@ -150,7 +151,7 @@
     const DecodeQuery query { decodeEngines(service, excluded, now), spec, prompt, needs, prefilledIn };
     auto best = bestDecode(query, false);
     const bool waits = best && best->aheadMs > 0;
-    const double leftMs = static_cast<double>(needs.timely.remaining(now).count()) / 1e6;
+    const double leftMs = toMs(needs.timely.remaining(now));
     if (!waits || best->expectedMs <= m_options.deferFactor * leftMs)
         return best;
     return bestDecode(query, true);
@@ -194,7 +195,7 @@
 {
     const auto speed = m_options.speedOf(service);
     const double readMs = speed.workMs(prompt.prompt, TokenCount(0)) / m_options.directSpeed;
-    const double mostReadMs = m_options.directPauseShare * static_cast<double>(allowedPause.count()) / 1e6;
+    const double mostReadMs = m_options.directPauseShare * toMs(allowedPause);
     std::optional<PlacementChoice> best;
     double bestCost = 0;
     for (const auto* backend : decodeEngines(service, excluded, now)) {
--- a/Tests/Serving/PlacementLoadTest.cpp
+++ b/Tests/Serving/PlacementLoadTest.cpp
@@ -1,5 +1,6 @@
 #include "Serving/Placement.h"
 
+#include "Core/Milliseconds.h"
 #include "Core/RandomSource.h"
 #include "ServingFixtures.h"
 
@@ -19,8 +20,6 @@
 constexpr int hosts = 8;
 constexpr Nanoseconds target = 650ms;
 
-Nanoseconds fromMs(double ms) { return Nanoseconds(static_cast<std::int64_t>(ms * 1e6)); }
-
 // An engine that prefills one prompt after the other and keeps the parts used last.
 class PlayedEngine {
 public:
--- a/Tests/Serving/PlayedFleet.cpp
+++ b/Tests/Serving/PlayedFleet.cpp
@@ -107,8 +107,7 @@
         return;
     }
     const auto& record = m_table.find(order.engine)->record;
-    m_table.noteBarred(lifetimeOf(record),
-        Deadline(now() + Nanoseconds(static_cast<std::int64_t>(roleChangeMs * 1e6))), now());
+    m_table.noteBarred(lifetimeOf(record), Deadline(now() + fromMs(roleChangeMs)), now());
     at(m_nowMs + roleChangeMs, [this, order] { setRole(engine(order.engine), order.role); });
 }
 
@@ -193,8 +192,7 @@
     const double sent = m_nowMs;
     this->at(at.freeAtMs + m_spec.ownPartMs, [this, job, choice, sent] {
         m_table.close(choice.backend, choice.prefillLoad());
-        m_table.noteSpeed(choice.backend, Nanoseconds(static_cast<std::int64_t>((m_nowMs - sent) * 1e6)),
-            Nanoseconds(static_cast<std::int64_t>(choice.ordinaryMs * 1e6)));
+        m_table.noteSpeed(choice.backend, fromMs(m_nowMs - sent), fromMs(choice.ordinaryMs));
         m_speeds.notePrefill(model, { job->prompt.prompt, choice.cached, choice.aheadMs, m_nowMs - sent });
         const auto route = routeOf(job->kind);
         const StreamNeeds needs { m_times.toFirstMs(route), m_times.holdMs(route), timely(*job) };
@@ -208,7 +206,7 @@
 
 Deadline PlayedFleet::timely(const Job& job) const
 {
-    return Deadline(testStart + Nanoseconds(static_cast<std::int64_t>((job.arrivedMs + job.targetMs) * 1e6)));
+    return Deadline(testStart + fromMs(job.arrivedMs + job.targetMs));
 }
 
 void PlayedFleet::decodeAt(
@@ -242,8 +240,7 @@
     }
     --engine.running;
     m_table.close(engine.id, job->load);
-    const auto since
-        = [&](double ms) { return Nanoseconds(static_cast<std::int64_t>((ms - job->sentMs) * 1e6)); };
+    const auto since = [&](double ms) { return fromMs(ms - job->sentMs); };
     if (!job->direct)
         m_times.noteStream(routeOf(job->kind), since(firstMs), since(m_nowMs));
     auto& waiting = engine.waiting[engine.waiting[0].empty()];
--- a/Tests/Serving/PlayedFleet.h
+++ b/Tests/Serving/PlayedFleet.h
@@ -6,6 +6,7 @@
 #include "Serving/Placement.h"
 #include "Serving/RoleSplit.h"
 
+#include "Core/Milliseconds.h"
 #include "Core/RandomSource.h"
 #include "ServingFixtures.h"
 
@@ -77,7 +78,7 @@
     struct Job;
 
     double nowMs() const { return m_nowMs; }
-    MonotonicTime now() const { return testStart + Nanoseconds(static_cast<std::int64_t>(m_nowMs * 1e6)); }
+    MonotonicTime now() const { return testStart + fromMs(m_nowMs); }
     void at(double ms, std::function<void()> action);
     void arrive(std::size_t kind);
     void sendOn(const std::shared_ptr<Job>& job, const PlacementChoice& choice, bool direct);
