NewsLog: words of leaving and turns are told by one mechanism

BackendTable kept two vectors with the same way to go on from a link's position. Both are a NewsLog now. What is told, and in which order, is as before; the logs still are not shortened.

--- a/Source/Serving/BackendTable.cpp
+++ b/Source/Serving/BackendTable.cpp
@@ -105,7 +105,7 @@
 {
     if (!m_leaving.emplace(server, word).second)
         return false;
-    m_leavingInOrder.push_back(server);
+    m_leavingNews.add(server);
     return true;
 }
 
@@ -118,9 +118,7 @@
 
 std::vector<BackendLifetime> BackendTable::leavingSince(std::size_t& position) const
 {
-    const auto begin = m_leavingInOrder.begin() + static_cast<std::ptrdiff_t>(position);
-    position = m_leavingInOrder.size();
-    return { begin, m_leavingInOrder.end() };
+    return m_leavingNews.since(position);
 }
 
 bool BackendTable::noteBarred(const BackendLifetime& server, Deadline until, MonotonicTime now)
@@ -162,15 +160,13 @@
     if (known.role == turn.role && !known.until.passed(now))
         return false;
     known = turn;
-    m_turnsInOrder.push_back(turn);
+    m_turnNews.add(turn);
     return true;
 }
 
 std::vector<RoleTurn> BackendTable::turnsSince(std::size_t& position) const
 {
-    const auto begin = m_turnsInOrder.begin() + static_cast<std::ptrdiff_t>(position);
-    position = m_turnsInOrder.size();
-    return { begin, m_turnsInOrder.end() };
+    return m_turnNews.since(position);
 }
 
 void BackendTable::open(const BackendId& id, const BackendLoad& load)
--- a/Source/Serving/BackendTable.h
+++ b/Source/Serving/BackendTable.h
@@ -5,6 +5,7 @@
 #include "Serving/BackendLifetime.h"
 #include "Serving/BackendOutcome.h"
 #include "Serving/LeavingWord.h"
+#include "Serving/NewsLog.h"
 #include "Serving/RoleTurn.h"
 #include "Serving/SentPart.h"
 
@@ -97,10 +98,10 @@
     // Servers that said that they leave. A lifetime is not forgotten with its registration,
     // which may lapse and come back.
     std::map<BackendLifetime, LeavingWord> m_leaving;
-    std::vector<BackendLifetime> m_leavingInOrder;
+    NewsLog<BackendLifetime> m_leavingNews;
     std::map<BackendLifetime, Deadline> m_barred;
     std::map<BackendLifetime, RoleTurn> m_turns;
-    std::vector<RoleTurn> m_turnsInOrder;
+    NewsLog<RoleTurn> m_turnNews;
     std::map<DataCentre, int> m_lossesInRow;
     // In the order of time.
     std::deque<ToldPart> m_toldParts;
