EngineSpeeds: notePrefill no longer works out an estimate that nobody reads

For each prefill it summed the figures of all hosts once more, to return an error that no caller used.

--- a/Source/Serving/EngineSpeeds.cpp
+++ b/Source/Serving/EngineSpeeds.cpp
@@ -45,10 +45,8 @@
         covariance.at(i).at(i) = guessError.at(i) * guessError.at(i);
 }
 
-double EngineSpeeds::notePrefill(const ServiceName& service, const PrefillSample& sample)
+void EngineSpeeds::notePrefill(const ServiceName& service, const PrefillSample& sample)
 {
-    const auto model = of(service);
-    const double expected = model.prefillMs(sample.prompt, sample.cached) + model.waitFactor * sample.aheadMs;
     auto& own = m_own[service];
     const Vector input { 1, static_cast<double>((sample.prompt - sample.cached).count()),
         EngineSpeedModel::millionPairs(sample.prompt, sample.cached), sample.aheadMs };
@@ -77,7 +75,6 @@
             own.covariance.at(i).at(j) -= gain.at(i) * gain.at(j) / variance;
     }
     own.samples = std::min(own.samples + 1, mostSamples);
-    return sample.takenMs - expected;
 }
 
 EngineSpeedModel EngineSpeeds::of(const ServiceName& service) const
--- a/Source/Serving/EngineSpeeds.h
+++ b/Source/Serving/EngineSpeeds.h
@@ -12,8 +12,7 @@
 // learned of them. It answers fleets whose engines nobody described.
 class EngineSpeeds {
 public:
-    // Tells how far an expected time was off.
-    double notePrefill(const ServiceName&, const PrefillSample&);
+    void notePrefill(const ServiceName&, const PrefillSample&);
     EngineSpeedModel of(const ServiceName&) const;
 
     // What this host learned.
