--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -109,6 +109,18 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(until.remaining(now)).count());
     }
 
+    flatbuffers::Offset<peerwire::Lifetime> encodeLifetime(
+        flatbuffers::FlatBufferBuilder& builder, const BackendLifetime& server)
+    {
+        const auto name = builder.CreateString(server.backend.text());
+        return peerwire::CreateLifetime(builder, name, server.startedAtMs);
+    }
+
+    BackendLifetime decodeLifetime(const peerwire::Lifetime& from)
+    {
+        return { BackendId(textOf(from.server())), from.started_at_ms() };
+    }
+
     flatbuffers::Offset<peerwire::CrashRecord> encodeCrash(
         flatbuffers::FlatBufferBuilder& builder, const CrashRecord& record, MonotonicTime now)
     {
@@ -225,16 +237,13 @@
         crashList = builder.CreateVector(crashes);
     std::vector<flatbuffers::Offset<peerwire::Lifetime>> leaving;
     for (const auto& server : frame.leaving)
-        leaving.push_back(peerwire::CreateLifetime(
-            builder, builder.CreateString(server.backend.text()), server.startedAtMs));
+        leaving.push_back(encodeLifetime(builder, server));
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::Lifetime>>> leavingList;
     if (!leaving.empty())
         leavingList = builder.CreateVector(leaving);
     std::vector<flatbuffers::Offset<peerwire::Turn>> turns;
     for (const auto& turn : frame.turns)
-        turns.push_back(peerwire::CreateTurn(builder,
-            peerwire::CreateLifetime(
-                builder, builder.CreateString(turn.engine.backend.text()), turn.engine.startedAtMs),
+        turns.push_back(peerwire::CreateTurn(builder, encodeLifetime(builder, turn.engine),
             turn.role == EngineRole::Decode, msLeft(turn.until, now)));
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::Turn>>> turnList;
     if (!turns.empty())
@@ -282,14 +291,14 @@
     }
     if (from->leaving()) {
         for (const auto* each : *from->leaving())
-            frame.leaving.push_back({ BackendId(textOf(each->server())), each->started_at_ms() });
+            frame.leaving.push_back(decodeLifetime(*each));
     }
     if (from->turns()) {
         for (const auto* each : *from->turns()) {
             if (!each->engine())
                 continue;
             RoleTurn turn;
-            turn.engine = { BackendId(textOf(each->engine()->server())), each->engine()->started_at_ms() };
+            turn.engine = decodeLifetime(*each->engine());
             turn.role = each->decode() ? EngineRole::Decode : EngineRole::Prefill;
             turn.until = Deadline::after(now, std::chrono::milliseconds(each->left_ms()));
             frame.turns.push_back(std::move(turn));
