--- a/Tests/Forwarding/ForwardingFixture.h
+++ b/Tests/Forwarding/ForwardingFixture.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -67,6 +68,16 @@
         return made;
     }
 
+    // Puts a manifest in force in which each route is changed so.
+    void changeRoutes(const std::function<void(Route&)>& change)
+    {
+        auto manifest = *routes.manifest();
+        ++manifest.version;
+        for (auto& each : manifest.routes)
+            change(each);
+        routes.adopt(manifest);
+    }
+
     // Registers a server at an address where nothing listens.
     Address addAbsentServer(const std::string& id, std::optional<EngineRole> role = std::nullopt)
     {
--- a/Tests/Forwarding/RequestRunTest.cpp
+++ b/Tests/Forwarding/RequestRunTest.cpp
@@ -223,11 +223,7 @@
 TEST_CASE_METHOD(StreamFixture,
     "Stream with a short prompt, while prefill engines are busy, is read by the engine that decodes it")
 {
-    auto manifest = *routes.manifest();
-    ++manifest.version;
-    for (auto& each : manifest.routes)
-        each.gapTarget = 400ms;
-    routes.adopt(manifest);
+    changeRoutes([](Route& each) { each.gapTarget = 400ms; });
     addServer("d", EngineRole::Decode, stream(3, 3));
     const OpenWork busy(backends, BackendId("p"), BackendLoad { 500, 0, 0 });
     const auto reply = ask("POST", "/once/x");
@@ -256,11 +252,7 @@
 
 TEST_CASE_METHOD(StreamFixture, "Stream that waits for its place for longer than a pause is not sent again")
 {
-    auto manifest = *routes.manifest();
-    ++manifest.version;
-    for (auto& each : manifest.routes)
-        each.timeout = 5s;
-    routes.adopt(manifest);
+    changeRoutes([](Route& each) { each.timeout = 5s; });
     const auto waits
         = [this](const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
         urgencies.emplace_back(request["Request-Priority"]);
@@ -281,11 +273,7 @@
 TEST_CASE_METHOD(
     StreamFixture, "Stream, interrupted for longer than a second with no room elsewhere, goes on")
 {
-    auto manifest = *routes.manifest();
-    ++manifest.version;
-    for (auto& each : manifest.routes)
-        each.timeout = 5s;
-    routes.adopt(manifest);
+    changeRoutes([](Route& each) { each.timeout = 5s; });
     addServer("d", EngineRole::Decode,
         [](const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
             co_await LoopbackServer::write(socket, streamHead(request) + chunk(event(1)));
