--- a/Tests/Soak/fakes.py
+++ b/Tests/Soak/fakes.py
@@ -176,6 +176,8 @@
         self.left_at = None
         # A crash or a planned shutdown is in progress.
         self.ending = False
+        # The limit in its responses, as text; None for none.
+        self.limit = None
         self.orders = 0
         self.event_pause_s = 0.02
         # Number of concurrent requests that it registers; engines register more than plain servers.
@@ -190,7 +192,7 @@
     async def live(self):
         self.lives += 1
         self.born = int(1000 * (time.time() + self.world.clock_random.uniform(-3600, 3600)))
-        self.state, self.left_at, self.ending = "ready", None, False
+        self.state, self.left_at, self.ending, self.limit = "ready", None, False, None
         await self.start()
         self.register()
 
@@ -214,16 +216,20 @@
         if self.left_at is not None:
             self.world.on_late_arrival(self, request)
         self.world.on_arrival(self, request)
-        leaving = {"Server_Leaving": 1} if self.left_at is not None else {}
-        if leaving:
+        notices = {}
+        if self.left_at is not None:
+            notices["Server_Leaving"] = 1
             self.world.on_leaving_answer(self, request)
+        if self.limit is not None:
+            notices["Server_Limit"] = self.limit
+            self.world.on_limit_answer(self, request)
         if self.mode in ("shed", "pause") and random.random() < 0.5:
             pause = {}
             if self.mode == "pause":
                 seconds = min(random.choice([0.1, 0.7, 2.5, 30.0]), self.world.max_backoff_s())
                 pause = {"Retry_After": seconds}
                 self.world.on_pause_answer(self, request, seconds)
-            writer.write(response(503, Not_Executed=1, Request_Id=request, **pause, **leaving))
+            writer.write(response(503, Not_Executed=1, Request_Id=request, **pause, **notices))
             return True
         prefill = fields.get("serving-stage") == "prefill"
         if self.world.ends_under(self, request, target, prefill):
@@ -231,21 +237,21 @@
         if prefill:
             handle = json.dumps({"kvHandle": "h" + request, "tokens": 100, "version": 1}).encode()
             await asyncio.sleep(0.01)
-            writer.write(response(200, handle, Request_Id=request, **leaving))
+            writer.write(response(200, handle, Request_Id=request, **notices))
             return True
         self.world.on_run(request, self)
         await asyncio.sleep(0.3 if self.mode == "slow" else 0.02)
         if self.mode == "lose" and random.random() < 0.5:
             return False
         if self.role:
-            return await self.stream(request, fields, writer, leaving)
+            return await self.stream(request, fields, writer, notices)
         writer.write(response(200, f"answer to {request}".encode(), Request_Id=request, Response_Signature="s",
-                              **leaving))
+                              **notices))
         return True
 
-    async def stream(self, request, fields, writer, leaving):
+    async def stream(self, request, fields, writer, notices):
         writer.write((f"HTTP/1.1 200 X\r\nRequest-Id: {request}\r\nResponse-Signature: s\r\n"
-                      + ("Server-Leaving: 1\r\n" if leaving else "") +
+                      + "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in notices.items()) +
                       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
         for event in range(int(fields.get("last-event-id") or 0) + 1, 7):
             text = f"id: {event}\ndata: {request}-{event}\n\n".encode()
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -180,6 +180,9 @@
         host, _ = self.asked[request]
         self.left.setdefault((backend.identity, host.process), time.monotonic())
 
+    def on_limit_answer(self, backend, request):
+        """The server names its limit to the host that sent the request."""
+
     def max_backoff_s(self):
         """The longest backoff in seconds: backoffs end before the final phase, in which all callers are to be served."""
         return max(0.1, self.calm_at - NOTICE_DELAY_S - time.monotonic())
