--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -64,8 +64,13 @@
                       return m_backends.noteLeaving(server, { bootTime(), false });
                   },
                   [this](std::size_t& position) { return m_backends.roleTransitionsSince(position); },
-                  [this](const RoleTransition& turn) {
-                      return m_backends.noteRoleTransition(turn, bootTime());
+                  [this](
+                      const RoleTransition& turn) { return m_backends.noteRoleTransition(turn, bootTime()); },
+                  [this](std::uint64_t& version, std::size_t maxCount) {
+                      return m_backends.limits().changesSince(version, maxCount);
+                  },
+                  [this](const LimitStatement& statement) {
+                      return m_backends.limits().noteRelayed(statement, bootTime());
                   } })
         , m_tableSynchronizer(m_store, m_mirror, m_self,
               { [this] { return m_network.isReader(); }, [this](SharedTable table) { onTableRead(table); },
@@ -105,6 +110,14 @@
             m_network.publish();
         };
         m_context.onServerBarred = [this](const BackendLifetime&) { m_metrics.onServerNotice("barred"); };
+        m_context.onLimitChanged = [this] { m_network.publish(); };
+        m_context.onLimitedSend = [this] { m_metrics.onLimitedSend(); };
+        m_backends.limits().setHostCount(assumedHosts);
+        m_backends.limits().onEvent
+            = [this](LimitEvent event, const BackendLifetime& server, RequestRate rate) {
+                  m_metrics.onLimitEvent(limitEventName(event));
+                  logLimit(event, server, rate);
+              };
         m_directory.onRemoved = [this](const BackendRecord& record) {
             m_pool.closeIdle(record.address);
             m_controlPool.closeIdle(record.address);
@@ -218,6 +231,20 @@
         }
     }
 
+    void logLimit(LimitEvent event, const BackendLifetime& server, RequestRate rate)
+    {
+        const auto now = bootTime();
+        const auto* backend = m_backends.find(server.backend);
+        const auto service = backend ? backend->record.service : ServiceName();
+        LogEvent("server_limit")
+            .with("backend", server.backend)
+            .with("state", limitEventName(event))
+            .with("per_s", rate.perSecond())
+            .with("share_per_s", m_backends.limits().share(server, service, now).perSecond())
+            .with("sent_here", m_backends.limits().recentLocalSends(server, now))
+            .with("sent", m_backends.limits().recentSends(server, now));
+    }
+
     static void logChanges(const std::vector<BackendChange>& changes, RowVersion version)
     {
         for (const auto& change : changes) {
@@ -254,6 +281,7 @@
     void applyHosts()
     {
         m_network.setHosts(enrolledHosts(m_mirror));
+        m_backends.limits().setHostCount(m_network.hostCount());
         if (m_retries.setHosts(m_network.hostCount()))
             LogEvent("hosts").with("count", m_network.hostCount());
     }
@@ -277,12 +305,14 @@
         auto demand = m_demand.demand(now);
         for (auto& entry : demand)
             entry.second.speed = m_speeds.localEstimate(entry.first);
-        return { m_backends.localLoads(), std::move(demand), m_backends.recentlySentPrefixes(now) };
+        return { m_backends.localLoads(), std::move(demand), m_backends.recentlySentPrefixes(now),
+            m_backends.limits().localTraffic(now) };
     }
 
     void setPeerWork(const PeerWork& work)
     {
         m_backends.setRemoteLoads(work.loads);
+        m_backends.limits().setRemoteTraffic(work.traffic);
         m_backends.noteRemotePrefixes(work.sentPrefixes, bootTime());
         m_peerDemand = work.demand;
         for (const auto& entry : work.demand)
@@ -310,8 +340,8 @@
 
     ServiceDemands totalDemand() const
     {
-        PeerWork work { {}, m_demand.demand(bootTime()), {} };
-        work += PeerWork { {}, m_peerDemand, {} };
+        PeerWork work { {}, m_demand.demand(bootTime()), {}, {} };
+        work += PeerWork { {}, m_peerDemand, {}, {} };
         return work.demand;
     }
 
@@ -338,6 +368,7 @@
         m_metrics.setManifest(m_routes.version());
         m_metrics.setHosts(m_network.hostCount(), m_network.isReader());
         m_metrics.setBackends(m_backends.all().size());
+        m_metrics.setLimitedServers(m_backends.limits().limitedCount());
         return m_metrics.text();
     }
 
@@ -356,6 +387,12 @@
             m_controlPool.closeExpired();
             m_directory.sweep(bootTime());
             sweepCrashRecords();
+            m_backends.limits().forgetAfterRemoval(
+                [this](const BackendLifetime& server) {
+                    const auto* backend = m_backends.find(server.backend);
+                    return backend && lifetimeOf(backend->record) == server;
+                },
+                bootTime());
             m_backends.forgetPrefixesBefore(bootTime() - m_placement.options().prefixLifetime);
         }
     }
@@ -426,7 +463,7 @@
     LivenessProbe m_lifeProbe;
     ServingWire m_wire;
     RouteTable m_routes;
-    BackendTable m_backends;
+    BackendTable m_backends { systemRandom() };
     BackendDirectory m_directory;
     EngineSpeeds m_speeds;
     Placement m_placement;
--- a/Programs/almondscale-host/HostMetrics.cpp
+++ b/Programs/almondscale-host/HostMetrics.cpp
@@ -44,6 +44,15 @@
     prometheus::Family<prometheus::Counter>& serverNotices
         = family(prometheus::BuildCounter(), registry, "almondscale_server_words_total",
             "Answers in which a backend server newly said that it leaves, or asked for a pause.");
+    prometheus::Family<prometheus::Counter>& limitEvents
+        = family(prometheus::BuildCounter(), registry, "almondscale_server_limit_events_total",
+            "Limits of backend servers that were named, changed, ended, or began to hold requests back, by "
+            "event.");
+    prometheus::Counter& limitedSends = family(prometheus::BuildCounter(), registry,
+        "almondscale_limited_sends_total", "Requests sent to backend servers that have a limit.")
+                                            .Add({});
+    prometheus::Gauge& limitedServers
+        = gauge("almondscale_limited_servers", "Backend servers that have a limit.");
     prometheus::Family<prometheus::Counter>& storeReadings = family(prometheus::BuildCounter(), registry,
         "almondscale_store_readings_total", "Readings of the store, by table and whether it answered.");
     prometheus::Gauge& openRequests = gauge("almondscale_open_requests", "Requests that are being served.");
@@ -79,6 +88,18 @@
     m_impl->serverNotices.Add({ { "word", word } }).Increment();
 }
 
+void HostMetrics::onLimitEvent(const char* event)
+{
+    m_impl->limitEvents.Add({ { "event", event } }).Increment();
+}
+
+void HostMetrics::onLimitedSend() { m_impl->limitedSends.Increment(); }
+
+void HostMetrics::setLimitedServers(std::size_t count)
+{
+    m_impl->limitedServers.Set(static_cast<double>(count));
+}
+
 void HostMetrics::onStoreReading(const char* table, bool answered)
 {
     m_impl->storeReadings.Add({ { "table", table }, { "answered", answered ? "yes" : "no" } }).Increment();
--- a/Programs/almondscale-host/HostMetrics.h
+++ b/Programs/almondscale-host/HostMetrics.h
@@ -18,11 +18,15 @@
     void onBrokenRun(bool serverEnded);
     // A response newly announced that its server is leaving, or asked for a pause.
     void onServerNotice(const char* word);
+    // A server named, changed or ended its limit, or the limit holds requests back.
+    void onLimitEvent(const char* event);
+    void onLimitedSend();
     void onStoreReading(const char* table, bool answered);
     void setOpenRequests(int);
     void setManifest(std::int64_t version);
     void setHosts(int count, bool reader);
     void setBackends(std::size_t count);
+    void setLimitedServers(std::size_t count);
 
     // All metrics in the Prometheus text format.
     std::string text() const;
--- a/Programs/almondscale-host/StatusPages.cpp
+++ b/Programs/almondscale-host/StatusPages.cpp
@@ -112,6 +112,7 @@
     json.beginArray("servers");
     for (const auto& entry : m_backends.all()) {
         const auto& backend = entry.second;
+        const auto server = lifetimeOf(backend.record);
         json.beginElement()
             .text("id", entry.first.text())
             .text("service", backend.record.service.text())
@@ -121,6 +122,10 @@
             .text("state", stateName(backend, m_backends, now))
             .text("word", noticeSource(backend, m_backends, now))
             .integer("barred_ms", msLeft(m_backends.backoffUntil(entry.first), now))
+            .number("limit_per_s", m_backends.limits().limit(server).value_or(RequestRate()).perSecond())
+            .number("share_per_s", m_backends.limits().share(server, backend.record.service, now).perSecond())
+            .integer("sent_here", m_backends.limits().recentLocalSends(server, now))
+            .integer("sent", m_backends.limits().recentSends(server, now))
             .integer("open_here", backend.localLoad.requests)
             .integer("open_elsewhere", backend.remoteLoad.requests)
             .integer("prefill_ms", static_cast<std::int64_t>(backend.load().prefillMs))
--- a/Programs/almondscale/ViewCommands.cpp
+++ b/Programs/almondscale/ViewCommands.cpp
@@ -61,7 +61,8 @@
     return showTable(options, host, "/servers", "servers",
         { { "SERVER", "id" }, { "SERVICE", "service" }, { "DATA CENTRE", "data_centre" },
             { "ADDRESS", "address" }, { "ROLE", "role" }, { "STATE", "state" }, { "WORD", "word" },
-            { "BARRED MS", "barred_ms" }, { "OPEN HERE", "open_here" },
+            { "BARRED MS", "barred_ms" }, { "LIMIT/S", "limit_per_s" }, { "SHARE/S", "share_per_s" },
+            { "SENT HERE", "sent_here" }, { "SENT", "sent" }, { "OPEN HERE", "open_here" },
             { "OPEN ELSEWHERE", "open_elsewhere" }, { "PREFILL MS", "prefill_ms" } });
 }
 
--- a/Source/Forwarding/RequestForwarder.cpp
+++ b/Source/Forwarding/RequestForwarder.cpp
@@ -20,9 +20,17 @@
     // Backend servers are in the same region, so a slower connection attempt is lost.
     constexpr Nanoseconds connectTimeout = milliseconds(250);
 
+    constexpr Nanoseconds roomPollInterval = milliseconds(20);
+
     // Maximum random delay added to a server's Retry-After, so that hosts do not return all at once.
     constexpr Nanoseconds maxRetryAfterSpread = milliseconds(500);
 
+    // Retry-After for requests that no server has room for within its limit, and the share by which it is
+    // randomly extended.
+    constexpr Nanoseconds minRoomRetryAfter = milliseconds(100);
+    constexpr Nanoseconds maxRoomRetryAfter = std::chrono::seconds(30);
+    constexpr double maxRoomWaitSpread = 0.5;
+
     // A connection that is accepted without a server behind it is closed within this time.
     constexpr Nanoseconds closeDetectionTime = milliseconds(20);
 
@@ -49,6 +57,7 @@
 awaitable<void> RequestForwarder::Impl::run()
 {
     m_context.retries.onRequest(m_service, m_arrivedAt);
+    m_context.backends.limits().onRequest(m_service, m_arrivedAt);
     boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
     timer.expires_after(m_deadline.remaining(bootTime()));
     timer.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
@@ -80,6 +89,7 @@
 {
     while (!refusedForCrashes()) {
         const auto outcome = co_await attempt();
+        giveBackPermits();
         if (outcome == AttemptOutcome::MayHaveRun || outcome == AttemptOutcome::Failed)
             m_mayHaveRun = true;
         const bool over = outcome == AttemptOutcome::Delivered || stopped();
@@ -148,7 +158,14 @@
     const auto barEnd = noServer ? m_context.backends.earliestBackoffEnd(m_service, now) : std::nullopt;
     if (barEnd && m_context.backends.usable(m_service, now).empty())
         return barEnd->remaining(now);
-    return retryAfter(kind);
+    const auto role = m_engine ? std::optional(EngineRole::Decode) : std::nullopt;
+    const auto roomWait
+        = noServer ? expectedRoomWait(role, m_context.roomQueue.size({ m_service, role })) : std::nullopt;
+    if (!roomWait || !m_context.backends.usable(m_service, now, role).empty())
+        return retryAfter(kind);
+    // Spread the return of callers that are refused at the same time.
+    const double spread = 1 + maxRoomWaitSpread * uniform(m_context.random);
+    return std::clamp(fromMs(toMs(*roomWait) * spread), minRoomRetryAfter, maxRoomRetryAfter);
 }
 
 awaitable<bool> RequestForwarder::Impl::openConnection(BackendId id, Address address, Deadline deadline)
@@ -186,12 +203,15 @@
     co_return false;
 }
 
-awaitable<Result<BackendReply>> RequestForwarder::Impl::exchange(const BackendCall& call, Deadline deadline)
+awaitable<Result<BackendReply>> RequestForwarder::Impl::exchange(BackendCall call, Deadline deadline)
 {
     const auto head = m_context.wire.encodeCall(m_request, call);
-    const auto* backend = m_context.backends.find(call.backend);
-    m_server = backend ? lifetimeOf(backend->record) : BackendLifetime { call.backend, 0 };
+    const auto* backend = m_context.backends.find(call.backend());
+    m_server = backend ? lifetimeOf(backend->record) : call.permit.server();
     m_sentAt = bootTime();
+    m_context.backends.onSend(call.permit, m_sentAt);
+    if (call.permit.counted() && m_context.onLimitedSend)
+        m_context.onLimitedSend();
     const bool undiagnosed = m_diagnosed && !*m_diagnosed;
     m_prefilling = call.prefillOnly;
     m_step = std::max(m_context.crashes.nextStep(m_content), undiagnosed ? m_step + 1 : 0);
@@ -227,6 +247,10 @@
         if (m_context.onServerLeaving)
             m_context.onServerLeaving(m_server);
     }
+    if (!reply.limitUnreadable
+        && m_context.backends.limits().noteResponse(m_server, reply.limit, m_sentAt, bootTime())
+        && m_context.onLimitChanged)
+        m_context.onLimitChanged();
     if (!reply.retryAfter)
         return;
     // Spread the return of hosts that were given the same Retry-After.
@@ -247,10 +271,10 @@
         m_context.onServerBarred(m_server);
 }
 
-BackendCall RequestForwarder::Impl::makeCall(const BackendId& id) const
+BackendCall RequestForwarder::Impl::makeCall()
 {
-    BackendCall call;
-    call.backend = id;
+    BackendCall call(std::move(*m_permit));
+    m_permit.reset();
     call.remaining = m_deadline.remaining(bootTime());
     call.lastEventId = m_lastEvent;
     if (m_request.prompt)
@@ -351,7 +375,9 @@
     const Choose choose = [this](const Placement::Excluded& excluded) {
         return m_context.placement.choosePlain(m_service, excluded, bootTime());
     };
-    const auto choice = co_await chooseServer(choose, m_excluded);
+    std::optional<PlacementChoice> choice;
+    if (co_await awaitRoom(std::nullopt))
+        choice = co_await chooseServer(choose, m_excluded);
     if (!choice)
         co_return failNoServer();
     const auto id = choice->backend;
@@ -364,7 +390,7 @@
         co_return AttemptOutcome::NotRun;
     ++m_requestSends;
     const auto sentAt = bootTime();
-    auto reply = co_await exchange(makeCall(id), m_deadline);
+    auto reply = co_await exchange(makeCall(), m_deadline);
     if (!reply)
         co_return failAttempt(id, reply.error());
     if (reply.value().notExecuted || reply.value().wrongBackend)
@@ -375,6 +401,59 @@
     co_return outcome;
 }
 
+std::optional<Nanoseconds> RequestForwarder::Impl::expectedRoomWait(
+    std::optional<EngineRole> role, std::size_t ahead) const
+{
+    const auto rate = m_context.backends.limitedRate(m_service, bootTime(), role);
+    if (!rate)
+        return std::nullopt;
+    const double seconds = static_cast<double>(ahead + 1) / rate->perSecond();
+    return std::min(fromMs(1000 * std::min(seconds, 3600.0)), Nanoseconds(std::chrono::hours(1)));
+}
+
+awaitable<bool> RequestForwarder::Impl::awaitRoom(std::optional<EngineRole> role)
+{
+    if (!m_context.backends.limitedRate(m_service, bootTime(), role))
+        co_return true;
+    const auto target = std::min(m_deadline, Deadline(m_arrivedAt + m_route->target));
+    const RoomQueue::Place place(m_context.roomQueue, { m_service, role }, m_route->priority);
+    while (!stopped()) {
+        const auto now = bootTime();
+        if (place.isFirst() && !m_context.backends.usable(m_service, now, role).empty())
+            co_return true;
+        const auto wait = expectedRoomWait(role, place.ahead());
+        if (!wait)
+            co_return true;
+        if (*wait > target.remaining(now))
+            break;
+        co_await sleepFor(roomPollInterval);
+    }
+    co_return false;
+}
+
+bool RequestForwarder::Impl::takePermit(const BackendId& id)
+{
+    if (m_reservation && m_reservation->choice.backend == id) {
+        m_permit.emplace(std::move(m_reservation->permit));
+        m_reservation.reset();
+        return true;
+    }
+    if (m_permit)
+        m_context.backends.giveBack(std::move(*m_permit), bootTime());
+    m_permit = m_context.backends.admit(id, bootTime());
+    return m_permit.has_value();
+}
+
+void RequestForwarder::Impl::giveBackPermits()
+{
+    if (m_permit)
+        m_context.backends.giveBack(std::move(*m_permit), bootTime());
+    m_permit.reset();
+    if (m_reservation)
+        m_context.backends.giveBack(std::move(m_reservation->permit), bootTime());
+    m_reservation.reset();
+}
+
 AttemptOutcome RequestForwarder::Impl::failNoServer()
 {
     m_outOfServers = true;
--- a/Source/Forwarding/RequestForwarderImpl.h
+++ b/Source/Forwarding/RequestForwarderImpl.h
@@ -50,15 +50,16 @@
     awaitable<bool> openConnection(BackendId id, Address address, Deadline deadline);
 
     // Sends the request and reads the head of its response; responses to earlier requests are skipped.
-    awaitable<Result<BackendReply>> exchange(const BackendCall& call, Deadline deadline);
+    awaitable<Result<BackendReply>> exchange(BackendCall call, Deadline deadline);
 
-    // Applies what a response head says about its server: alive, leaving or paused by Retry-After.
+    // Applies what a response head says about its server: alive, leaving, paused by Retry-After or limited.
     void applyServerState(const BackendReply& reply);
 
     // Retry-After delay for a refusal.
     std::optional<Nanoseconds> refusalRetryAfter(ErrorKind kind) const;
 
-    BackendCall makeCall(const BackendId& id) const;
+    // Uses up m_permit.
+    BackendCall makeCall();
 
     void dropConnection();
 
@@ -80,6 +81,22 @@
     // Chooses a server for the next send. For a suspect request, locks it first.
     awaitable<std::optional<PlacementChoice>> chooseServer(Choose choose, Placement::Excluded excluded);
 
+    // Waits until a server of the role has room within its limit. Returns false at once if the request would
+    // be late then, and true if there is an unlimited server or none at all.
+    awaitable<bool> awaitRoom(std::optional<EngineRole> role);
+
+    // Expected time until this host may send one more request to a server of the role, behind those that
+    // wait; unset if no server has a limit.
+    std::optional<Nanoseconds> expectedRoomWait(std::optional<EngineRole> role, std::size_t ahead) const;
+
+    // Takes the permit for the chosen server, or the one that was reserved there.
+    bool takePermit(const BackendId& id);
+
+    // Reserves a request at the server if it has a limit.
+    void reserveLimited(const PlacementChoice& choice);
+
+    void giveBackPermits();
+
     // Whether the request is refused because of the servers that terminated while running it.
     bool refusedForCrashes();
 
@@ -155,6 +172,15 @@
     // When the first event of the stream was passed on.
     MonotonicTime m_firstEventAt {};
 
+    // A decode engine with a limit that was chosen before the prefill, so that no prefill is wasted.
+    struct Reservation {
+        PlacementChoice choice;
+        SendPermit permit;
+    };
+
+    // For the next send, to the server chosen last.
+    std::optional<SendPermit> m_permit;
+    std::optional<Reservation> m_reservation;
     Placement::Excluded m_excluded;
     Placement::Excluded m_prefillExcluded;
     std::unique_ptr<BackendConnection> m_connection;
--- a/Source/Forwarding/RequestForwarderStream.cpp
+++ b/Source/Forwarding/RequestForwarderStream.cpp
@@ -36,15 +36,19 @@
 {
     const auto& prompt = *m_request.prompt;
     // A prefill is wasted if no engine can decode in time.
-    const auto place = chooseDecode(DataCentre(), m_excluded);
+    const bool room = co_await awaitRoom(EngineRole::Decode);
+    const auto place = room ? chooseDecode(DataCentre(), m_excluded) : std::nullopt;
     if (!place)
         co_return failNoServer();
     if (fromMs(place->expectedMs) > m_deadline.remaining(bootTime()))
         co_return failDeadlineUnreachable();
+    reserveLimited(*place);
     const Choose choose = [this, &prompt](const Placement::Excluded& excluded) {
         return m_context.placement.choosePrefill(m_service, prompt, excluded,
             Deadline(m_arrivedAt + m_route->target - decodeStartAllowance), bootTime());
     };
+    // If the prefill engines have no room, a decode engine prefills the prompt.
+    co_await awaitRoom(EngineRole::Prefill);
     const auto prefill = co_await chooseServer(choose, m_prefillExcluded);
     if (stopped() || m_outOfServers)
         co_return AttemptOutcome::NotRun;
@@ -52,6 +56,9 @@
         const auto direct = m_context.placement.chooseDirect(
             m_service, *m_engine, prompt, m_route->gapTarget, m_excluded, bootTime());
         if (direct && direct->expectedMs < prefill->expectedMs) {
+            if (m_permit)
+                m_context.backends.giveBack(std::move(*m_permit), bootTime());
+            m_permit.reset();
             // A prefill on a decode engine delays the streams in all of its slots.
             m_context.demand.addWork(
                 m_service, -cachedWorkMs(), direct->workMs * m_engine->slots, bootTime());
@@ -77,6 +84,13 @@
     co_return outcome;
 }
 
+void RequestForwarder::Impl::reserveLimited(const PlacementChoice& choice)
+{
+    auto permit = m_context.backends.admit(choice.backend, bootTime());
+    if (permit && permit->counted())
+        m_reservation.emplace(Reservation { choice, std::move(*permit) });
+}
+
 AttemptOutcome RequestForwarder::Impl::failDeadlineUnreachable()
 {
     m_outOfServers = true;
@@ -117,13 +131,13 @@
     const bool connected = co_await openConnection(id, address, deadline);
     if (!connected)
         co_return std::nullopt;
-    auto call = makeCall(id);
+    auto call = makeCall();
     call.prefillOnly = true;
     if (choice.deferred)
         call.priority = lowestPriority;
     call.lastEventId.clear();
     m_prefillSent = true;
-    auto reply = co_await exchange(call, deadline);
+    auto reply = co_await exchange(std::move(call), deadline);
     if (!reply) {
         recordLostAttempt(id, reply.error());
         co_return std::nullopt;
@@ -175,6 +189,9 @@
         const Choose choose = [this, &prefillDataCentre, &direct](const Placement::Excluded& excluded) {
             if (direct && excluded.count(direct->backend) == 0)
                 return direct;
+            if (m_reservation && excluded.count(m_reservation->choice.backend) == 0
+                && m_context.backends.maySendTo(m_reservation->choice.backend, bootTime()))
+                return std::optional(m_reservation->choice);
             return chooseDecode(prefillDataCentre, excluded);
         };
         const auto choice = co_await chooseServer(choose, m_excluded);
@@ -197,12 +214,12 @@
         co_return AttemptOutcome::NotRun;
     const auto id = m_backend;
     ++m_requestSends;
-    auto call = makeCall(id);
+    auto call = makeCall();
     call.source = std::move(source);
     if (deferred)
         call.priority = lowestPriority;
     const auto deadline = streamDeadline();
-    auto reply = co_await exchange(call, deadline);
+    auto reply = co_await exchange(std::move(call), deadline);
     if (!reply)
         co_return failAttempt(id, reply.error());
     if (reply.value().notExecuted || reply.value().wrongBackend)
--- a/Source/Forwarding/RequestForwarderSuspect.cpp
+++ b/Source/Forwarding/RequestForwarderSuspect.cpp
@@ -77,8 +77,14 @@
     while (!stopped() && !refusedForCrashes()) {
         auto choice = choose(taken);
         const bool suspect = m_context.crashes.suspicion(m_content, bootTime()) == Suspicion::Isolate;
-        if (!suspect || (!choice && taken.size() == excluded.size()))
+        if (!choice && (!suspect || taken.size() == excluded.size()))
             co_return choice;
+        if (!suspect && takePermit(choice->backend))
+            co_return choice;
+        if (!suspect) {
+            taken.insert(choice->backend);
+            continue;
+        }
         auto entry = SuspectLockResult::ContentBusy;
         if (choice)
             entry = co_await m_context.suspectLock.acquire(m_content, choice->backend);
@@ -86,10 +92,10 @@
         case SuspectLockResult::Acquired:
             m_lockedServer = choice->backend;
             // Acquiring the lock may have brought crash records of other hosts.
-            if (refusedForCrashes() || !m_context.backends.find(choice->backend))
-                releaseSuspectLock();
-            else
+            if (!refusedForCrashes() && takePermit(choice->backend))
                 co_return choice;
+            releaseSuspectLock();
+            taken.insert(choice->backend);
             break;
         case SuspectLockResult::ServerBusy:
             taken.insert(choice->backend);
@@ -100,8 +106,9 @@
             break;
         case SuspectLockResult::Unavailable:
             // The server may have been removed while the lock was requested.
-            if (m_context.backends.maySendTo(choice->backend, bootTime()))
+            if (takePermit(choice->backend))
                 co_return choice;
+            taken.insert(choice->backend);
             break;
         }
     }
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -13,6 +13,7 @@
 #include "Serving/EngineSpeeds.h"
 #include "Serving/Placement.h"
 #include "Serving/RetryLimiter.h"
+#include "Serving/RoomQueue.h"
 #include "Serving/RouteTable.h"
 #include "Serving/ServingWire.h"
 
@@ -46,6 +47,11 @@
     // Called when a server announces that it is leaving, or asks for a pause (Retry-After).
     std::function<void(const BackendLifetime&)> onServerLeaving = {};
     std::function<void(const BackendLifetime&)> onServerBarred = {};
+    // Called when other hosts should hear of a server's limit at once.
+    std::function<void()> onLimitChanged = {};
+    // Called for each request sent to a server that has a limit.
+    std::function<void()> onLimitedSend = {};
+    RoomQueue roomQueue = {};
     // The host is shutting down; caller connections are closed after the next response.
     bool stopping = false;
     // Another data centre can serve callers better. Their connections are closed after the
--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -97,6 +97,27 @@
         return builder.CreateVectorOfStructs(parts);
     }
 
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::RequestRate>>> encodeRequestRates(
+        flatbuffers::FlatBufferBuilder& builder, const std::map<ServiceName, double>& from)
+    {
+        std::vector<flatbuffers::Offset<peerwire::RequestRate>> rates;
+        for (const auto& [service, perSecond] : from)
+            rates.push_back(peerwire::CreateRequestRate(
+                builder, builder.CreateString(service.text()), static_cast<float>(perSecond)));
+        return builder.CreateVector(rates);
+    }
+
+    flatbuffers::Offset<flatbuffers::Vector<const peerwire::LimitedSends*>> encodeLimitedSends(
+        flatbuffers::FlatBufferBuilder& builder, const FleetTraffic& from)
+    {
+        std::vector<peerwire::LimitedSends> sends;
+        for (const auto& [backend, requests] : from.limitedSends) {
+            if (requests > 0)
+                sends.emplace_back(backend, requests);
+        }
+        return builder.CreateVectorOfStructs(sends);
+    }
+
     std::uint32_t msAgo(MonotonicTime at, MonotonicTime now)
     {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
@@ -189,6 +210,15 @@
                 work.demand[ServiceName(textOf(demand->service()))] = { demand->prefill_ms(),
                     demand->requests(), demand->context_tokens(), demand->decode_ms(), decodeSpeed(*demand) };
         }
+        if (frame.limited_sends()) {
+            for (const auto* sends : *frame.limited_sends())
+                work.traffic.limitedSends[sends->backend()] = sends->requests();
+        }
+        work.traffic.hosts = frame.host_count();
+        if (frame.request_rates()) {
+            for (const auto* rate : *frame.request_rates())
+                work.traffic.requestRates[ServiceName(textOf(rate->service()))] = rate->per_second();
+        }
         if (frame.parts()) {
             for (const auto* part : *frame.parts())
                 work.sentPrefixes.insert({ part->backend(), part->part() });
@@ -205,6 +235,7 @@
     for (const auto& entry : other.demand)
         demand[entry.first] += entry.second;
     sentPrefixes.insert(other.sentPrefixes.begin(), other.sentPrefixes.end());
+    traffic += other.traffic;
     return *this;
 }
 
@@ -216,6 +247,7 @@
         auto less = entry.second;
         demand[entry.first] += (less *= -1);
     }
+    traffic -= other.traffic;
     return *this;
 }
 
@@ -248,12 +280,23 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::Turn>>> transitionList;
     if (!transitions.empty())
         transitionList = builder.CreateVector(transitions);
+    std::vector<flatbuffers::Offset<peerwire::Limit>> limits;
+    for (const auto& statement : frame.limits)
+        limits.push_back(peerwire::CreateLimit(builder, encodeLifetime(builder, statement.server),
+            statement.rate.value_or(RequestRate()).perSecond(), msAgo(statement.statedAt, now)));
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::Limit>>> limitList;
+    if (!limits.empty())
+        limitList = builder.CreateVector(limits);
     const auto loadList = builder.CreateVectorOfStructs(
         frame.work ? encodeLoads(frame.work->loads) : std::vector<peerwire::Load>());
     flatbuffers::Offset<flatbuffers::String> host;
     flatbuffers::Offset<flatbuffers::String> dataCentre;
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::Demand>>> demandList;
     flatbuffers::Offset<flatbuffers::Vector<const peerwire::Part*>> partList;
+    flatbuffers::Offset<flatbuffers::Vector<const peerwire::LimitedSends*>> sendsList;
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::RequestRate>>> rateList;
+    if (frame.work && !frame.work->traffic.limitedSends.empty())
+        sendsList = encodeLimitedSends(builder, frame.work->traffic);
     if (frame.whole) {
         host = builder.CreateString(frame.host.text());
         dataCentre = builder.CreateString(frame.dataCentre.text());
@@ -261,9 +304,11 @@
     if (frame.whole && frame.work) {
         demandList = encodeDemand(builder, frame.work->demand);
         partList = encodeParts(builder, frame.work->sentPrefixes);
+        rateList = encodeRequestRates(builder, frame.work->traffic.requestRates);
     }
     builder.Finish(peerwire::CreatePeerFrame(builder, host, dataCentre, frame.work.has_value(), loadList,
-        demandList, updateList, partList, frame.whole, crashList, leavingList, transitionList));
+        demandList, updateList, partList, frame.whole, crashList, leavingList, transitionList, limitList,
+        sendsList, frame.whole && frame.work ? frame.work->traffic.hosts : 0, rateList));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -293,6 +338,19 @@
         for (const auto* each : *from->leaving())
             frame.leaving.push_back(decodeLifetime(*each));
     }
+    if (from->limits()) {
+        for (const auto* each : *from->limits()) {
+            // A number that is not positive and finite is no rate.
+            if (!each->server() || !std::isfinite(each->per_second()) || each->per_second() < 0)
+                continue;
+            LimitStatement statement;
+            statement.server = decodeLifetime(*each->server());
+            if (each->per_second() > 0)
+                statement.rate = RequestRate(each->per_second());
+            statement.statedAt = now - std::chrono::milliseconds(each->stated_ms_ago());
+            frame.limits.push_back(std::move(statement));
+        }
+    }
     if (from->turns()) {
         for (const auto* each : *from->turns()) {
             if (!each->engine())
--- a/Source/Peers/PeerFrame.h
+++ b/Source/Peers/PeerFrame.h
@@ -7,6 +7,8 @@
 #include "Serving/BackendTable.h"
 #include "Serving/CrashRecord.h"
 #include "Serving/EngineDemand.h"
+#include "Serving/FleetTraffic.h"
+#include "Serving/LimitStatement.h"
 #include "Serving/SharedTable.h"
 #include "Serving/StoredRow.h"
 
@@ -26,9 +28,10 @@
     ServiceDemands demand;
     // Prompt prefixes recently sent to engines.
     std::set<SentPrefix> sentPrefixes;
+    FleetTraffic traffic;
 
     PeerWork& operator+=(const PeerWork&);
-    // Subtracts loads and demand. The prefixes stay, since they only state what was sent.
+    // Subtracts loads, demand and traffic. The prefixes stay, since they only state what was sent.
     PeerWork& operator-=(const PeerWork&);
 };
 
@@ -43,8 +46,8 @@
 // A frame between two hosts. Most frames have only the open loads and changes, which keeps them short enough
 // to be sent often.
 struct PeerFrame {
-    // The frame has the complete state of the sender. The names of host and data centre, the demand and the
-    // prefixes are sent only in such frames.
+    // The frame has the complete state of the sender. The names of host and data centre, the demand, the
+    // prefixes, the number of hosts and the request rates are sent only in such frames.
     bool whole = false;
     HostId host;
     DataCentre dataCentre;
@@ -56,6 +59,8 @@
     std::vector<BackendLifetime> leaving;
     // Engines that are changing their role.
     std::vector<RoleTransition> roleTransitions;
+    // Changed limits of servers.
+    std::vector<LimitStatement> limits;
 };
 
 // Encodes the frame without the length prefix that PeerLink adds. Times are encoded as ages relative to
--- a/Source/Peers/PeerFrames_generated.h
+++ b/Source/Peers/PeerFrames_generated.h
@@ -41,6 +41,14 @@
 struct Turn;
 struct TurnBuilder;
 
+struct Limit;
+struct LimitBuilder;
+
+struct RequestRate;
+struct RequestRateBuilder;
+
+struct LimitedSends;
+
 struct PeerFrame;
 struct PeerFrameBuilder;
 
@@ -141,6 +149,34 @@
 };
 FLATBUFFERS_STRUCT_END(Part, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LimitedSends FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t backend_;
+  int32_t requests_;
+  int32_t padding0__;
+
+ public:
+  LimitedSends()
+      : backend_(0),
+        requests_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  LimitedSends(uint64_t _backend, int32_t _requests)
+      : backend_(flatbuffers::EndianScalar(_backend)),
+        requests_(flatbuffers::EndianScalar(_requests)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t backend() const {
+    return flatbuffers::EndianScalar(backend_);
+  }
+  int32_t requests() const {
+    return flatbuffers::EndianScalar(requests_);
+  }
+};
+FLATBUFFERS_STRUCT_END(LimitedSends, 16);
+
 struct Demand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef DemandBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -791,6 +827,131 @@
   return builder_.Finish();
 }
 
+struct Limit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LimitBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_PER_SECOND = 6,
+    VT_STATED_MS_AGO = 8
+  };
+  const almondscale::peerwire::Lifetime *server() const {
+    return GetPointer<const almondscale::peerwire::Lifetime *>(VT_SERVER);
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  uint32_t stated_ms_ago() const {
+    return GetField<uint32_t>(VT_STATED_MS_AGO, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyTable(server()) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<uint32_t>(verifier, VT_STATED_MS_AGO, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct LimitBuilder {
+  typedef Limit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<almondscale::peerwire::Lifetime> server) {
+    fbb_.AddOffset(Limit::VT_SERVER, server);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(Limit::VT_PER_SECOND, per_second, 0.0);
+  }
+  void add_stated_ms_ago(uint32_t stated_ms_ago) {
+    fbb_.AddElement<uint32_t>(Limit::VT_STATED_MS_AGO, stated_ms_ago, 0);
+  }
+  explicit LimitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Limit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Limit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Limit> CreateLimit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<almondscale::peerwire::Lifetime> server = 0,
+    double per_second = 0.0,
+    uint32_t stated_ms_ago = 0) {
+  LimitBuilder builder_(_fbb);
+  builder_.add_per_second(per_second);
+  builder_.add_stated_ms_ago(stated_ms_ago);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+struct RequestRate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RequestRateBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_PER_SECOND = 6
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  float per_second() const {
+    return GetField<float>(VT_PER_SECOND, 0.0f);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<float>(verifier, VT_PER_SECOND, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct RequestRateBuilder {
+  typedef RequestRate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(RequestRate::VT_SERVICE, service);
+  }
+  void add_per_second(float per_second) {
+    fbb_.AddElement<float>(RequestRate::VT_PER_SECOND, per_second, 0.0f);
+  }
+  explicit RequestRateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RequestRate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RequestRate>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RequestRate> CreateRequestRate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    float per_second = 0.0f) {
+  RequestRateBuilder builder_(_fbb);
+  builder_.add_per_second(per_second);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RequestRate> CreateRequestRateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    float per_second = 0.0f) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return almondscale::peerwire::CreateRequestRate(
+      _fbb,
+      service__,
+      per_second);
+}
+
 struct PeerFrame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PeerFrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -804,7 +965,11 @@
     VT_WHOLE = 18,
     VT_CRASHES = 20,
     VT_LEAVING = 22,
-    VT_TURNS = 24
+    VT_TURNS = 24,
+    VT_LIMITS = 26,
+    VT_LIMITED_SENDS = 28,
+    VT_HOST_COUNT = 30,
+    VT_REQUEST_RATES = 32
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -839,6 +1004,18 @@
   const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Turn>> *turns() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Turn>> *>(VT_TURNS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Limit>> *limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Limit>> *>(VT_LIMITS);
+  }
+  const flatbuffers::Vector<const almondscale::peerwire::LimitedSends *> *limited_sends() const {
+    return GetPointer<const flatbuffers::Vector<const almondscale::peerwire::LimitedSends *> *>(VT_LIMITED_SENDS);
+  }
+  int32_t host_count() const {
+    return GetField<int32_t>(VT_HOST_COUNT, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::RequestRate>> *request_rates() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::RequestRate>> *>(VT_REQUEST_RATES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -866,6 +1043,15 @@
            VerifyOffset(verifier, VT_TURNS) &&
            verifier.VerifyVector(turns()) &&
            verifier.VerifyVectorOfTables(turns()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           verifier.VerifyVectorOfTables(limits()) &&
+           VerifyOffset(verifier, VT_LIMITED_SENDS) &&
+           verifier.VerifyVector(limited_sends()) &&
+           VerifyField<int32_t>(verifier, VT_HOST_COUNT, 4) &&
+           VerifyOffset(verifier, VT_REQUEST_RATES) &&
+           verifier.VerifyVector(request_rates()) &&
+           verifier.VerifyVectorOfTables(request_rates()) &&
            verifier.EndTable();
   }
 };
@@ -907,6 +1093,18 @@
   void add_turns(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Turn>>> turns) {
     fbb_.AddOffset(PeerFrame::VT_TURNS, turns);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Limit>>> limits) {
+    fbb_.AddOffset(PeerFrame::VT_LIMITS, limits);
+  }
+  void add_limited_sends(flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::LimitedSends *>> limited_sends) {
+    fbb_.AddOffset(PeerFrame::VT_LIMITED_SENDS, limited_sends);
+  }
+  void add_host_count(int32_t host_count) {
+    fbb_.AddElement<int32_t>(PeerFrame::VT_HOST_COUNT, host_count, 0);
+  }
+  void add_request_rates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::RequestRate>>> request_rates) {
+    fbb_.AddOffset(PeerFrame::VT_REQUEST_RATES, request_rates);
+  }
   explicit PeerFrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -930,8 +1128,16 @@
     bool whole = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::CrashRecord>>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Lifetime>>> leaving = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Turn>>> turns = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Turn>>> turns = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Limit>>> limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::LimitedSends *>> limited_sends = 0,
+    int32_t host_count = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::RequestRate>>> request_rates = 0) {
   PeerFrameBuilder builder_(_fbb);
+  builder_.add_request_rates(request_rates);
+  builder_.add_host_count(host_count);
+  builder_.add_limited_sends(limited_sends);
+  builder_.add_limits(limits);
   builder_.add_turns(turns);
   builder_.add_leaving(leaving);
   builder_.add_crashes(crashes);
@@ -958,7 +1164,11 @@
     bool whole = false,
     const std::vector<flatbuffers::Offset<almondscale::peerwire::CrashRecord>> *crashes = nullptr,
     const std::vector<flatbuffers::Offset<almondscale::peerwire::Lifetime>> *leaving = nullptr,
-    const std::vector<flatbuffers::Offset<almondscale::peerwire::Turn>> *turns = nullptr) {
+    const std::vector<flatbuffers::Offset<almondscale::peerwire::Turn>> *turns = nullptr,
+    const std::vector<flatbuffers::Offset<almondscale::peerwire::Limit>> *limits = nullptr,
+    const std::vector<almondscale::peerwire::LimitedSends> *limited_sends = nullptr,
+    int32_t host_count = 0,
+    const std::vector<flatbuffers::Offset<almondscale::peerwire::RequestRate>> *request_rates = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<almondscale::peerwire::Load>(*loads) : 0;
@@ -968,6 +1178,9 @@
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::CrashRecord>>(*crashes) : 0;
   auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::Lifetime>>(*leaving) : 0;
   auto turns__ = turns ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::Turn>>(*turns) : 0;
+  auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::Limit>>(*limits) : 0;
+  auto limited_sends__ = limited_sends ? _fbb.CreateVectorOfStructs<almondscale::peerwire::LimitedSends>(*limited_sends) : 0;
+  auto request_rates__ = request_rates ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::RequestRate>>(*request_rates) : 0;
   return almondscale::peerwire::CreatePeerFrame(
       _fbb,
       host__,
@@ -980,7 +1193,11 @@
       whole,
       crashes__,
       leaving__,
-      turns__);
+      turns__,
+      limits__,
+      limited_sends__,
+      host_count,
+      request_rates__);
 }
 
 inline const almondscale::peerwire::PeerFrame *GetPeerFrame(const void *buf) {
--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -83,10 +83,12 @@
         }
         if (!frame.work)
             return;
-        if (frame.whole)
+        if (frame.whole) {
             m_work = *frame.work;
-        else
+        } else {
             m_work.loads = frame.work->loads;
+            m_work.traffic.limitedSends = frame.work->traffic.limitedSends;
+        }
     }
 
     static awaitable<void> receive(std::shared_ptr<Impl> self, std::shared_ptr<PeerLink> link)
@@ -154,6 +156,7 @@
     std::uint64_t m_sentCrashVersion = 0;
     std::size_t m_sentLeavingPosition = 0;
     std::size_t m_sentRoleTransitionPosition = 0;
+    std::uint64_t m_sentLimitVersion = 0;
     std::weak_ptr<Impl> m_self;
 };
 
@@ -196,6 +199,8 @@
 std::uint64_t& PeerLink::sentCrashVersion() { return m_impl->m_sentCrashVersion; }
 std::size_t& PeerLink::sentLeavingPosition() { return m_impl->m_sentLeavingPosition; }
 
+std::uint64_t& PeerLink::sentLimitVersion() { return m_impl->m_sentLimitVersion; }
+
 std::size_t& PeerLink::sentRoleTransitionPosition() { return m_impl->m_sentRoleTransitionPosition; }
 
 } // namespace almondscale
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -46,6 +46,8 @@
     std::uint64_t& sentCrashVersion();
     // The position in the log of announced shutdowns up to which they were sent over this link.
     std::size_t& sentLeavingPosition();
+    // The version of the limits of servers up to which they were sent over this link.
+    std::uint64_t& sentLimitVersion();
     // The same for the log of role transitions.
     std::size_t& sentRoleTransitionPosition();
 
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -33,6 +33,7 @@
 
     // Further crash records follow in the next frames.
     constexpr std::size_t maxCrashRecordsPerFrame = 64;
+    constexpr std::size_t maxLimitsPerFrame = 64;
 
     // Seeds are tried in turn, one per interval.
     constexpr Nanoseconds seedInterval = std::chrono::milliseconds(400);
@@ -267,6 +268,8 @@
             frame.leaving = m_hooks.leavingSince(link.sentLeavingPosition());
         if (m_hooks.roleTransitionsSince)
             frame.roleTransitions = m_hooks.roleTransitionsSince(link.sentRoleTransitionPosition());
+        if (m_hooks.limitsSince)
+            frame.limits = m_hooks.limitsSince(link.sentLimitVersion(), maxLimitsPerFrame);
         return frame;
     }
 
@@ -285,6 +288,8 @@
             m_crashes.merge(record);
         for (const auto& server : frame.leaving)
             changed = (m_hooks.onLeaving && m_hooks.onLeaving(server)) || changed;
+        for (const auto& statement : frame.limits)
+            changed = (m_hooks.onLimit && m_hooks.onLimit(statement)) || changed;
         for (const auto& transition : frame.roleTransitions) {
             if (!transition.until.passed(now))
                 changed = (m_hooks.onRoleTransition && m_hooks.onRoleTransition(transition)) || changed;
--- a/Source/Peers/PeerNetwork.h
+++ b/Source/Peers/PeerNetwork.h
@@ -13,8 +13,8 @@
 
 // Connects the entry hosts: each host to the strongest one of its data centre, the reader, and the readers to
 // each other. Readers read the store for all hosts. Table changes, open loads, crash records, announced
-// shutdowns and role transitions are passed on over the links. A host that has no reader, or whose reader is
-// behind, reads the store itself. Not thread-safe; runs on the executor.
+// shutdowns, role transitions and limits of servers are passed on over the links. A host that has no reader,
+// or whose reader is behind, reads the store itself. Not thread-safe; runs on the executor.
 class PeerNetwork {
 public:
     struct Hooks {
@@ -29,6 +29,10 @@
         // The same for engines that are changing their role.
         std::function<std::vector<RoleTransition>(std::size_t& position)> roleTransitionsSince = {};
         std::function<bool(const RoleTransition&)> onRoleTransition = {};
+        // Limits of servers that changed after the version, at most so many; advances the version.
+        std::function<std::vector<LimitStatement>(std::uint64_t& version, std::size_t maxCount)> limitsSince
+            = {};
+        std::function<bool(const LimitStatement&)> onLimit = {};
     };
 
     // The seeds are peer addresses of other hosts, used until the table of hosts is known. They may be stale.
--- a/Source/Serving/BackendCall.h
+++ b/Source/Serving/BackendCall.h
@@ -2,17 +2,25 @@
 
 #include "Core/MonotonicTime.h"
 #include "Core/Priority.h"
-#include "Serving/BackendId.h"
 #include "Serving/KvSource.h"
+#include "Serving/SendPermit.h"
 
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace almondscale {
 
 // How a caller's request is sent to one backend server.
 struct BackendCall {
-    BackendId backend;
+    explicit BackendCall(SendPermit sendPermit)
+        : permit(std::move(sendPermit))
+    {
+    }
+
+    const BackendId& backend() const { return permit.server().backend; }
+
+    SendPermit permit;
     // Time left until the request's deadline.
     Nanoseconds remaining {};
     // The server only prefills the prompt and keeps the KV cache for a decode engine.
--- a/Source/Serving/BackendReply.h
+++ b/Source/Serving/BackendReply.h
@@ -2,6 +2,7 @@
 
 #include "Core/MonotonicTime.h"
 #include "Serving/HttpHeads.h"
+#include "Serving/RequestRate.h"
 
 #include <optional>
 #include <string>
@@ -21,6 +22,10 @@
     bool leaving = false;
     // The server asks this host to send nothing more for this long.
     std::optional<Nanoseconds> retryAfter;
+    // The requests per second that the server takes from all hosts together, if it names a limit.
+    std::optional<RequestRate> limit;
+    // The server names a limit that is no number.
+    bool limitUnreadable = false;
     // The response carries a signature that identifies the server which produced it.
     bool isSigned = false;
 
--- a/Source/Serving/BackendTable.cpp
+++ b/Source/Serving/BackendTable.cpp
@@ -38,6 +38,11 @@
 
 } // namespace
 
+BackendTable::BackendTable(RandomSource random)
+    : m_limits(std::move(random))
+{
+}
+
 void BackendTable::put(const BackendRecord& record)
 {
     auto& backend = m_backends[record.id];
@@ -66,19 +71,20 @@
     const ServiceName& service, MonotonicTime now, std::optional<EngineRole> role) const
 {
     std::vector<const Backend*> healthy;
-    std::vector<const Backend*> ejected;
+    std::vector<const Backend*> ejectedServers;
     for (const auto& entry : m_backends) {
         const auto& backend = entry.second;
         if (backend.record.service != service || !maySendTo(backend, now))
             continue;
         if (role && backend.record.role != role)
             continue;
-        if (backend.ejectedUntil <= now)
-            healthy.push_back(&backend);
-        else if (!backend.unreachable)
-            ejected.push_back(&backend);
+        const bool ejected = backend.ejectedUntil > now;
+        if ((ejected && backend.unreachable)
+            || (!m_limits.empty() && !m_limits.hasRoom(lifetimeOf(backend.record), service, now)))
+            continue;
+        (ejected ? ejectedServers : healthy).push_back(&backend);
     }
-    return healthy.empty() ? ejected : healthy;
+    return healthy.empty() ? ejectedServers : healthy;
 }
 
 bool BackendTable::isLeaving(const Backend& backend) const
@@ -105,6 +111,52 @@
     return backend && maySendTo(*backend, now);
 }
 
+std::optional<SendPermit> BackendTable::admit(const BackendId& id, MonotonicTime now)
+{
+    const auto* backend = find(id);
+    if (!backend || !maySendTo(*backend, now))
+        return std::nullopt;
+    const auto server = lifetimeOf(backend->record);
+    if (!m_limits.hasRoom(server, backend->record.service, now))
+        return std::nullopt;
+    SendPermit permit(server, false);
+    onSend(permit, now);
+    return permit;
+}
+
+void BackendTable::onSend(SendPermit& permit, MonotonicTime now)
+{
+    if (permit.m_counted || !m_limits.isLimited(permit.m_server))
+        return;
+    const auto* backend = find(permit.m_server.backend);
+    m_limits.count(permit.m_server, backend ? backend->record.service : ServiceName(), now);
+    permit.m_counted = true;
+}
+
+void BackendTable::giveBack(SendPermit permit, MonotonicTime now)
+{
+    if (permit.counted())
+        m_limits.giveBack(permit.server(), now);
+}
+
+std::optional<RequestRate> BackendTable::limitedRate(
+    const ServiceName& service, MonotonicTime now, std::optional<EngineRole> role) const
+{
+    std::optional<RequestRate> sum;
+    if (m_limits.empty())
+        return sum;
+    for (const auto& entry : m_backends) {
+        const auto& backend = entry.second;
+        const auto server = lifetimeOf(backend.record);
+        if (backend.record.service != service || (role && backend.record.role != role)
+            || !m_limits.isLimited(server) || !maySendTo(backend, now) || backend.unreachable)
+            continue;
+        const double share = m_limits.share(server, service, now).perSecond();
+        sum = RequestRate(sum.value_or(RequestRate()).perSecond() + share);
+    }
+    return sum;
+}
+
 bool BackendTable::noteLeaving(const BackendLifetime& server, const LeavingNotice& notice)
 {
     if (!m_leaving.emplace(server, notice).second)
--- a/Source/Serving/BackendTable.h
+++ b/Source/Serving/BackendTable.h
@@ -6,7 +6,9 @@
 #include "Serving/BackendOutcome.h"
 #include "Serving/LeavingNotice.h"
 #include "Serving/RoleTransition.h"
+#include "Serving/SendPermit.h"
 #include "Serving/SentPrefix.h"
+#include "Serving/ServerLimits.h"
 #include "Serving/UpdateLog.h"
 
 #include <deque>
@@ -25,6 +27,9 @@
     // Outstanding work by the hash of the server's id.
     using Loads = std::unordered_map<std::uint64_t, BackendLoad>;
 
+    // The random numbers divide the limits of servers between hosts.
+    explicit BackendTable(RandomSource = seededRandom(1));
+
     // Adds or updates a server. Health and history are reset if it restarted or its address changed.
     void put(const BackendRecord&);
     void remove(const BackendId&);
@@ -39,10 +44,24 @@
 
     // Whether the server announced its shutdown, in its registration or in a response.
     bool isLeaving(const Backend&) const;
-    // Whether the server may be sent new work: it is not shutting down, not changing its role, and not in a
-    // backoff that it asked for.
+    // Whether the server takes new work: it is not shutting down, not changing its role, and not in a backoff
+    // that it asked for.
     bool maySendTo(const Backend&, MonotonicTime now) const;
     bool maySendTo(const BackendId&, MonotonicTime now) const;
+    // Permits one request to the server and counts it against the server's limit; none if the server takes no
+    // new work or its limit is reached.
+    std::optional<SendPermit> admit(const BackendId&, MonotonicTime now);
+    // Called when the request is sent: counts it if the server has named its limit since the permit was
+    // issued.
+    void onSend(SendPermit&, MonotonicTime now);
+    // The permitted request was not sent.
+    void giveBack(SendPermit, MonotonicTime now);
+    // The rate at which this host may send to the servers of the service, and of the role if given, that have
+    // reached their limits; unset if there are none.
+    std::optional<RequestRate> limitedRate(
+        const ServiceName&, MonotonicTime now, std::optional<EngineRole> = std::nullopt) const;
+    ServerLimits& limits() { return m_limits; }
+    const ServerLimits& limits() const { return m_limits; }
     // The server announced in a response that it is shutting down. Returns whether this was unknown. No later
     // registration of the same lifetime revokes it.
     bool noteLeaving(const BackendLifetime&, const LeavingNotice&);
@@ -95,6 +114,8 @@
     };
 
     std::map<BackendId, Backend> m_backends;
+    // Looking for a server with room draws its share of the limit.
+    mutable ServerLimits m_limits;
     // Servers that announced their shutdown. Kept after the registration is gone, because the registration
     // may expire and reappear.
     std::map<BackendLifetime, LeavingNotice> m_leaving;
--- a/Source/Serving/RoleSplit.cpp
+++ b/Source/Serving/RoleSplit.cpp
@@ -12,6 +12,9 @@
     // Requests per second below which there is no traffic yet.
     constexpr double minRequestRate = 0.5;
     constexpr double msPerSecond = 1000;
+    // Lower bound of the engines of a role for the utilisation, so that a role without capacity is the
+    // busiest.
+    constexpr double minCapacity = 0.01;
 
     int minDecodeEngines(int engines) { return engines >= minEnginesForSpare ? 2 : 1; }
 
@@ -36,15 +39,18 @@
     return std::clamp(std::max(share, minDecodeEngines(engines)), 0, std::max(0, engines - 1));
 }
 
-int RoleSplit::decodeTarget(int engines, double slots, const EngineDemand& demand, int decoding) const
+int RoleSplit::decodeTarget(
+    int engines, double slots, const EngineDemand& demand, int decoding, const LimitedCapacity& missing) const
 {
     const int minDecode = minDecodeEngines(engines);
     if (demand.requests <= minRequestRate || demand.decodeMs <= 0)
         return defaultTarget(engines, slots);
     const double prefillEngines = demand.prefillMs / msPerSecond;
     const double decodeEngines = demand.decodeMs / msPerSecond / std::max(1.0, slots);
-    const auto utilisation
-        = [&](int decode) { return std::max(prefillEngines / (engines - decode), decodeEngines / decode); };
+    const auto utilisation = [&](int decode) {
+        return std::max(prefillEngines / std::max(minCapacity, engines - decode - missing.prefill),
+            decodeEngines / std::max(minCapacity, decode - missing.decode));
+    };
     const int current = std::clamp(decoding, std::min(minDecode, engines - 1), engines - 1);
     if (current < 1 || (current == decoding && utilisation(current) < m_options.rebalanceUtilisation))
         return current;
@@ -78,17 +84,35 @@
     return mean *= 1 / average.weight;
 }
 
+double RoleSplit::missingCapacity(const std::vector<const Backend*>& engines, EngineRole role,
+    const EngineDemand& demand, double slots) const
+{
+    if (m_backends.limits().empty() || demand.requests <= minRequestRate)
+        return 0;
+    const double busyMs
+        = role == EngineRole::Decode ? demand.decodeMs / std::max(1.0, slots) : demand.prefillMs;
+    double missing = 0;
+    for (const auto* engine : engines) {
+        const auto limit = m_backends.limits().limit(lifetimeOf(engine->record));
+        if (!limit)
+            continue;
+        const double usedMs = limit->perSecond() * busyMs / demand.requests;
+        missing += std::max(0.0, 1 - usedMs / msPerSecond);
+    }
+    return missing;
+}
+
 int RoleSplit::decodeShortage(const ServiceName& service, const EngineDemand& demand, int engines,
-    double slots, int decoding, MonotonicTime now)
+    double slots, int decoding, const LimitedCapacity& missing, MonotonicTime now)
 {
     auto& peak = m_peaks[service];
     if (engines >= peak.engines || now - peak.at > m_options.registrationLapseTime)
         peak = Peak { engines, now };
-    const int shortage = decodeTarget(engines, slots, demand, decoding) - decoding;
+    const int shortage = decodeTarget(engines, slots, demand, decoding, missing) - decoding;
     if (shortage >= 0)
         return shortage;
     // Engines that may reappear are counted, so that their absence causes no surplus.
-    return std::min(0, decodeTarget(peak.engines, slots, demand, decoding) - decoding);
+    return std::min(0, decodeTarget(peak.engines, slots, demand, decoding, missing) - decoding);
 }
 
 bool RoleSplit::isPrefillIdle(int prefilling, const EngineDemand& demand) const
@@ -129,8 +153,11 @@
         for (const auto* engine : *list)
             slots += static_cast<double>(engine->record.slots) / engines;
     }
-    int shortage = decodeShortage(
-        service, averageDemand(service, demand, now), engines, slots, static_cast<int>(decode.size()), now);
+    const auto average = averageDemand(service, demand, now);
+    const LimitedCapacity missing { missingCapacity(prefill, EngineRole::Prefill, average, slots),
+        missingCapacity(decode, EngineRole::Decode, average, slots) };
+    int shortage
+        = decodeShortage(service, average, engines, slots, static_cast<int>(decode.size()), missing, now);
     if (shortage < 0 && isPrefillIdle(static_cast<int>(prefill.size()), demand))
         shortage = 0;
     if (shortage <= 0)
@@ -151,8 +178,13 @@
     std::map<DataCentre, int> enginesPerDataCentre;
     for (const auto* engine : to)
         ++enginesPerDataCentre[engine->record.dataCentre];
-    // Data centres with the fewest engines of the new role first, then the engines with the least work.
+    // Engines without a limit first, then data centres with the fewest engines of the new role, then the
+    // engines with the least work.
+    const auto isLimited
+        = [this](const Backend* engine) { return m_backends.limits().isLimited(lifetimeOf(engine->record)); };
     std::stable_sort(from.begin(), from.end(), [&](const Backend* a, const Backend* b) {
+        if (isLimited(a) != isLimited(b))
+            return !isLimited(a);
         const int aCount = enginesPerDataCentre[a->record.dataCentre];
         const int bCount = enginesPerDataCentre[b->record.dataCentre];
         if (aCount != bCount)
--- a/Source/Serving/RoleSplit.h
+++ b/Source/Serving/RoleSplit.h
@@ -59,6 +59,12 @@
     EngineRole role = EngineRole::Decode;
 };
 
+// Engines of each role that are missing because limits named by the servers leave them partly unused.
+struct LimitedCapacity {
+    double prefill = 0;
+    double decode = 0;
+};
+
 // Decides how many engines of each service prefill and how many decode, and which engine changes its role
 // next. Covers fleets that start with too few prefill engines for their prompts, fleets far larger than their
 // demand, and engines that return with another role than before.
@@ -75,7 +81,8 @@
 
     // The target number of decode engines, given the number of engines, the slots of each and the number that
     // decode now.
-    int decodeTarget(int engines, double slots, const EngineDemand&, int decoding) const;
+    int decodeTarget(int engines, double slots, const EngineDemand&, int decoding,
+        const LimitedCapacity& missing = {}) const;
 
 private:
     struct Order {
@@ -101,8 +108,11 @@
     // Adds the demand to the average and returns the average.
     EngineDemand averageDemand(const ServiceName&, const EngineDemand&, MonotonicTime now);
     // Missing decode engines; negative for a surplus.
-    int decodeShortage(
-        const ServiceName&, const EngineDemand&, int engines, double slots, int decoding, MonotonicTime now);
+    int decodeShortage(const ServiceName&, const EngineDemand&, int engines, double slots, int decoding,
+        const LimitedCapacity& missing, MonotonicTime now);
+    // The number of engines of this role that their limits leave unused.
+    double missingCapacity(
+        const std::vector<const Backend*>&, EngineRole, const EngineDemand&, double slots) const;
     bool isPrefillIdle(int prefilling, const EngineDemand&) const;
     // The number of engines that may change their role concurrently under traffic.
     int maxConcurrentChanges(int engines, int prefilling) const;
--- a/Tests/Forwarding/RequestForwarderTest.cpp
+++ b/Tests/Forwarding/RequestForwarderTest.cpp
@@ -622,3 +622,103 @@
     CHECK(status("GET", "/safe/marked") == 503);
     CHECK(ended == 0);
 }
+
+TEST_CASE_METHOD(ForwardingFixture, "Server that names a limit gets no more, and callers are refused at once")
+{
+    auto& limited
+        = addServer("s1", std::nullopt, whole(200, "fine", "Response-Signature: s\r\nServer-Limit: 1\r\n"));
+    CHECK(ask("POST", "/unsafe/x").value().head.status == 200);
+    const auto before = bootTime();
+    for (int i = 0; i < 20; ++i) {
+        const auto reply = ask("POST", "/unsafe/x");
+        if (reply.value().head.status == 200)
+            continue;
+        CHECK(reply.value().head.status == 503);
+        REQUIRE(reply.value().head.fields.has("Retry-After"));
+        CHECK(std::stod(*reply.value().head.fields.find("Retry-After")) >= 0.1);
+    }
+    CHECK(bootTime() - before < 1s);
+    CHECK(limited.requests <= 4);
+}
+
+TEST_CASE_METHOD(ForwardingFixture, "Server that names a limit, beside one without, causes no refusals")
+{
+    auto& limited
+        = addServer("s1", std::nullopt, whole(200, "fine", "Response-Signature: s\r\nServer-Limit: 0.5\r\n"));
+    addServer("s2", std::nullopt, whole(200, "fine"));
+    for (int i = 0; i < 30; ++i)
+        CHECK(ask("POST", "/unsafe/x").value().head.status == 200);
+    CHECK(limited.requests <= 4);
+}
+
+TEST_CASE_METHOD(ForwardingFixture, "Server that no longer names its limit gets all requests again")
+{
+    int named = 1;
+    auto& server = addServer("s1", std::nullopt,
+        [&named](const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
+            const std::string limit = named-- > 0 ? "Server-Limit: 5\r\n" : "";
+            co_await LoopbackServer::write(
+                socket, answerText(request, 200, "fine", "Response-Signature: s\r\n" + limit));
+            co_return true;
+        });
+    while (server.requests < 2) {
+        ask("POST", "/unsafe/x");
+        runFor(50ms);
+    }
+    for (int i = 0; i < 10; ++i)
+        CHECK(ask("POST", "/unsafe/x").value().head.status == 200);
+}
+
+TEST_CASE_METHOD(ForwardingFixture, "Server with an unusable limit has its responses delivered")
+{
+    const auto* value = GENERATE("many", "nan", "", "1e300", "inf");
+    addServer("s1", std::nullopt,
+        whole(200, "fine", std::string("Response-Signature: s\r\nServer-Limit: ") + value + "\r\n"));
+    for (int i = 0; i < 5; ++i)
+        CHECK(ask("POST", "/unsafe/x").value().body == "fine");
+}
+
+TEST_CASE_METHOD(StreamFixture, "Engines that name limits, in a prefill or a stream, get no more of either")
+{
+    const std::string limit = "Server-Limit: 0.2\r\n";
+    servers.clear();
+    backends.remove(BackendId("p"));
+    const std::string handle = R"({"kvHandle":"h1","tokens":1000,"version":1})";
+    auto& prefill = addServer("p1", EngineRole::Prefill, whole(200, handle, limit));
+    auto& decode = addServer("d1", EngineRole::Decode,
+        [limit](const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
+            auto head = streamHead(request);
+            head.insert(head.find("Content-Type"), limit);
+            co_await LoopbackServer::write(socket, head + chunk(event(1)) + "0\r\n\r\n");
+            co_return true;
+        });
+    CHECK(ask("POST", "/once/x").value().head.status == 200);
+    const auto before = bootTime();
+    for (int i = 0; i < 10; ++i)
+        ask("POST", "/once/x");
+    CHECK(bootTime() - before < 1s);
+    CHECK(prefill.requestsByMethod["POST"] <= 3);
+    CHECK(decode.requests <= 3);
+    // Both roles have room elsewhere now.
+    addServer("p2", EngineRole::Prefill, whole(200, handle, ""));
+    addServer("d2", EngineRole::Decode, stream(1, 1));
+    for (int i = 0; i < 10; ++i)
+        CHECK(ask("POST", "/once/x").value().head.status == 200);
+    CHECK(decode.requests <= 4);
+}
+
+TEST_CASE_METHOD(StreamFixture, "Stream that broke off is not resumed at an engine whose limit is reached")
+{
+    servers.clear();
+    backends.remove(BackendId("p"));
+    addServer("p1", EngineRole::Prefill, whole(200, R"({"kvHandle":"h1","tokens":1000,"version":1})", ""));
+    auto& limited = addServer("d1", EngineRole::Decode, stream(2, 2));
+    for (int i = 0; i < 200; ++i)
+        backends.limits().hasRoom(
+            lifetimeOf(backends.find(BackendId("d1"))->record), ServiceName("llm"), bootTime());
+    backends.limits().noteResponse(
+        lifetimeOf(backends.find(BackendId("d1"))->record), RequestRate(0.1), bootTime(), bootTime());
+    addServer("d2", EngineRole::Decode, stream(2, 1));
+    ask("POST", "/stream/x");
+    CHECK(limited.requests == 0);
+}
--- a/Tests/Host/StatusPagesTest.cpp
+++ b/Tests/Host/StatusPagesTest.cpp
@@ -128,6 +128,25 @@
     CHECK_FALSE(jsonFlag(leases[0], "held_here"));
 }
 
+TEST_CASE_METHOD(
+    StatusPagesFixture, "Servers page shows the limit of a server, this host's share and what was sent")
+{
+    const auto engine = lifetimeOf(backends.find(BackendId("engine-1"))->record);
+    backends.limits().noteResponse(engine, RequestRate(8), now, now);
+    backends.limits().setHostCount(2);
+    backends.limits().count(engine, ServiceName("llm"), now);
+    FleetTraffic others;
+    others.limitedSends[backendHash(engine.backend)] = 5;
+    backends.limits().setRemoteTraffic(others);
+    const auto json = page("/servers");
+    const auto& server = (*jsonMember(json, "servers"))[1];
+    CHECK(jsonNumber(server, "limit_per_s") == Approx(8));
+    // The other host, which is not heard, keeps its half.
+    CHECK(jsonNumber(server, "share_per_s") == Approx(4));
+    CHECK(jsonInteger(server, "sent_here") == 1);
+    CHECK(jsonInteger(server, "sent") == 6);
+}
+
 TEST_CASE_METHOD(StatusPagesFixture, "Unknown path has no page")
 {
     CHECK_FALSE(pages.page("/almondscale/ready", {}, now));
--- a/Tests/Peers/PeerFrameTest.cpp
+++ b/Tests/Peers/PeerFrameTest.cpp
@@ -40,8 +40,19 @@
     frame.roleTransitions = { { end.server, EngineRole::Decode, Deadline::after(now, 4s) },
         { end.server, EngineRole::Prefill, Deadline(now) } };
 
+    frame.work->traffic = { 3, { { ServiceName("desk"), 12.5 } }, { { 42, 9 } } };
+    frame.limits = { { end.server, RequestRate(4.7), now - 1s }, { end.server, std::nullopt, now - 2s } };
+
     const auto decoded = decodePeerFrame(encodePeerFrame(frame, now), now);
     REQUIRE(decoded);
+    CHECK(decoded->work->traffic.hosts == 3);
+    CHECK(decoded->work->traffic.requestRates.at(ServiceName("desk")) == Approx(12.5));
+    CHECK(decoded->work->traffic.limitedSends.at(42) == 9);
+    REQUIRE(decoded->limits.size() == 2);
+    CHECK(decoded->limits[0].server == end.server);
+    CHECK(decoded->limits[0].rate == RequestRate(4.7));
+    CHECK(decoded->limits[0].statedAt == now - 1s);
+    CHECK_FALSE(decoded->limits[1].rate);
     CHECK(decoded->host == frame.host);
     CHECK(decoded->work->loads.at(42).requests == 3);
     CHECK(decoded->work->loads.at(42).prefillMs == Approx(120.5));
--- a/Tests/PlatformAdapter/RequestWireTest.cpp
+++ b/Tests/PlatformAdapter/RequestWireTest.cpp
@@ -1,7 +1,11 @@
 #include "platform/RequestWire.h"
 
+#include "Serving/BackendTable.h"
+
 #include <catch2/catch.hpp>
 
+#include <type_traits>
+
 using namespace almondscale;
 using namespace std::chrono_literals;
 
@@ -25,6 +29,27 @@
         return request.value();
     }
 
+    static SendPermit permit()
+    {
+        BackendTable table;
+        BackendRecord record;
+        record.id = BackendId("i-1");
+        table.put(record);
+        return std::move(*table.admit(record.id, MonotonicTime()));
+    }
+
+    // The limit that is decoded from the text in a response, in requests per second; negative for none.
+    double limitOf(const std::string& text) const
+    {
+        HttpResponseHead response;
+        response.status = 200;
+        response.fields.add("Server-Limit", text);
+        const auto reply = wire.decodeReply(response);
+        CHECK(reply.limitUnreadable == !reply.limit);
+        CHECK(reply.success());
+        return reply.limit ? reply.limit->perSecond() : -1;
+    }
+
     ServingWire wire;
     HttpRequestHead head;
 };
@@ -37,8 +62,7 @@
         { "Kv-Source", "kv-hold", "Pin-Ms", "Kv-Backup", "Serving-Stage", "Request-Priority" })
         head.fields.add(name, "forged");
     head.fields.add("Deadline-Ms", "900");
-    BackendCall call;
-    call.backend = BackendId("i-1");
+    BackendCall call(permit());
     call.remaining = 700ms;
     const auto sent = wire.encodeCall(decoded(), call);
     for (const char* name :
@@ -50,6 +74,27 @@
     CHECK(decoded().timeout == Nanoseconds(900ms));
 }
 
+// A request cannot be encoded without a permit, which only the table of servers issues.
+static_assert(!std::is_default_constructible_v<SendPermit> && !std::is_copy_constructible_v<SendPermit>);
+static_assert(!std::is_default_constructible_v<BackendCall> && !std::is_copy_constructible_v<BackendCall>);
+
+TEST_CASE_METHOD(
+    RequestWireFixture, "Limit of a server, unusable or not, is bounded and never fails the response")
+{
+    CHECK(limitOf("4.7") == 4.7);
+    CHECK(limitOf("1") == 1);
+    for (const char* least : { "0", "-3", "0.0001", "1e-999", "-inf" })
+        CHECK(limitOf(least) == 0.1);
+    for (const char* most : { "1e300", "inf", "99999999999", "1e999" })
+        CHECK(limitOf(most) == 1e6);
+    CHECK(limitOf(std::string(400, '9')) == 1e6);
+    for (const char* unreadable : { "", "many", "nan", "1,5", "5/s", " 5" })
+        CHECK(limitOf(unreadable) == -1);
+    HttpResponseHead response;
+    CHECK_FALSE(wire.decodeReply(response).limit);
+    CHECK_FALSE(wire.decodeReply(response).limitUnreadable);
+}
+
 TEST_CASE_METHOD(RequestWireFixture, "Hop-by-hop fields of a caller are not forwarded, but the request id is")
 {
     head.fields.add("Connection", "keep-alive, X-Private, Request-Id");
@@ -57,7 +102,7 @@
     head.fields.add("Transfer-Encoding", "chunked");
     head.fields.add("Content-Length", "4");
     head.fields.add("X-Other", "2");
-    const auto sent = wire.encodeCall(decoded(), {});
+    const auto sent = wire.encodeCall(decoded(), BackendCall(permit()));
     CHECK_FALSE(sent.fields.has("X-Private"));
     CHECK_FALSE(sent.fields.has("Connection"));
     CHECK_FALSE(sent.fields.has("Transfer-Encoding"));
--- a/Tests/Serving/RoleSplitTest.cpp
+++ b/Tests/Serving/RoleSplitTest.cpp
@@ -244,3 +244,26 @@
     demand.decodeMs = 20000;
     CHECK(split.decodeTarget(18, 16, demand, 10) == 10);
 }
+
+TEST_CASE_METHOD(
+    RoleSplitFixture, "Split, with its decode engines limited far below the demand, turns engines without")
+{
+    apply(split.decide(model, EngineDemand(), testStart), testStart);
+    REQUIRE(decoding() == 2);
+    EngineDemand demand;
+    demand.requests = 30;
+    demand.prefillMs = 900;
+    demand.decodeMs = 9000;
+    REQUIRE(split.decide(model, demand, testStart + 1s).empty());
+    for (const auto& entry : table.all()) {
+        if (entry.second.record.role == EngineRole::Decode)
+            table.limits().noteResponse(
+                lifetimeOf(entry.second.record), RequestRate(5), testStart + 1s, testStart + 2s);
+    }
+    CHECK(split.decide(model, demand, testStart + 2s).empty());
+    const auto orders = split.decide(model, demand, testStart + 4s);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].role == EngineRole::Decode);
+    apply(orders, testStart + 4s);
+    CHECK(split.decide(model, demand, testStart + 20s).empty());
+}
