--- a/Source/Forwarding/RequestForwarderSuspect.cpp
+++ b/Source/Forwarding/RequestForwarderSuspect.cpp
@@ -79,9 +79,9 @@
         const bool suspect = m_context.crashes.suspicion(m_content, bootTime()) == Suspicion::Isolate;
         if (!choice && (!suspect || taken.size() == excluded.size()))
             co_return choice;
-        if (!suspect && takePermit(choice->backend))
-            co_return choice;
         if (!suspect) {
+            if (takePermit(choice->backend))
+                co_return choice;
             taken.insert(choice->backend);
             continue;
         }
--- a/Source/Serving/BackendTable.h
+++ b/Source/Serving/BackendTable.h
@@ -36,9 +36,9 @@
 
     const Backend* find(const BackendId&) const;
     const std::map<BackendId, Backend>& all() const { return m_backends; }
-    // The servers of the service, and of the role if given, that may get new work now. Ejected servers are
-    // returned only if there are no others, and unreachable servers never before their next probe: a request
-    // that only they could serve is better refused at once.
+    // The servers of the service, and of the role if given, that may get new work now and have room within
+    // their limits. Ejected servers are returned only if there are no others, and unreachable servers never
+    // before their next probe: a request that only they could serve is better refused at once.
     std::vector<const Backend*> usable(
         const ServiceName&, MonotonicTime now, std::optional<EngineRole> = std::nullopt) const;
 
--- a/Source/Serving/ServerLimits.cpp
+++ b/Source/Serving/ServerLimits.cpp
@@ -217,13 +217,12 @@
 
 ServerLimits::Limit* ServerLimits::findLimited(const BackendLifetime& server)
 {
-    return const_cast<Limit*>(std::as_const(*this).findLimited(server));
+    const auto limit = m_limits.find(server);
+    return limit == m_limits.end() || !limit->second.statement.rate ? nullptr : &limit->second;
 }
 
 const ServerLimits::Limit* ServerLimits::findLimited(const BackendLifetime& server) const
 {
-    if (m_limits.empty())
-        return nullptr;
     const auto limit = m_limits.find(server);
     return limit == m_limits.end() || !limit->second.statement.rate ? nullptr : &limit->second;
 }
@@ -313,9 +312,7 @@
         // With many hosts or a low limit, a host's share is a fraction of a request. Each fraction gets the
         // corresponding chance, so that together the hosts send as much as the limit allows.
         room = limit->credit >= 1 || uniform(m_random) < limit->credit;
-        limit->credit = room ? limit->credit - 1 : std::min(limit->credit, 0.0);
-        if (room && limit->credit < 0)
-            limit->credit = 0;
+        limit->credit = room ? std::max(0.0, limit->credit - 1) : std::min(limit->credit, 0.0);
         if (room)
             limit->grantedUntil = Deadline::after(now, grantTime);
     }
--- a/Tests/Serving/ServerLimitsTest.cpp
+++ b/Tests/Serving/ServerLimitsTest.cpp
@@ -55,7 +55,7 @@
     }
 }
 
-TEST_CASE("Fleet, with a tenfold peak of requests beside a limit, sends no more than the rule allows")
+TEST_CASE("Fleet, with a sudden peak of requests beside a limit, sends no more than the rule allows")
 {
     for (const int hosts : { 8, 195 }) {
         for (const std::uint64_t seed : { 1, 2, 3 }) {
