Limits of servers: waiting requests do not hold others back from servers without a limit

A request behind others that waited for a limited server was refused although a server without a limit had room, until the waiting ones had been served.

--- a/Source/Forwarding/RequestForwarder.cpp
+++ b/Source/Forwarding/RequestForwarder.cpp
@@ -419,7 +419,11 @@
     const RoomQueue::Place place(m_context.roomQueue, { m_service, role }, m_route->priority);
     while (!stopped()) {
         const auto now = bootTime();
-        if (place.isFirst() && !m_context.backends.usable(m_service, now, role).empty())
+        const auto servers = m_context.backends.usable(m_service, now, role);
+        const bool unlimited = std::any_of(servers.begin(), servers.end(), [this](const Backend* server) {
+            return !m_context.backends.limits().isLimited(lifetimeOf(server->record));
+        });
+        if (unlimited || (place.isFirst() && !servers.empty()))
             co_return true;
         const auto wait = expectedRoomWait(role, place.ahead());
         if (!wait)
--- a/Tests/Forwarding/RequestForwarderTest.cpp
+++ b/Tests/Forwarding/RequestForwarderTest.cpp
@@ -722,3 +722,15 @@
     ask("POST", "/stream/x");
     CHECK(limited.requests == 0);
 }
+
+TEST_CASE_METHOD(ForwardingFixture,
+    "Request behind others that wait for a limited server is served by one without a limit")
+{
+    addServer("s1", std::nullopt, whole(200, "fine"));
+    backends.limits().noteResponse(
+        lifetimeOf(backends.find(BackendId("s1"))->record), RequestRate(0.1), bootTime(), bootTime());
+    const RoomQueue::Place ahead(context.roomQueue, { ServiceName("desk"), std::nullopt }, Priority(-1));
+    CHECK(ask("POST", "/unsafe/x").value().head.status == 503);
+    addServer("s2", std::nullopt, whole(200, "fine"));
+    CHECK(ask("POST", "/unsafe/x").value().head.status == 200);
+}
