--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -101,6 +101,7 @@
         flatbuffers::FlatBufferBuilder& builder, const std::map<ServiceName, double>& from)
     {
         std::vector<flatbuffers::Offset<peerwire::RequestRate>> rates;
+        rates.reserve(from.size());
         for (const auto& [service, perSecond] : from)
             rates.push_back(peerwire::CreateRequestRate(
                 builder, builder.CreateString(service.text()), static_cast<float>(perSecond)));
@@ -111,6 +112,7 @@
         flatbuffers::FlatBufferBuilder& builder, const FleetTraffic& from)
     {
         std::vector<peerwire::LimitedSends> sends;
+        sends.reserve(from.limitedSends.size());
         for (const auto& [backend, requests] : from.limitedSends) {
             if (requests > 0)
                 sends.emplace_back(backend, requests);
@@ -281,6 +283,7 @@
     if (!transitions.empty())
         transitionList = builder.CreateVector(transitions);
     std::vector<flatbuffers::Offset<peerwire::Limit>> limits;
+    limits.reserve(frame.limits.size());
     for (const auto& statement : frame.limits)
         limits.push_back(peerwire::CreateLimit(builder, encodeLifetime(builder, statement.server),
             statement.rate.value_or(RequestRate()).perSecond(), msAgo(statement.statedAt, now)));
