BackendTable: limitedRate compares service and role before it copies a lifetime

While any limit is known, each request called limitedRate, which copied the id of every server of every service before it compared the service. The conditions and their result are the same.

--- a/Source/Serving/BackendTable.cpp
+++ b/Source/Serving/BackendTable.cpp
@@ -147,9 +147,10 @@
         return sum;
     for (const auto& entry : m_backends) {
         const auto& backend = entry.second;
+        if (backend.record.service != service || (role && backend.record.role != role) || backend.unreachable)
+            continue;
         const auto server = lifetimeOf(backend.record);
-        if (backend.record.service != service || (role && backend.record.role != role)
-            || !m_limits.isLimited(server) || !maySendTo(backend, now) || backend.unreachable)
+        if (!m_limits.isLimited(server) || !maySendTo(backend, now))
             continue;
         const double share = m_limits.share(server, service, now).perSecond();
         sum = RequestRate(sum.value_or(RequestRate()).perSecond() + share);
