Stand-in server: end streams that begin while it is interrupted

The backtrace of a hanging run shows four workers that serve streams accepted before the interruption and begun after ConnectionBook::close, which ends only the connections that it knows by then; the server waits for its workers, and the test for the streams.

ConnectionBook::add ends connections that are added while it is closed. The existing test took streams for open after 50 ms, which beside load they are not; it now waits until all have begun.

--- a/Programs/StandIns/ConnectionBook.cpp
+++ b/Programs/StandIns/ConnectionBook.cpp
@@ -15,6 +15,8 @@
 void ConnectionBook::add(const std::string& connection, int socket)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_closed)
+        ::shutdown(socket, SHUT_RDWR);
     m_open[connection] = socket;
 }
 
--- a/Programs/StandIns/ConnectionBook.h
+++ b/Programs/StandIns/ConnectionBook.h
@@ -19,7 +19,8 @@
     // Blocks while the peer of a silent connection keeps it open and the book is open.
     void holdSilent(const std::string& connection, int socket);
 
-    // Ends all connections, so that the threads which serve them come free.
+    // Ends all connections, and those that are added before the book is reopened, so that the threads which
+    // serve them become free.
     void close();
     void reopen();
 
--- a/Tests/StandIns/StandInServerTest.cpp
+++ b/Tests/StandIns/StandInServerTest.cpp
@@ -60,6 +60,14 @@
         }
     }
 
+    bool streamsBegin(std::size_t count)
+    {
+        const auto end = std::chrono::steady_clock::now() + 10s;
+        while (m_begunStreams < count && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(1ms);
+        return m_begunStreams >= count;
+    }
+
     // Retries while the server is down.
     bool comesBack()
     {
@@ -82,6 +90,7 @@
     {
         if (exchange.path() == "/stream") {
             exchange.startStream("text/plain");
+            ++m_begunStreams;
             while (!m_stopStreams && exchange.write("x") && !exchange.callerGone())
                 std::this_thread::sleep_for(5ms);
         } else if (exchange.path() == "/cut")
@@ -96,6 +105,7 @@
     }
 
     std::promise<void> m_listening;
+    std::atomic<std::size_t> m_begunStreams { 0 };
     std::atomic<bool> m_stopStreams { false };
     std::thread m_thread;
 };
@@ -112,7 +122,7 @@
     for (int i = 0; i < 8; ++i)
         streams.push_back(
             std::async(std::launch::async, [this] { return rawAnswer("GET /stream HTTP/1.1\r\n\r\n"); }));
-    std::this_thread::sleep_for(50ms);
+    CHECK(streamsBegin(streams.size()));
     m_server.interrupt(50ms);
     for (auto& stream : streams)
         CHECK(stream.wait_for(10s) == std::future_status::ready);
