--- a/Source/Forwarding/RequestForwarder.cpp
+++ b/Source/Forwarding/RequestForwarder.cpp
@@ -89,7 +89,8 @@
 {
     while (!refusedForCrashes()) {
         const auto outcome = co_await attempt();
-        giveBackPermits();
+        giveBackPermit();
+        giveBackReservation();
         if (outcome == AttemptOutcome::MayHaveRun || outcome == AttemptOutcome::Failed)
             m_mayHaveRun = true;
         const bool over = outcome == AttemptOutcome::Delivered || stopped();
@@ -442,17 +443,20 @@
         m_reservation.reset();
         return true;
     }
-    if (m_permit)
-        m_context.backends.giveBack(std::move(*m_permit), bootTime());
+    giveBackPermit();
     m_permit = m_context.backends.admit(id, bootTime());
     return m_permit.has_value();
 }
 
-void RequestForwarder::Impl::giveBackPermits()
+void RequestForwarder::Impl::giveBackPermit()
 {
     if (m_permit)
         m_context.backends.giveBack(std::move(*m_permit), bootTime());
     m_permit.reset();
+}
+
+void RequestForwarder::Impl::giveBackReservation()
+{
     if (m_reservation)
         m_context.backends.giveBack(std::move(m_reservation->permit), bootTime());
     m_reservation.reset();
--- a/Source/Forwarding/RequestForwarderImpl.h
+++ b/Source/Forwarding/RequestForwarderImpl.h
@@ -95,7 +95,9 @@
     // Reserves a request at the server if it has a limit.
     void reserveLimited(const PlacementChoice& choice);
 
-    void giveBackPermits();
+    // Each returns a permit that was not used, if there is one.
+    void giveBackPermit();
+    void giveBackReservation();
 
     // Whether the request is refused because of the servers that terminated while running it.
     bool refusedForCrashes();
--- a/Source/Forwarding/RequestForwarderStream.cpp
+++ b/Source/Forwarding/RequestForwarderStream.cpp
@@ -56,9 +56,7 @@
         const auto direct = m_context.placement.chooseDirect(
             m_service, *m_engine, prompt, m_route->gapTarget, m_excluded, bootTime());
         if (direct && direct->expectedMs < prefill->expectedMs) {
-            if (m_permit)
-                m_context.backends.giveBack(std::move(*m_permit), bootTime());
-            m_permit.reset();
+            giveBackPermit();
             // A prefill on a decode engine delays the streams in all of its slots.
             m_context.demand.addWork(
                 m_service, -cachedWorkMs(), direct->workMs * m_engine->slots, bootTime());
--- a/Source/Serving/ServerLimits.cpp
+++ b/Source/Serving/ServerLimits.cpp
@@ -196,6 +196,12 @@
     return perSecond * std::exp(-secondsBetween(rate->second.at, now) / averageSeconds(perSecond));
 }
 
+double ServerLimits::knownRate(const ServiceName& service) const
+{
+    const auto rate = m_rates.find(service);
+    return rate == m_rates.end() ? 0 : rate->second.known;
+}
+
 void ServerLimits::setHostCount(int hosts) { m_hostCount = std::max(1, hosts); }
 
 FleetTraffic ServerLimits::localTraffic(MonotonicTime now)
@@ -256,8 +262,7 @@
     const auto remote = m_remote.requestRates.find(service);
     const double others = remote == m_remote.requestRates.end() ? 0 : std::max(0.0, remote->second);
     const double current = currentRate(service, now);
-    const auto rate = m_rates.find(service);
-    const double known = rate == m_rates.end() ? 0 : rate->second.known;
+    const double known = knownRate(service);
     const double weight
         = (std::min(current, known) + minRate) / (std::max(current, known) + others + hosts * minRate);
     return RequestRate(limit->statement.rate->perSecond() * heardPart() * weight);
@@ -289,9 +294,7 @@
 void ServerLimits::addCredit(Limit& limit, const ServiceName& service, MonotonicTime now)
 {
     const double share = this->share(limit.statement.server, service, now).perSecond();
-    const auto rate = m_rates.find(service);
-    const double known = rate == m_rates.end() ? 0 : rate->second.known;
-    const double interval = 1 / std::max(known, 1 / maxFractionSeconds);
+    const double interval = 1 / std::max(knownRate(service), 1 / maxFractionSeconds);
     const double fractionSeconds
         = std::clamp(fractionIntervals * interval, minFractionSeconds, maxFractionSeconds);
     const double most = std::max(share * creditSeconds, std::min(1.0, share * fractionSeconds));
--- a/Source/Serving/ServerLimits.h
+++ b/Source/Serving/ServerLimits.h
@@ -107,6 +107,8 @@
     void addCredit(Limit&, const ServiceName&, MonotonicTime now);
     static void announce(Rate&, double current, MonotonicTime now);
     double currentRate(const ServiceName&, MonotonicTime now) const;
+    // The rate that the other hosts have received.
+    double knownRate(const ServiceName&) const;
     // The part of the limit that belongs to the hosts that can be heard, this one included.
     double heardPart() const;
     bool isSpent(const Limit&, MonotonicTime now) const;
