Soak: hosts cut off from each other while servers name limits

Proxies in front of the port for other hosts now silence, refuse, delay or cut one way all hosts or half of them; the hosts serve on, and no host is excused from the bound.

--- a/Tests/Soak/fakes.py
+++ b/Tests/Soak/fakes.py
@@ -93,12 +93,15 @@
         self.changed = asyncio.Event()
         self.mode = "sound"
         self.disturbed_at = -1e9
+        # The value that is stored for a row that is written.
+        self.stored_value = lambda table, key, value: value
 
     def put(self, table, key, value):
         self.version += 1
         self.set_row(table, key, value)
 
     def set_row(self, table, key, value):
+        value = self.stored_value(table, key, value)
         self.tables.setdefault(table, {})[key] = (value, self.version, value is None)
         self.changed.set()
         self.changed = asyncio.Event()
--- a/Tests/Soak/limits.py
+++ b/Tests/Soak/limits.py
@@ -9,6 +9,7 @@
 """
 import argparse
 import asyncio
+import json
 import os
 import random
 import signal
@@ -16,7 +17,7 @@
 import tempfile
 import time
 
-from fakes import read_message
+from fakes import Proxy, read_message
 from soak import World, run_seeds, run_world
 
 PLAY_S = 24.0
@@ -30,6 +31,8 @@
 MIN_SPENT_SHARE = 0.6
 # A refusal takes at most this long from the arrival of the request.
 MAX_REFUSAL_S = 1.0
+HOSTS_TABLE = "almondscale-hosts"
+PEER_PORT = 7380
 UNUSABLE = ["0", "-3", "many", "", "nan", "inf", "1e300", "9" * 400, "1,5"]
 
 
@@ -48,6 +51,18 @@
         self.statuses = {}
         self.spent = []
         self.worst = 0.0
+        # In front of the port at which each host accepts the connections of other hosts.
+        self.peer_proxies = [
+            Proxy(f"{self.net}.5.{i + 1}:{PEER_PORT}", f"{self.net}.1.{i + 1}:{PEER_PORT}") for i in range(hosts)]
+        if play == "partitions":
+            self.store.stored_value = self.behind_peer_proxy
+
+    def behind_peer_proxy(self, table, key, value):
+        if table != HOSTS_TABLE or value is None:
+            return value
+        host = json.loads(value)
+        host["peers"] = host["peers"].replace(f"{self.net}.1.", f"{self.net}.5.")
+        return json.dumps(host)
 
     def set_limit(self, backend, limit):
         backend.limit = limit
@@ -202,11 +217,32 @@
             self.unplanned(5.0)
             await self.random.choice([self.link_fault, self.store_link_fault, self.store_fault])()
 
+    async def partitions(self):
+        """Cuts hosts off from each other; all of them serve on, and nothing is excused."""
+        end = time.monotonic() + PLAY_S - 4
+        while time.monotonic() < end:
+            cut = self.random.choice([self.peer_proxies, self.peer_proxies,
+                                      self.random.sample(self.peer_proxies, len(self.peer_proxies) // 2)])
+            mode = self.random.choice(["silent", "refuse", "one_way", "delay"])
+            for proxy in cut:
+                proxy.mode = mode
+                if mode == "refuse":
+                    proxy.reset()
+            await asyncio.sleep(self.random.uniform(1.0, 6.0))
+            for proxy in cut:
+                # Dropped bytes are not retransmitted, so connections that lost bytes cannot continue.
+                if mode in ("silent", "one_way"):
+                    proxy.reset()
+                proxy.mode = "sound"
+            await asyncio.sleep(self.random.uniform(0.5, 3.0))
+
     async def play(self):
+        for proxy in self.peer_proxies:
+            await proxy.start()
         tasks = await self.begin()
         tasks += [asyncio.create_task(self.limited_caller(number)) for number in range(16)]
         faults = {"restarts": [self.restarts], "rolls": [self.rolls], "freezes": [self.freezes],
-                  "cuts": [self.cuts]}.get(self.play_name, [])
+                  "cuts": [self.cuts], "partitions": [self.partitions]}.get(self.play_name, [])
         await asyncio.gather(asyncio.sleep(PLAY_S), self.limits(), *[fault() for fault in faults])
         self.over = True
         for task in tasks:
@@ -224,7 +260,8 @@
     parser.add_argument("--seeds", default="1-1", help="FIRST-LAST")
     parser.add_argument("--parallel", type=int, default=1)
     parser.add_argument("--hosts", type=int, default=4)
-    parser.add_argument("--play", choices=["plain", "restarts", "rolls", "freezes", "cuts"], default="plain")
+    parser.add_argument("--play", choices=["plain", "restarts", "rolls", "freezes", "cuts", "partitions"],
+                        default="plain")
     arguments = parser.parse_args()
     program = os.path.abspath(arguments.program)
 
