Limits of servers: say each thing once

ServerLimits counted the heard hosts in two ways, Host looked up twice whether a lifetime is registered, an expected wait was clamped to the same hour twice, and the soak opened proxies between hosts in plays that do not use them. Behaviour is unchanged.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -388,11 +388,7 @@
             m_directory.sweep(bootTime());
             sweepCrashRecords();
             m_backends.limits().forgetAfterRemoval(
-                [this](const BackendLifetime& server) {
-                    const auto* backend = m_backends.find(server.backend);
-                    return backend && lifetimeOf(backend->record) == server;
-                },
-                bootTime());
+                [this](const BackendLifetime& server) { return isRegistered(server); }, bootTime());
             m_backends.forgetPrefixesBefore(bootTime() - m_placement.options().prefixLifetime);
         }
     }
@@ -400,10 +396,14 @@
     void sweepCrashRecords()
     {
         const bool current = m_directory.isCurrent(bootTime());
-        m_crashes.sweep(bootTime(), [&](const BackendLifetime& server) {
-            const auto* backend = m_backends.find(server.backend);
-            return current && backend && lifetimeOf(backend->record) == server;
-        });
+        m_crashes.sweep(
+            bootTime(), [&](const BackendLifetime& server) { return current && isRegistered(server); });
+    }
+
+    bool isRegistered(const BackendLifetime& server) const
+    {
+        const auto* backend = m_backends.find(server.backend);
+        return backend && lifetimeOf(backend->record) == server;
     }
 
     // Sends callers to other data centres while servers are missing for them here, and probes
--- a/Source/Forwarding/RequestForwarder.cpp
+++ b/Source/Forwarding/RequestForwarder.cpp
@@ -30,6 +30,8 @@
     constexpr Nanoseconds minRoomRetryAfter = milliseconds(100);
     constexpr Nanoseconds maxRoomRetryAfter = std::chrono::seconds(30);
     constexpr double maxRoomWaitSpread = 0.5;
+    // Expected waits are clamped to an hour, since a share of a limit may be close to 0.
+    constexpr double maxRoomWaitMs = 3600e3;
 
     // A connection that is accepted without a server behind it is closed within this time.
     constexpr Nanoseconds closeDetectionTime = milliseconds(20);
@@ -408,8 +410,8 @@
     const auto rate = m_context.backends.limitedRate(m_service, bootTime(), role);
     if (!rate)
         return std::nullopt;
-    const double seconds = static_cast<double>(ahead + 1) / rate->perSecond();
-    return std::min(fromMs(1000 * std::min(seconds, 3600.0)), Nanoseconds(std::chrono::hours(1)));
+    const double waitMs = 1000 * static_cast<double>(ahead + 1) / rate->perSecond();
+    return fromMs(std::min(waitMs, maxRoomWaitMs));
 }
 
 awaitable<bool> RequestForwarder::Impl::awaitRoom(std::optional<EngineRole> role)
--- a/Source/Serving/ServerLimits.cpp
+++ b/Source/Serving/ServerLimits.cpp
@@ -47,6 +47,12 @@
         return std::max(0.0, std::chrono::duration<double>(to - from).count());
     }
 
+    // The number of hosts that can be heard, this one included.
+    int heardHosts(const FleetTraffic& remote, int hostCount)
+    {
+        return std::clamp(1 + remote.hosts, 1, hostCount);
+    }
+
     double averageSeconds(double perSecond)
     {
         return std::clamp(averagedRequests / std::max(perSecond, 1e-9), minAverageSeconds, maxAverageSeconds);
@@ -249,7 +255,7 @@
 
 double ServerLimits::heardPart() const
 {
-    return std::min(1.0, (1.0 + std::max(0, m_remote.hosts)) / m_hostCount);
+    return static_cast<double>(heardHosts(m_remote, m_hostCount)) / m_hostCount;
 }
 
 RequestRate ServerLimits::share(
@@ -258,7 +264,7 @@
     const auto* limit = findLimited(server);
     if (!limit)
         return RequestRate();
-    const int hosts = std::clamp(1 + m_remote.hosts, 1, m_hostCount);
+    const int hosts = heardHosts(m_remote, m_hostCount);
     const auto remote = m_remote.requestRates.find(service);
     const double others = remote == m_remote.requestRates.end() ? 0 : std::max(0.0, remote->second);
     const double current = currentRate(service, now);
--- a/Tests/Soak/limits.py
+++ b/Tests/Soak/limits.py
@@ -52,9 +52,10 @@
         self.spent = []
         self.worst = 0.0
         # In front of the port at which each host accepts the connections of other hosts.
-        self.peer_proxies = [
-            Proxy(f"{self.net}.5.{i + 1}:{PEER_PORT}", f"{self.net}.1.{i + 1}:{PEER_PORT}") for i in range(hosts)]
+        self.peer_proxies = []
         if play == "partitions":
+            self.peer_proxies = [Proxy(f"{self.net}.5.{i + 1}:{PEER_PORT}", f"{self.net}.1.{i + 1}:{PEER_PORT}")
+                                 for i in range(hosts)]
             self.store.stored_value = self.behind_peer_proxy
 
     def behind_peer_proxy(self, table, key, value):
