LivenessProbe: wait 250 ms for the end of a connection to a terminated server

Cause: the probe connects to the server's address and took it for running if the connection was not closed within 30 ms. Its result decides whether a suspect is refused or may run on another server.

Evidence: a new play of the soak, late_close, delays each close by up to 0.1 s.

Cost: the next attempt of a suspect whose server is alive starts up to 220 ms later; a first broken run does not wait for the probe.

--- a/Source/Forwarding/LivenessProbe.cpp
+++ b/Source/Forwarding/LivenessProbe.cpp
@@ -16,8 +16,9 @@
 
     // Servers in the region accept within a few milliseconds.
     constexpr Nanoseconds connectTimeout = milliseconds(100);
-    // A connection that is accepted without a server behind it is closed within this time.
-    constexpr Nanoseconds closeDetectionTime = milliseconds(30);
+    // A connection that is accepted without a server behind it is closed within this time. Ample, since the
+    // result decides whether a suspect may run on yet another server.
+    constexpr Nanoseconds closeDetectionTime = milliseconds(250);
     constexpr Nanoseconds closePollInterval = milliseconds(5);
     // All attempts on a terminated server break at about the same time.
     constexpr Nanoseconds resultLifetime = milliseconds(250);
--- a/Tests/Soak/crashing.py
+++ b/Tests/Soak/crashing.py
@@ -32,6 +32,8 @@
 LATE_AFTER_S = 4.0
 MAX_LATE_SENDS = 3
 MIN_SERVED_SHARE = 0.95
+# Up to this long, a busy proxy keeps connections to clients after their server has ended.
+CLOSE_DELAY_S = 0.1
 # The route of each request that crashes servers.
 MARKED = {"safe": "safe", "unsafe": "unsafe", "prefill": "stream", "decode": "stream"}
 
@@ -148,6 +150,9 @@
         tasks += [asyncio.create_task(self.other_caller(number)) for number in range(12)]
         senders = [] if self.play_name in ("control", "quarter") else [
             self.marked_sender(mark, number) for mark in MARKED for number in range(self.senders)]
+        if self.play_name == "late_close":
+            for proxy in self.backend_proxies:
+                proxy.max_close_delay_s = CLOSE_DELAY_S
         faults = {"power_loss": [self.power_loss], "crowd": [self.crowds],
                   "quarter": [self.end_quarter_twice, self.crowds]}.get(self.play_name, [])
         faults = [fault() for fault in faults]
@@ -183,7 +188,8 @@
     parser.add_argument("--parallel", type=int, default=1)
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--senders", type=int, default=1, help="of each request that ends servers")
-    parser.add_argument("--play", choices=["plain", "power_loss", "crowd", "quarter", "control"], default="plain")
+    parser.add_argument("--play", choices=["plain", "power_loss", "crowd", "quarter", "late_close", "control"],
+                        default="plain")
     arguments = parser.parse_args()
     program = os.path.abspath(arguments.program)
 
--- a/Tests/Soak/fakes.py
+++ b/Tests/Soak/fakes.py
@@ -291,6 +291,8 @@
     def __init__(self, address, target):
         self.address, self.target = address, target
         self.mode = "sound"
+        # Maximum delay after which the end of a connection to the server ends the one to the client.
+        self.max_close_delay_s = 0.0
         self.writers = set()
 
     async def start(self):
@@ -309,16 +311,22 @@
         try:
             far_reader, far_writer = await asyncio.open_connection(host, int(port))
         except OSError:
+            await self.delay_close()
             writer.transport.abort()
             return
         self.writers |= {writer, far_writer}
         pumps = [asyncio.create_task(self.pump(reader, far_writer, "in")),
                  asyncio.create_task(self.pump(far_reader, writer, "out"))]
         await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        await self.delay_close()
         for each in (writer, far_writer):
             self.writers.discard(each)
             each.close()
 
+    async def delay_close(self):
+        if self.max_close_delay_s:
+            await asyncio.sleep(random.uniform(0, self.max_close_delay_s))
+
     async def pump(self, reader, writer, direction):
         try:
             while data := await reader.read(65536):
