Crash detection: wait for late idle connections and for the diagnosis of the first run

A second broken run now waits for both diagnoses. The probe goes on until its time is over while an idle connection is open; one that another request takes meanwhile is no evidence of an end.

Tests: 'idle connection closed late' failed before; 'taken meanwhile' and 'kept open' guard the wait.

--- a/Source/Forwarding/LivenessProbe.cpp
+++ b/Source/Forwarding/LivenessProbe.cpp
@@ -42,21 +42,27 @@
     awaitable<bool> probe(Address address)
     {
         auto connection = m_pool.create(address);
+        const bool hadIdle = m_pool.hasOpenIdle(address);
         const auto error = co_await connection->connect(Deadline::after(bootTime(), connectTimeout));
-        if (error)
-            co_return(error == std::errc::connection_refused || connection->closedByServer())
-                && !m_pool.hasOpenIdle(address);
+        if (error && error != std::errc::connection_refused && !connection->closedByServer())
+            co_return false;
         const auto deadline = Deadline::after(bootTime(), closeDetectionTime);
         while (!deadline.passed(bootTime())) {
-            if (connection->closedByServer())
-                co_return !m_pool.hasOpenIdle(address);
+            if ((error || connection->closedByServer()) && areIdleClosed(address, hadIdle))
+                co_return true;
             co_await sleepFor(closePollInterval);
         }
-        if (connection->isIdle())
+        if (!error && connection->isIdle())
             m_pool.addUnused(std::move(connection));
         co_return false;
     }
 
+    // An idle connection that another request takes meanwhile is no evidence of a termination.
+    bool areIdleClosed(const Address& address, bool hadIdle)
+    {
+        return !m_pool.hasOpenIdle(address) && (!hadIdle || m_pool.hasClosedIdle(address));
+    }
+
     void removeExpired()
     {
         for (auto found = m_results.begin(); found != m_results.end();) {
--- a/Source/Forwarding/RequestForwarderSuspect.cpp
+++ b/Source/Forwarding/RequestForwarderSuspect.cpp
@@ -17,6 +17,7 @@
 
     // Most requests complete within this time.
     constexpr Nanoseconds lockRetryInterval = milliseconds(15);
+    constexpr Nanoseconds diagnosisPollInterval = milliseconds(5);
 
 } // namespace
 
@@ -27,12 +28,14 @@
     auto run = std::move(*m_brokenRun);
     m_brokenRun.reset();
     // The result of a first broken run does not affect the next attempt, so it is not awaited.
-    const bool second = m_diagnosed != nullptr;
-    m_diagnosed = std::make_shared<bool>(false);
-    if (m_lockedServer || (second && again))
-        co_await diagnoseBrokenRun(m_context, std::move(run), m_diagnosed);
-    else
+    const auto earlier = std::exchange(m_diagnosed, std::make_shared<bool>(false));
+    if (!m_lockedServer && (!earlier || !again)) {
         spawn(m_context.executor, diagnoseBrokenRun(m_context, std::move(run), m_diagnosed));
+        co_return;
+    }
+    co_await diagnoseBrokenRun(m_context, std::move(run), m_diagnosed);
+    while (earlier && !*earlier)
+        co_await sleepFor(diagnosisPollInterval);
 }
 
 awaitable<void> RequestForwarder::Impl::diagnoseBrokenRun(
--- a/Tests/Forwarding/LivenessProbeTest.cpp
+++ b/Tests/Forwarding/LivenessProbeTest.cpp
@@ -36,6 +36,26 @@
         return *result;
     }
 
+    // Puts a connection into the pool that is closed after the time; later connections are refused.
+    void keepIdleConnection(Nanoseconds closedAfter)
+    {
+        HttpListener acceptor(loop.get_executor(), [this, closedAfter](tcp::socket socket) {
+            spawn(loop.get_executor(), hold(std::move(socket), closedAfter));
+        });
+        acceptor.start(serverAddress);
+        auto connection = pool.create(serverAddress);
+        bool connected = false;
+        spawn(loop.get_executor(), [](BackendConnection& made, bool& done) -> awaitable<void> {
+            co_await made.connect(Deadline::after(bootTime(), 1s));
+            done = true;
+        }(*connection, connected));
+        while (!connected && loop.run_one() > 0) { }
+        runFor(5ms);
+        acceptor.stop();
+        runFor(5ms);
+        pool.addUnused(std::move(connection));
+    }
+
     BackendLifetime server;
     Address serverAddress;
 
@@ -64,3 +84,27 @@
 {
     CHECK_FALSE(hasTerminated(std::nullopt));
 }
+
+TEST_CASE_METHOD(
+    LivenessProbeFixture, "LivenessProbe, idle connection closed late, reports a terminated server")
+{
+    keepIdleConnection(120ms);
+    CHECK(probe());
+}
+
+TEST_CASE_METHOD(LivenessProbeFixture, "LivenessProbe, idle connection kept open, reports a running server")
+{
+    keepIdleConnection(1s);
+    CHECK_FALSE(probe());
+}
+
+TEST_CASE_METHOD(
+    LivenessProbeFixture, "LivenessProbe, idle connection taken meanwhile, reports a running server")
+{
+    keepIdleConnection(1s);
+    std::unique_ptr<BackendConnection> taken;
+    boost::asio::steady_timer timer(loop, 50ms);
+    timer.async_wait([&](const auto&) { taken = pool.take(serverAddress); });
+    CHECK_FALSE(probe());
+    CHECK(taken);
+}
