--- a/Source/Forwarding/BrokenRun.h
+++ b/Source/Forwarding/BrokenRun.h
@@ -6,12 +6,16 @@
 #include "Serving/BackendLifetime.h"
 #include "Serving/CallerRequest.h"
 
+#include <vector>
+
 namespace almondscale {
 
 // A request whose server closed the connection before the response was complete.
 struct BrokenRun {
     CallerRequestId request;
     Fingerprint content;
+    // The parts of its prompt.
+    std::vector<PromptPartId> parts;
     BackendLifetime server;
     Address address;
     MonotonicTime sentAt {};
--- a/Source/Forwarding/RequestForwarder.cpp
+++ b/Source/Forwarding/RequestForwarder.cpp
@@ -310,12 +310,13 @@
         LogEvent("attempt_lost", LogLevel::Warning)
             .with("request", m_request.id)
             .with("content", contentText(m_content))
+            .with("parts", partsText(promptParts()))
             .with("backend", id)
             .with("error", error.message());
         if (m_connection && m_connection->closedByServer())
-            m_brokenRun = BrokenRun { m_request.id, m_content, m_server, m_connection->address(), m_sentAt,
-                bootTime(), m_connection->hasReadResponse(), error == std::errc::connection_reset,
-                m_prefilling, m_step, m_lockedServer.has_value() };
+            m_brokenRun = BrokenRun { m_request.id, m_content, promptParts(), m_server,
+                m_connection->address(), m_sentAt, bootTime(), m_connection->hasReadResponse(),
+                error == std::errc::connection_reset, m_prefilling, m_step, m_lockedServer.has_value() };
     }
     dropConnection();
 }
@@ -490,11 +491,17 @@
         .with("deferred", m_prefill && m_prefill->deferred)
         .with("shared", m_request.prompt ? m_request.prompt->prefixTokens.count() : 0)
         .with("prompt", m_request.prompt ? m_request.prompt->tokens.count() : 0)
+        .with("parts", partsText(promptParts()))
         .with("prefill_ms", m_prefilledAt == MonotonicTime() ? -1 : msSince(m_prefilledAt))
         .with("first_ms", m_firstEventAt == MonotonicTime() ? -1 : msSince(m_firstEventAt))
         .with("ms", msSince(bootTime()));
 }
 
+std::vector<PromptPartId> RequestForwarder::Impl::promptParts() const
+{
+    return m_request.prompt ? m_request.prompt->parts : std::vector<PromptPartId>();
+}
+
 std::int64_t RequestForwarder::Impl::msSince(MonotonicTime at) const
 {
     return std::chrono::duration_cast<milliseconds>(at - m_arrivedAt).count();
--- a/Source/Forwarding/RequestForwarderImpl.h
+++ b/Source/Forwarding/RequestForwarderImpl.h
@@ -154,6 +154,9 @@
 
     void logSummary() const;
 
+    // The parts of the prompt; empty if the request has none.
+    std::vector<PromptPartId> promptParts() const;
+
     std::int64_t msSince(MonotonicTime at) const;
 
     ServingContext& m_context;
--- a/Source/Forwarding/RequestForwarderSuspect.cpp
+++ b/Source/Forwarding/RequestForwarderSuspect.cpp
@@ -64,6 +64,7 @@
     LogEvent("server_ended", LogLevel::Warning)
         .with("request", run.request)
         .with("content", contentText(run.content))
+        .with("parts", partsText(run.parts))
         .with("backend", run.server.backend)
         .with("started_ms", run.server.startedAtMs)
         .with("ran_ms", ran.count())
