--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -83,7 +83,7 @@
                   },
                   [this](const BackendId& engine) { onEngineLeaving(engine); } })
         , m_suspectCoordinator(m_store, m_crashes, m_settings.host)
-        , m_pages(m_self, m_routes, m_backends, m_mirror, m_roleController.lease())
+        , m_pages(m_self, m_routes, m_backends, m_mirror, m_roleController.lease(), m_crashes)
         , m_context { m_loop.get_executor(), m_wire, m_routes, m_backends, m_placement, m_retries, m_demand,
             m_speeds, m_decodeTimes, m_pool, m_controlPool, m_lifeProbe, m_crashes,
             m_suspectCoordinator.lane(), systemRandom() }
@@ -105,6 +105,9 @@
         m_context.onRequestEnd = [this](const RequestSummary& end) { m_metrics.onRequestEnd(end); };
         m_context.onBrokenRun
             = [this](const BrokenRun& run, bool serverEnded) { countBrokenRun(run, serverEnded); };
+        m_context.onCrashRefusal = [this](const CrashSubject& subject) { m_metrics.onCrashRefusal(subject); };
+        m_suspectCoordinator.readsForOthers
+            = [this] { return m_network.isReader() && m_network.lacksDataCentre(); };
         m_context.onServerLeaving = [this](const BackendLifetime&) {
             m_metrics.onServerNotice("leaving");
             m_network.publish();
@@ -324,7 +327,7 @@
         m_metrics.onBrokenRun(serverEnded);
         if (!serverEnded)
             return;
-        m_suspectCoordinator.noteServerEnd(run.content);
+        m_suspectCoordinator.noteServerEnd(run.subjects);
         m_network.publish();
     }
 
@@ -368,6 +371,7 @@
         m_metrics.setManifest(m_routes.version());
         m_metrics.setHosts(m_network.hostCount(), m_network.isReader());
         m_metrics.setBackends(m_backends.all().size());
+        m_metrics.setBadParts(m_crashes.badParts());
         m_metrics.setLimitedServers(m_backends.limits().limitedCount());
         return m_metrics.text();
     }
--- a/Programs/almondscale-host/HostMetrics.cpp
+++ b/Programs/almondscale-host/HostMetrics.cpp
@@ -41,6 +41,13 @@
     prometheus::Family<prometheus::Counter>& brokenRuns
         = family(prometheus::BuildCounter(), registry, "almondscale_broken_runs_total",
             "Sends that a backend server broke off, by whether the server had ended.");
+    prometheus::Family<prometheus::Counter>& crashRefusals
+        = family(prometheus::BuildCounter(), registry, "almondscale_crash_refusals_total",
+            "Requests refused because of what they share with requests that crashed servers: a part of the "
+            "prompt, or the whole content.");
+    prometheus::Family<prometheus::Gauge>& badParts
+        = family(prometheus::BuildGauge(), registry, "almondscale_bad_part_servers",
+            "Servers crashed by a part of prompts that requests are refused for, by part.");
     prometheus::Family<prometheus::Counter>& serverNotices
         = family(prometheus::BuildCounter(), registry, "almondscale_server_words_total",
             "Answers in which a backend server newly said that it leaves, or asked for a pause.");
@@ -60,6 +67,8 @@
     prometheus::Gauge& hosts = gauge("almondscale_hosts", "Entry hosts that are known, this one included.");
     prometheus::Gauge& reader
         = gauge("almondscale_reader", "1 if this host reads the store for its data centre.");
+    // Of the bad parts that are known now.
+    std::vector<prometheus::Gauge*> badPartGauges;
     prometheus::Gauge& backends = gauge("almondscale_backends", "Backend servers that are known.");
 };
 
@@ -83,6 +92,23 @@
     m_impl->brokenRuns.Add({ { "server_ended", serverEnded ? "yes" : "no" } }).Increment();
 }
 
+void HostMetrics::onCrashRefusal(const CrashSubject& subject)
+{
+    m_impl->crashRefusals.Add({ { "shared", subject.isPart ? "part" : "content" } }).Increment();
+}
+
+void HostMetrics::setBadParts(const std::vector<BadParts>& found)
+{
+    for (auto* gauge : m_impl->badPartGauges)
+        m_impl->badParts.Remove(gauge);
+    m_impl->badPartGauges.clear();
+    for (const auto& bad : found) {
+        auto& gauge = m_impl->badParts.Add({ { "part", partsText(bad.parts) } });
+        gauge.Set(static_cast<double>(bad.servers.size()));
+        m_impl->badPartGauges.push_back(&gauge);
+    }
+}
+
 void HostMetrics::onServerNotice(const char* word)
 {
     m_impl->serverNotices.Add({ { "word", word } }).Increment();
--- a/Programs/almondscale-host/HostMetrics.h
+++ b/Programs/almondscale-host/HostMetrics.h
@@ -2,9 +2,12 @@
 
 #include "Core/MonotonicTime.h"
 #include "Forwarding/RequestSummary.h"
+#include "Serving/BadParts.h"
+#include "Serving/CrashSubject.h"
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace almondscale {
 
@@ -16,6 +19,8 @@
 
     void onRequestEnd(const RequestSummary&);
     void onBrokenRun(bool serverEnded);
+    void onCrashRefusal(const CrashSubject&);
+    void setBadParts(const std::vector<BadParts>&);
     // A response newly announced that its server is leaving, or asked for a pause.
     void onServerNotice(const char* word);
     // A server named, changed or ended its limit, or the limit holds requests back.
--- a/Programs/almondscale-host/StatusPages.cpp
+++ b/Programs/almondscale-host/StatusPages.cpp
@@ -2,6 +2,8 @@
 
 #include "Http/JsonBuilder.h"
 
+#include <algorithm>
+
 namespace almondscale {
 
 namespace {
@@ -29,6 +31,19 @@
         return backends.backoffUntil(backend.record.id).passed(now) ? "" : "own answer";
     }
 
+    const char* suspicionName(Suspicion suspicion)
+    {
+        switch (suspicion) {
+        case Suspicion::None:
+            return "watched";
+        case Suspicion::Isolate:
+            return "isolated";
+        case Suspicion::Refuse:
+            return "refused";
+        }
+        return "";
+    }
+
     std::int64_t msLeft(Deadline deadline, MonotonicTime now)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(deadline.remaining(now)).count();
@@ -43,12 +58,13 @@
 }
 
 StatusPages::StatusPages(const HostRecord& self, const RouteTable& routes, const BackendTable& backends,
-    const RowMirror& mirror, const Lease& lease)
+    const RowMirror& mirror, const Lease& lease, const CrashRecords& crashes)
     : m_self(self)
     , m_routes(routes)
     , m_backends(backends)
     , m_mirror(mirror)
     , m_lease(lease)
+    , m_crashes(crashes)
 {
 }
 
@@ -63,6 +79,8 @@
         return servers(now);
     if (path == "/leases")
         return leases(now);
+    if (path == "/suspects")
+        return suspects(now);
     return std::nullopt;
 }
 
@@ -151,4 +169,35 @@
     return json.endArray().finish();
 }
 
+std::string StatusPages::suspects(MonotonicTime now) const
+{
+    JsonBuilder json;
+    json.beginArray("suspects");
+    for (const auto& subject : m_crashes.subjects()) {
+        const auto& record = *m_crashes.find(subject);
+        std::string servers;
+        MonotonicTime last {};
+        for (const auto& end : record.ends) {
+            if (!m_crashes.isCounted(record, end))
+                continue;
+            servers += (servers.empty() ? "" : ",") + end.server.backend.text();
+            last = std::max(last, end.endedAt);
+        }
+        if (servers.empty())
+            continue;
+        const auto suspicion = m_crashes.suspicion(subject, now);
+        const bool refused = suspicion == Suspicion::Refuse;
+        json.beginElement()
+            .text("id", subjectName(subject))
+            .text("kind", subject.isPart ? "part" : "content")
+            .text("state", suspicionName(suspicion))
+            .text("servers", servers)
+            .integer("consecutive", m_crashes.consecutiveEnds(subject))
+            .integer("age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - last).count())
+            .integer("refused_ms", refused ? msLeft(m_crashes.refusedUntil(subject), now) : 0)
+            .endObject();
+    }
+    return json.endArray().finish();
+}
+
 } // namespace almondscale
--- a/Programs/almondscale-host/StatusPages.h
+++ b/Programs/almondscale-host/StatusPages.h
@@ -2,6 +2,7 @@
 
 #include "Authority/Lease.h"
 #include "Serving/BackendTable.h"
+#include "Serving/CrashRecords.h"
 #include "Serving/HostRecord.h"
 #include "Serving/RouteTable.h"
 #include "Serving/RowMirror.h"
@@ -25,10 +26,10 @@
         int openRequests = 0;
     };
 
-    StatusPages(
-        const HostRecord& self, const RouteTable&, const BackendTable&, const RowMirror&, const Lease&);
+    StatusPages(const HostRecord& self, const RouteTable&, const BackendTable&, const RowMirror&,
+        const Lease&, const CrashRecords&);
 
-    // The page at /status, /hosts, /servers or /leases; no value for any other path.
+    // The page at /status, /hosts, /servers, /leases or /suspects; no value for any other path.
     std::optional<std::string> page(const std::string& path, const ProcessState&, MonotonicTime now) const;
 
 private:
@@ -36,12 +37,14 @@
     std::string hosts() const;
     std::string servers(MonotonicTime now) const;
     std::string leases(MonotonicTime now) const;
+    std::string suspects(MonotonicTime now) const;
 
     const HostRecord& m_self;
     const RouteTable& m_routes;
     const BackendTable& m_backends;
     const RowMirror& m_mirror;
     const Lease& m_lease;
+    const CrashRecords& m_crashes;
 };
 
 } // namespace almondscale
--- a/Programs/almondscale-host/SuspectCoordinator.cpp
+++ b/Programs/almondscale-host/SuspectCoordinator.cpp
@@ -16,7 +16,8 @@
     using std::chrono::milliseconds;
 
     constexpr Nanoseconds writeInterval = milliseconds(100);
-    constexpr Nanoseconds loadRetryDelay = milliseconds(500);
+    constexpr Nanoseconds retryDelay = milliseconds(500);
+    constexpr Nanoseconds reviewInterval = milliseconds(1000);
     // Keeps many crashes at once from using up the store's write rate.
     constexpr int maxWritesPerInterval = 4;
     // Longer than any request runs, so that the holder of an older lock has died.
@@ -55,28 +56,39 @@
 
 awaitable<void> SuspectCoordinator::run()
 {
-    co_await loadRecords();
+    while (!co_await loadRecords(true))
+        co_await sleepFor(retryDelay);
+    auto reviewAt = Deadline::after(bootTime(), reviewInterval);
     for (;;) {
         co_await sleepFor(writeInterval);
+        if (reviewAt.passed(bootTime())) {
+            reviewAt = Deadline::after(bootTime(), reviewInterval);
+            reviewRows();
+            if (readsForOthers && readsForOthers())
+                co_await loadRecords(false);
+        }
         for (int writes = 0; writes < maxWritesPerInterval && !m_unwritten.empty(); ++writes) {
-            const auto content = *m_unwritten.begin();
+            const auto subject = *m_unwritten.begin();
             m_unwritten.erase(m_unwritten.begin());
-            co_await writeRecord(content);
+            if (co_await writeRecord(subject))
+                continue;
+            m_unwritten.insert(subject);
+            co_await sleepFor(retryDelay);
+            break;
         }
     }
 }
 
-awaitable<void> SuspectCoordinator::loadRecords()
+awaitable<bool> SuspectCoordinator::loadRecords(bool atStart)
 {
-    auto rows = co_await m_store.readCrashRecords();
-    while (!rows) {
-        co_await sleepFor(loadRetryDelay);
-        rows = co_await m_store.readCrashRecords();
-    }
+    const auto rows = co_await m_store.readCrashRecords();
+    if (!rows)
+        co_return false;
     std::size_t records = 0;
+    const auto before = m_crashes.version();
     for (const auto& row : rows.value().rows) {
         // Rows that this host locked before it restarted are free.
-        if (holderOf(row) == m_host.text())
+        if (atStart && holderOf(row) == m_host.text())
             m_versions[row.key] = row.version;
         if (row.key.rfind(serverKeyPrefix, 0) == 0)
             continue;
@@ -90,15 +102,34 @@
         m_crashes.merge(*record);
         ++records;
     }
-    LogEvent("crash_records_read").with("records", records).with("store_version", rows.value().newest);
+    if (atStart || before < m_crashes.version())
+        LogEvent("crash_records_read").with("records", records).with("store_version", rows.value().newest);
+    co_return true;
 }
 
-void SuspectCoordinator::noteServerEnd(Fingerprint content) { m_unwritten.insert(content); }
+void SuspectCoordinator::noteServerEnd(const RequestSubjects& subjects)
+{
+    for (auto* set : { &m_unwritten, &m_watched }) {
+        set->insert(subjects.content);
+        set->insert(subjects.sharedParts.begin(), subjects.sharedParts.end());
+    }
+}
+
+void SuspectCoordinator::reviewRows()
+{
+    for (auto watched = m_watched.begin(); watched != m_watched.end();) {
+        const bool stored = m_versions.count(subjectText(*watched)) > 0;
+        if (m_crashes.isSuspect(*watched, bootTime()) != stored)
+            m_unwritten.insert(*watched);
+        const bool forgotten = !stored && !m_crashes.find(*watched);
+        watched = forgotten ? m_watched.erase(watched) : std::next(watched);
+    }
+}
 
 SuspectLock SuspectCoordinator::lane()
 {
-    return { [this](Fingerprint content, BackendId server) { return enter(content, std::move(server)); },
-        [this](Fingerprint content, BackendId server) { return leave(content, std::move(server)); } };
+    return { [this](CrashSubject subject, BackendId server) { return enter(subject, std::move(server)); },
+        [this](CrashSubject subject, BackendId server) { return leave(subject, std::move(server)); } };
 }
 
 RowVersion SuspectCoordinator::version(const std::string& key) const
@@ -108,115 +139,126 @@
 }
 
 RowWrite SuspectCoordinator::recordRow(
-    Fingerprint content, const std::string& holder, RowVersion expected) const
+    const CrashSubject& subject, const std::string& holder, RowVersion expected) const
 {
-    RowWrite row { contentText(content), std::nullopt, expected };
-    const auto* record = m_crashes.find(content);
-    const bool suspect = record && m_crashes.suspicion(content, bootTime()) != Suspicion::None;
+    RowWrite row { subjectText(subject), std::nullopt, expected };
+    const auto* record = m_crashes.find(subject);
+    const bool suspect = record && m_crashes.isSuspect(subject, bootTime());
     if (!suspect && holder.empty())
         return row;
-    const auto text
-        = encodeCrashRecord(record ? *record : CrashRecord { content, {} }, bootTime(), wallClockMs());
+    const auto text = encodeCrashRecord(
+        record ? *record : CrashRecord { subject, {}, std::nullopt }, bootTime(), wallClockMs());
     row.value = JsonBuilder().text("holder", holder).raw("record", text).finish();
     return row;
 }
 
-awaitable<void> SuspectCoordinator::writeRecord(Fingerprint content)
+awaitable<bool> SuspectCoordinator::writeRecord(CrashSubject subject)
 {
     // leave() writes the record.
-    if (m_runningSuspects.count(content) > 0)
-        co_return;
+    if (m_runningSuspects.count(subject) > 0)
+        co_return true;
     std::vector<RowWrite> rows;
-    rows.push_back(recordRow(content, std::string(), version(contentText(content))));
+    rows.push_back(recordRow(subject, std::string(), version(subjectText(subject))));
     if (!rows.front().value && rows.front().expected == RowVersion(0))
-        co_return;
+        co_return true;
     const auto written = co_await m_store.writeCrashRecords(rows);
     if (written.outcome == WriteOutcome::Applied) {
-        m_versions[rows.front().key] = rows.front().value ? written.version : RowVersion(0);
-        co_return;
+        noteRow(rows.front(), written.version);
+        co_return true;
     }
+    if (written.outcome != WriteOutcome::Conflict)
+        co_return false;
     // The holder of the row writes the record; it learns of crashes at this host over the peer links.
-    if (written.outcome == WriteOutcome::Conflict
-        && mergeConflict(content, std::string(), written.current) == SuspectLockResult::ContentBusy)
-        co_return;
-    m_unwritten.insert(content);
+    if (mergeConflict(subject, std::string(), written.current) != SuspectLockResult::SubjectBusy)
+        m_unwritten.insert(subject);
+    co_return true;
+}
+
+void SuspectCoordinator::noteRow(const RowWrite& row, RowVersion version)
+{
+    if (row.value)
+        m_versions[row.key] = version;
+    else
+        m_versions.erase(row.key);
 }
 
-awaitable<SuspectLockResult> SuspectCoordinator::enter(Fingerprint content, BackendId server)
+awaitable<SuspectLockResult> SuspectCoordinator::enter(CrashSubject subject, BackendId server)
 {
-    const auto running = m_runningSuspects.find(content);
+    const auto running = m_runningSuspects.find(subject);
     if (running != m_runningSuspects.end())
         co_return running->second.leavePending ? SuspectLockResult::Unavailable
-                                               : SuspectLockResult::ContentBusy;
-    m_runningSuspects[content] = {};
+                                               : SuspectLockResult::SubjectBusy;
+    m_runningSuspects[subject] = {};
     const auto serverKey = serverKeyPrefix + server.text();
-    auto entry = SuspectLockResult::ContentBusy;
+    auto entry = SuspectLockResult::SubjectBusy;
     for (int attempt = 0; attempt < maxEnterAttempts; ++attempt) {
         std::vector<RowWrite> rows;
-        rows.push_back(recordRow(content, m_host.text(), version(contentText(content))));
+        rows.push_back(recordRow(subject, m_host.text(), version(subjectText(subject))));
         rows.push_back({ serverKey,
-            JsonBuilder().text("holder", m_host.text()).text("content", contentText(content)).finish(),
+            JsonBuilder().text("holder", m_host.text()).text("content", subjectText(subject)).finish(),
             version(serverKey) });
         const auto written = co_await m_store.writeCrashRecords(rows);
         if (written.outcome == WriteOutcome::Applied) {
-            m_runningSuspects[content] = { written.version, written.version, false };
-            LogEvent("suspect").with("content", contentText(content)).with("backend", server);
+            m_runningSuspects[subject] = { written.version, written.version, false };
+            LogEvent("suspect")
+                .with(subject.isPart ? "part" : "content", subjectName(subject))
+                .with("backend", server);
             co_return SuspectLockResult::Acquired;
         }
         if (written.outcome != WriteOutcome::Conflict) {
             entry = SuspectLockResult::Unavailable;
             LogEvent("suspect_not_apart", LogLevel::Warning)
-                .with("content", contentText(content))
+                .with(subject.isPart ? "part" : "content", subjectName(subject))
                 .with("backend", server)
                 .with("outcome", static_cast<int>(written.outcome));
             break;
         }
-        entry = mergeConflict(content, serverKey, written.current);
+        entry = mergeConflict(subject, serverKey, written.current);
         if (entry != SuspectLockResult::Acquired)
             break;
-        entry = SuspectLockResult::ContentBusy;
+        entry = SuspectLockResult::SubjectBusy;
     }
-    m_runningSuspects.erase(content);
+    m_runningSuspects.erase(subject);
     co_return entry;
 }
 
-awaitable<void> SuspectCoordinator::leave(Fingerprint content, BackendId server)
+awaitable<void> SuspectCoordinator::leave(CrashSubject subject, BackendId server)
 {
     const auto serverKey = serverKeyPrefix + server.text();
     auto outcome = WriteOutcome::Unknown;
     for (int attempt = 0; attempt < maxLeaveAttempts; ++attempt) {
-        const auto entry = m_runningSuspects[content];
+        const auto entry = m_runningSuspects[subject];
         std::vector<RowWrite> rows;
-        rows.push_back(recordRow(content, std::string(), entry.record));
+        rows.push_back(recordRow(subject, std::string(), entry.record));
         rows.push_back({ serverKey, std::nullopt, entry.server });
         const auto written = co_await m_store.writeCrashRecords(rows);
         outcome = written.outcome;
         if (outcome == WriteOutcome::Applied) {
-            m_versions[rows.front().key] = rows.front().value ? written.version : RowVersion(0);
+            noteRow(rows.front(), written.version);
             m_versions.erase(serverKey);
         }
         if (outcome == WriteOutcome::Conflict)
-            mergeConflict(content, serverKey, written.current);
+            mergeConflict(subject, serverKey, written.current);
         if (outcome == WriteOutcome::Applied || outcome == WriteOutcome::Conflict)
             break;
-        m_runningSuspects[content].leavePending = true;
+        m_runningSuspects[subject].leavePending = true;
         co_await sleepFor(writeInterval);
     }
-    m_runningSuspects.erase(content);
+    m_runningSuspects.erase(subject);
     // A conflict means that an earlier attempt took effect, or that another host took the rows over.
     if (outcome != WriteOutcome::Applied) {
         LogEvent("suspect_not_left", LogLevel::Warning)
-            .with("content", contentText(content))
+            .with(subject.isPart ? "part" : "content", subjectName(subject))
             .with("backend", server)
             .with("outcome", static_cast<int>(outcome));
-        m_unwritten.insert(content);
+        m_unwritten.insert(subject);
     }
 }
 
 SuspectLockResult SuspectCoordinator::mergeConflict(
-    Fingerprint content, const std::string& serverKey, const std::vector<StoredRow>& current)
+    const CrashSubject& subject, const std::string& serverKey, const std::vector<StoredRow>& current)
 {
-    const auto key = contentText(content);
+    const auto key = subjectText(subject);
     m_versions.erase(key);
     m_versions.erase(serverKey);
     auto entry = SuspectLockResult::Acquired;
@@ -231,7 +273,7 @@
         if (const auto record = decodeRecord(row))
             m_crashes.merge(*record);
         if (taken)
-            entry = SuspectLockResult::ContentBusy;
+            entry = SuspectLockResult::SubjectBusy;
     }
     return entry;
 }
--- a/Programs/almondscale-host/SuspectCoordinator.h
+++ b/Programs/almondscale-host/SuspectCoordinator.h
@@ -5,22 +5,26 @@
 #include "Serving/CrashRecords.h"
 #include "platform/StoreClient.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
 
 namespace almondscale {
 
-// Persists the crash records of suspected requests in the store, where they survive the end of
-// all hosts, and locks rows there so that suspects run isolated from each other.
+// Persists the crash records of suspects in the store, where they survive the end of all hosts, and locks
+// rows there so that suspects run isolated from each other. While data centres are cut off from each other,
+// they learn of each other's suspects from these rows.
 class SuspectCoordinator {
 public:
     SuspectCoordinator(platform::StoreClient&, CrashRecords&, HostId);
 
-    // Loads the records once, then writes those that this host changes; does not return.
+    // Loads the records, then writes those that this host changes; does not return.
     awaitable<void> run();
-    // A server ended while it ran a request of this content for this host.
-    void noteServerEnd(Fingerprint);
+    // A server ended while it ran a request with these subjects for this host.
+    void noteServerEnd(const RequestSubjects&);
+    // Whether this host reads the store for data centres that it has no link to.
+    std::function<bool()> readsForOthers;
     SuspectLock lane();
 
 private:
@@ -39,18 +43,25 @@
         bool leavePending = false;
     };
 
-    awaitable<void> loadRecords();
-    awaitable<void> writeRecord(Fingerprint);
-    awaitable<SuspectLockResult> enter(Fingerprint, BackendId);
-    awaitable<void> leave(Fingerprint, BackendId);
+    // Merges the records of the store; returns whether the store answered.
+    awaitable<bool> loadRecords(bool atStart);
+    // Returns false if the store did not answer.
+    awaitable<bool> writeRecord(CrashSubject);
+    // Has rows written or removed that no longer match the records.
+    void reviewRows();
+    awaitable<SuspectLockResult> enter(CrashSubject, BackendId);
+    awaitable<void> leave(CrashSubject, BackendId);
 
-    // The write of the content's record, locked by the holder if there is one. Removes the row if
-    // the content is neither suspected nor locked.
-    RowWrite recordRow(Fingerprint, const std::string& holder, RowVersion expected) const;
+    // The write of the subject's record, locked by the holder if there is one. Removes the row if
+    // the subject is neither suspected nor locked.
+    RowWrite recordRow(const CrashSubject&, const std::string& holder, RowVersion expected) const;
     RowVersion version(const std::string& key) const;
+    // The store applied the write.
+    void noteRow(const RowWrite&, RowVersion);
     // Adopts the current rows after a conflicting write. Entered means that none of them is
     // locked, so that the write can be repeated.
-    SuspectLockResult mergeConflict(Fingerprint, const std::string& serverKey, const std::vector<StoredRow>&);
+    SuspectLockResult mergeConflict(
+        const CrashSubject&, const std::string& serverKey, const std::vector<StoredRow>&);
     // Whether the row is locked. A lock expires when the row stays unchanged for longer than any
     // request runs, since its holder has died.
     bool isHeld(const StoredRow&);
@@ -61,8 +72,10 @@
     // Versions of unlocked rows, as this host last wrote or read them.
     std::map<std::string, RowVersion> m_versions;
     std::map<std::string, HeldRow> m_heldRows;
-    std::set<Fingerprint> m_unwritten;
-    std::map<Fingerprint, RunningSuspect> m_runningSuspects;
+    std::set<CrashSubject> m_unwritten;
+    // Subjects under which servers ended for this host, as long as there is a record or a row.
+    std::set<CrashSubject> m_watched;
+    std::map<CrashSubject, RunningSuspect> m_runningSuspects;
 };
 
 } // namespace almondscale
--- a/Programs/almondscale/Command.cpp
+++ b/Programs/almondscale/Command.cpp
@@ -48,6 +48,13 @@
         { "servers", "", "List the backend servers of a host on the platform.",
             "Shows what the host knows of each: role, state and open work. Ask its port 9464.",
             CommandTarget::Host, showServers },
+        { "suspects", "", "List what crashed backend servers have in common.",
+            "Shows each content of requests, and each part of prompts, under which servers crashed and no "
+            "request\n"
+            "was answered since: whether requests are refused for it, the servers, and the age of the last "
+            "crash.\n"
+            "Ask port 9464 of a host on the platform.",
+            CommandTarget::Host, showSuspects },
         { "leases", "", "List the leases of the host's data centre.",
             "Shows the holder and the fencing number of each pool, and the last order of this host.",
             CommandTarget::Host, showLeases },
--- a/Programs/almondscale/ViewCommands.cpp
+++ b/Programs/almondscale/ViewCommands.cpp
@@ -66,6 +66,13 @@
             { "OPEN ELSEWHERE", "open_elsewhere" }, { "PREFILL MS", "prefill_ms" } });
 }
 
+ExitStatus showSuspects(const ToolOptions& options, const HostConnection& host)
+{
+    return showTable(options, host, "/suspects", "suspects",
+        { { "ID", "id" }, { "KIND", "kind" }, { "STATE", "state" }, { "SERVERS", "servers" },
+            { "CONSECUTIVE", "consecutive" }, { "AGE MS", "age_ms" }, { "REFUSED MS", "refused_ms" } });
+}
+
 ExitStatus showLeases(const ToolOptions& options, const HostConnection& host)
 {
     return showTable(options, host, "/leases", "leases",
--- a/Programs/almondscale/ViewCommands.h
+++ b/Programs/almondscale/ViewCommands.h
@@ -9,6 +9,7 @@
 ExitStatus showHosts(const ToolOptions&, const HostConnection&);
 ExitStatus showEngines(const ToolOptions&, const HostConnection&);
 ExitStatus showServers(const ToolOptions&, const HostConnection&);
+ExitStatus showSuspects(const ToolOptions&, const HostConnection&);
 ExitStatus showLeases(const ToolOptions&, const HostConnection&);
 ExitStatus orderEngine(const ToolOptions&, const HostConnection&);
 ExitStatus reportBurn(const ToolOptions&, const HostConnection&);
--- a/Source/Forwarding/BrokenRun.h
+++ b/Source/Forwarding/BrokenRun.h
@@ -2,9 +2,8 @@
 
 #include "Core/Address.h"
 #include "Core/MonotonicTime.h"
-#include "Dispatch/Fingerprint.h"
 #include "Serving/BackendLifetime.h"
-#include "Serving/CallerRequest.h"
+#include "Serving/RequestSubjects.h"
 
 #include <vector>
 
@@ -13,9 +12,7 @@
 // A request whose server closed the connection before the response was complete.
 struct BrokenRun {
     CallerRequestId request;
-    Fingerprint content;
-    // The parts of its prompt.
-    std::vector<PromptPartId> parts;
+    RequestSubjects subjects;
     BackendLifetime server;
     Address address;
     MonotonicTime sentAt {};
@@ -25,8 +22,8 @@
     // The connection was reset rather than closed.
     bool reset = false;
     bool prefill = false;
-    // See ServerEnd::step.
-    int step = 0;
+    // Of each subject; see ServerEnd::step.
+    std::vector<int> steps;
     // The request held the suspect lock of the server, so no other suspect ran there.
     bool apart = false;
 };
--- a/Source/Forwarding/RequestForwarder.cpp
+++ b/Source/Forwarding/RequestForwarder.cpp
@@ -50,7 +50,7 @@
     , m_arrivedAt(bootTime())
     , m_deadline(Deadline::after(
           m_arrivedAt, std::min(m_request.timeout.value_or(m_route->timeout), m_route->timeout)))
-    , m_content(contentOf(m_request))
+    , m_subjects(subjectsOf(m_request))
     , m_lastEvent(m_request.lastEventId)
 {
     ++m_context.openRequests;
@@ -155,7 +155,7 @@
 {
     const auto now = bootTime();
     if (kind == ErrorKind::CrashingRequestNotRun)
-        return m_context.crashes.refusedUntil(m_content).remaining(now);
+        return m_context.crashes.refusedUntil(m_verdict.subject).remaining(now);
     // If all servers are paused, use the end of the first pause.
     const bool noServer = kind == ErrorKind::NoEngine || kind == ErrorKind::QueueFull;
     const auto barEnd = noServer ? m_context.backends.earliestBackoffEnd(m_service, now) : std::nullopt;
@@ -217,7 +217,10 @@
         m_context.onLimitedSend();
     const bool undiagnosed = m_diagnosed && !*m_diagnosed;
     m_prefilling = call.prefillOnly;
-    m_step = std::max(m_context.crashes.nextStep(m_content), undiagnosed ? m_step + 1 : 0);
+    auto steps = m_context.crashes.nextSteps(m_subjects);
+    for (std::size_t i = 0; undiagnosed && i < steps.size(); ++i)
+        steps[i] = std::max(steps[i], m_steps.at(i) + 1);
+    m_steps = std::move(steps);
     m_sentInAttempt = true;
     const auto error = co_await m_connection->send(head, m_request.body, deadline);
     if (error)
@@ -309,14 +312,14 @@
             m_context.pool.closeIdle(m_connection->address());
         LogEvent("attempt_lost", LogLevel::Warning)
             .with("request", m_request.id)
-            .with("content", contentText(m_content))
-            .with("parts", partsText(promptParts()))
+            .with("content", contentText(m_subjects.content))
+            .with("parts", partsOfPrompt())
             .with("backend", id)
             .with("error", error.message());
         if (m_connection && m_connection->closedByServer())
-            m_brokenRun = BrokenRun { m_request.id, m_content, promptParts(), m_server,
-                m_connection->address(), m_sentAt, bootTime(), m_connection->hasReadResponse(),
-                error == std::errc::connection_reset, m_prefilling, m_step, m_lockedServer.has_value() };
+            m_brokenRun = BrokenRun { m_request.id, m_subjects, m_server, m_connection->address(), m_sentAt,
+                bootTime(), m_connection->hasReadResponse(), error == std::errc::connection_reset,
+                m_prefilling, m_steps, m_lockedServer.has_value() };
     }
     dropConnection();
 }
@@ -368,7 +371,7 @@
         co_return AttemptOutcome::Failed;
     }
     recordOutcome(id, BackendOutcome::Answered);
-    m_context.crashes.noteCompleted(m_content);
+    m_context.crashes.noteCompleted(m_subjects, bootTime());
     m_outcome = "answered";
     co_await m_writer.sendResponse(std::move(head), std::move(body.value()));
     co_return AttemptOutcome::Delivered;
@@ -491,15 +494,15 @@
         .with("deferred", m_prefill && m_prefill->deferred)
         .with("shared", m_request.prompt ? m_request.prompt->prefixTokens.count() : 0)
         .with("prompt", m_request.prompt ? m_request.prompt->tokens.count() : 0)
-        .with("parts", partsText(promptParts()))
+        .with("parts", partsOfPrompt())
         .with("prefill_ms", m_prefilledAt == MonotonicTime() ? -1 : msSince(m_prefilledAt))
         .with("first_ms", m_firstEventAt == MonotonicTime() ? -1 : msSince(m_firstEventAt))
         .with("ms", msSince(bootTime()));
 }
 
-std::vector<PromptPartId> RequestForwarder::Impl::promptParts() const
+std::string RequestForwarder::Impl::partsOfPrompt() const
 {
-    return m_request.prompt ? m_request.prompt->parts : std::vector<PromptPartId>();
+    return m_request.prompt ? partsText(m_request.prompt->parts) : std::string();
 }
 
 std::int64_t RequestForwarder::Impl::msSince(MonotonicTime at) const
--- a/Source/Forwarding/RequestForwarderImpl.h
+++ b/Source/Forwarding/RequestForwarderImpl.h
@@ -102,6 +102,9 @@
     // Whether the request is refused because of the servers that terminated while running it.
     bool refusedForCrashes();
 
+    // Has the request refused because of the subject of the last verdict, and logs why.
+    void refuseForCrashes();
+
     void releaseSuspectLock();
 
     // Records a lost attempt that may have run the request.
@@ -154,8 +157,8 @@
 
     void logSummary() const;
 
-    // The parts of the prompt; empty if the request has none.
-    std::vector<PromptPartId> promptParts() const;
+    // The parts of the prompt, as text.
+    std::string partsOfPrompt() const;
 
     std::int64_t msSince(MonotonicTime at) const;
 
@@ -190,18 +193,22 @@
     Placement::Excluded m_prefillExcluded;
     std::unique_ptr<BackendConnection> m_connection;
     BackendId m_backend;
-    // Identifies the content, also when the caller repeats the request.
-    Fingerprint m_content;
-    // The last send: server, time, kind and step.
+    // What a crash may be due to; the content is the same when the caller repeats the request.
+    RequestSubjects m_subjects;
+    // The last send: server, time, kind, and the step of each subject.
     BackendLifetime m_server;
     MonotonicTime m_sentAt {};
     bool m_prefilling = false;
-    int m_step = 0;
+    std::vector<int> m_steps;
     std::optional<BrokenRun> m_brokenRun;
     // True once the last broken run has been diagnosed; null before the first one.
     std::shared_ptr<bool> m_diagnosed;
     // The server whose suspect lock this request holds.
     std::optional<BackendId> m_lockedServer;
+    // The subject that is locked there.
+    CrashSubject m_lockedSubject;
+    // The last judgement on a run of this request.
+    Verdict m_verdict;
     EventStreamSplitter m_eventCutter;
     // Id of the last event received, after which another attempt resumes.
     std::string m_lastEvent;
--- a/Source/Forwarding/RequestForwarderStream.cpp
+++ b/Source/Forwarding/RequestForwarderStream.cpp
@@ -20,6 +20,9 @@
     // Time without data, after the expected wait for a slot, until a stream without events is
     // retried elsewhere.
     constexpr Nanoseconds streamIdleTimeout = milliseconds(1000);
+    // A part that crashes engines does so when they begin to answer, so that answers that go on for longer
+    // than this have none.
+    constexpr Nanoseconds soundAnswerTime = milliseconds(300);
     // Engines have priorities 0 (highest) to 9.
     constexpr Priority lowestPriority { 9 };
     // An event carries a few tokens.
@@ -156,7 +159,7 @@
     m_context.backends.noteSpeed(id, taken, fromMs(choice.nominalMs));
     m_context.speeds.notePrefill(
         m_service, { m_request.prompt->tokens, choice.cached, choice.queuedMs, toMs(taken) });
-    m_context.crashes.noteCompleted(m_content, true);
+    m_context.crashes.noteCompleted(m_subjects, bootTime(), true);
     m_prefilledAt = bootTime();
     co_return m_context.wire.decodeKvHandle(body.value());
 }
@@ -249,6 +252,7 @@
 awaitable<AttemptOutcome> RequestForwarder::Impl::forwardStream(BackendId id, BackendReply reply)
 {
     m_eventCutter.discardPartialEvent();
+    std::optional<Deadline> soundAt;
     for (;;) {
         auto piece = co_await m_connection->readBodyChunk(streamDeadline());
         if (!piece)
@@ -270,6 +274,12 @@
             if (!there)
                 co_return handleCallerDisconnect();
         }
+        if (!events.empty() && !soundAt)
+            soundAt = Deadline::after(bootTime(), soundAnswerTime);
+        if (!events.empty() && soundAt->passed(bootTime())) {
+            soundAt = Deadline::never();
+            m_context.crashes.noteAnswered(m_subjects, bootTime());
+        }
         if (!events.empty()) {
             const bool there = co_await m_writer.sendChunk(std::move(events));
             if (!there)
@@ -285,7 +295,7 @@
     recordOutcome(id, BackendOutcome::Answered);
     if (m_prefilledAt != MonotonicTime() && m_firstEventAt >= m_sentAt)
         m_context.decodeTimes.noteStream(m_route->name, m_firstEventAt - m_sentAt, bootTime() - m_sentAt);
-    m_context.crashes.noteCompleted(m_content);
+    m_context.crashes.noteCompleted(m_subjects, bootTime());
     m_outcome = "answered";
     co_await m_writer.endStream();
     co_return AttemptOutcome::Delivered;
--- a/Source/Forwarding/RequestForwarderSuspect.cpp
+++ b/Source/Forwarding/RequestForwarderSuspect.cpp
@@ -48,9 +48,14 @@
     const bool ended = co_await context.livenessProbe.hasTerminated(run.server, run.address);
     if (ended && !leaving) {
         const bool certain = run.apart || run.usedConnection || context.pool.hasClosedIdle(run.address);
-        context.crashes.noteEnd(run.content,
-            { run.server, run.sentAt, run.brokenAt, certain ? EndEvidence::Certain : EndEvidence::Unsure,
-                run.step, run.prefill, run.apart });
+        ServerEnd end;
+        end.server = run.server;
+        end.sentAt = run.sentAt;
+        end.endedAt = run.brokenAt;
+        end.evidence = certain ? EndEvidence::Certain : EndEvidence::Unsure;
+        end.prefill = run.prefill;
+        end.apart = run.apart;
+        context.crashes.noteEnd(run.subjects, end, run.steps);
     }
     // A reset of one connection usually affects the idle ones too.
     if (ended || run.reset)
@@ -63,14 +68,14 @@
     const auto ran = std::chrono::duration_cast<milliseconds>(run.brokenAt - run.sentAt);
     LogEvent("server_ended", LogLevel::Warning)
         .with("request", run.request)
-        .with("content", contentText(run.content))
-        .with("parts", partsText(run.parts))
+        .with("content", contentText(run.subjects.content))
+        .with("parts", partsText(run.subjects.sharedParts))
         .with("backend", run.server.backend)
         .with("started_ms", run.server.startedAtMs)
         .with("ran_ms", ran.count())
         .with("leaving", leaving)
         .with("apart", run.apart)
-        .with("in_row", context.crashes.consecutiveEnds(run.content));
+        .with("in_row", context.crashes.consecutiveEnds(run.subjects.content));
 }
 
 awaitable<std::optional<PlacementChoice>> RequestForwarder::Impl::chooseServer(
@@ -80,7 +85,7 @@
     auto taken = excluded;
     while (!stopped() && !refusedForCrashes()) {
         auto choice = choose(taken);
-        const bool suspect = m_context.crashes.suspicion(m_content, bootTime()) == Suspicion::Isolate;
+        const bool suspect = m_verdict.suspicion == Suspicion::Isolate;
         if (!choice && (!suspect || taken.size() == excluded.size()))
             co_return choice;
         if (!suspect) {
@@ -89,9 +94,10 @@
             taken.insert(choice->backend);
             continue;
         }
-        auto entry = SuspectLockResult::ContentBusy;
+        auto entry = SuspectLockResult::SubjectBusy;
+        m_lockedSubject = m_verdict.subject;
         if (choice)
-            entry = co_await m_context.suspectLock.acquire(m_content, choice->backend);
+            entry = co_await m_context.suspectLock.acquire(m_lockedSubject, choice->backend);
         switch (entry) {
         case SuspectLockResult::Acquired:
             m_lockedServer = choice->backend;
@@ -104,11 +110,16 @@
         case SuspectLockResult::ServerBusy:
             taken.insert(choice->backend);
             break;
-        case SuspectLockResult::ContentBusy:
+        case SuspectLockResult::SubjectBusy:
             taken = excluded;
             co_await sleepFor(lockRetryInterval);
             break;
         case SuspectLockResult::Unavailable:
+            // Without the lock, hosts would try out a bad part at the same time.
+            if (m_lockedSubject.isPart) {
+                refuseForCrashes();
+                co_return std::nullopt;
+            }
             // The server may have been removed while the lock was requested.
             if (takePermit(choice->backend))
                 co_return choice;
@@ -121,15 +132,24 @@
 
 bool RequestForwarder::Impl::refusedForCrashes()
 {
-    if (m_context.crashes.suspicion(m_content, bootTime()) != Suspicion::Refuse)
+    m_verdict = m_context.crashes.verdict(m_subjects, bootTime());
+    if (m_verdict.suspicion != Suspicion::Refuse)
         return false;
+    refuseForCrashes();
+    return true;
+}
+
+void RequestForwarder::Impl::refuseForCrashes()
+{
     if (std::exchange(m_error, ErrorKind::CrashingRequestNotRun) == ErrorKind::CrashingRequestNotRun)
-        return true;
+        return;
     m_outOfServers = true;
+    const auto& subject = m_verdict.subject;
+    const auto& record = *m_context.crashes.find(subject);
     std::string servers;
     MonotonicTime last {};
-    for (const auto& end : m_context.crashes.find(m_content)->ends) {
-        if (end.withdrawn)
+    for (const auto& end : record.ends) {
+        if (!m_context.crashes.isCounted(record, end))
             continue;
         servers += (servers.empty() ? "" : ",") + end.server.backend.text();
         last = std::max(last, end.endedAt);
@@ -137,17 +157,18 @@
     const auto age = std::chrono::duration_cast<milliseconds>(bootTime() - last);
     LogEvent("crashing_request", LogLevel::Warning)
         .with("request", m_request.id)
-        .with("content", contentText(m_content))
+        .with(subject.isPart ? "part" : "content", subjectName(subject))
         .with("ended", servers)
         .with("age_ms", age.count());
-    return true;
+    if (m_context.onCrashRefusal)
+        m_context.onCrashRefusal(subject);
 }
 
 void RequestForwarder::Impl::releaseSuspectLock()
 {
     if (!m_lockedServer)
         return;
-    spawn(m_context.executor, m_context.suspectLock.release(m_content, *m_lockedServer));
+    spawn(m_context.executor, m_context.suspectLock.release(m_lockedSubject, *m_lockedServer));
     m_lockedServer.reset();
 }
 
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -44,6 +44,9 @@
     std::function<void(const RequestSummary&)> onRequestEnd = {};
     // Called for each broken run, with whether its server has terminated.
     std::function<void(const BrokenRun&, bool serverEnded)> onBrokenRun = {};
+    // Called for each request that is refused because of what it has in common with requests that crashed
+    // servers.
+    std::function<void(const CrashSubject&)> onCrashRefusal = {};
     // Called when a server announces that it is leaving, or asks for a pause (Retry-After).
     std::function<void(const BackendLifetime&)> onServerLeaving = {};
     std::function<void(const BackendLifetime&)> onServerBarred = {};
--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace almondscale {
 
@@ -17,6 +18,9 @@
     // Weight of an open request relative to prefill milliseconds, to select the most loaded engines.
     constexpr double requestWeightMs = 10;
 
+    // The default of the field in the schema.
+    constexpr std::uint32_t neverAnswered = std::numeric_limits<std::uint32_t>::max();
+
     double weightOf(const peerwire::Load& load)
     {
         return load.prefill_ms() + load.deferred_ms() + requestWeightMs * load.requests();
@@ -149,12 +153,23 @@
     {
         std::vector<flatbuffers::Offset<peerwire::ServerEnd>> ends;
         ends.reserve(record.ends.size());
-        for (const auto& end : record.ends)
-            ends.push_back(peerwire::CreateServerEnd(builder, builder.CreateString(end.server.backend.text()),
-                end.server.startedAtMs, msAgo(end.sentAt, now), msAgo(end.endedAt, now),
+        for (const auto& end : record.ends) {
+            const auto name = builder.CreateString(end.server.backend.text());
+            std::vector<std::uint64_t> contents;
+            contents.reserve(end.contents.size());
+            for (const auto content : end.contents)
+                contents.push_back(content.count());
+            flatbuffers::Offset<flatbuffers::Vector<std::uint64_t>> contentList;
+            if (!contents.empty())
+                contentList = builder.CreateVector(contents);
+            ends.push_back(peerwire::CreateServerEnd(builder, name, end.server.startedAtMs,
+                msAgo(end.sentAt, now), msAgo(end.endedAt, now),
                 static_cast<peerwire::Evidence>(end.evidence), static_cast<std::uint16_t>(end.step),
-                end.prefill, end.apart, end.withdrawn));
-        return peerwire::CreateCrashRecord(builder, record.content.count(), builder.CreateVector(ends));
+                end.prefill, end.apart, end.withdrawn, contentList));
+        }
+        const auto answered = record.answeredAt ? msAgo(*record.answeredAt, now) : neverAnswered;
+        return peerwire::CreateCrashRecord(
+            builder, record.subject.id.count(), builder.CreateVector(ends), record.subject.isPart, answered);
     }
 
     EndEvidence decodeEvidence(peerwire::Evidence evidence)
@@ -164,7 +179,11 @@
 
     CrashRecord decodeCrash(const peerwire::CrashRecord& from, MonotonicTime now)
     {
-        CrashRecord record { Fingerprint(from.content()), {} };
+        CrashRecord record;
+        record.subject = from.part() ? CrashSubject(PromptPartId(from.content()))
+                                     : CrashSubject(Fingerprint(from.content()));
+        if (from.answered_ms_ago() != neverAnswered)
+            record.answeredAt = now - std::chrono::milliseconds(from.answered_ms_ago());
         if (!from.ends())
             return record;
         for (const auto* entry : *from.ends()) {
@@ -177,6 +196,10 @@
             end.prefill = entry->prefill();
             end.apart = entry->apart();
             end.withdrawn = entry->withdrawn();
+            if (entry->contents()) {
+                for (const auto content : *entry->contents())
+                    end.contents.emplace_back(content);
+            }
             record.ends.push_back(std::move(end));
         }
         return record;
--- a/Source/Peers/PeerFrames_generated.h
+++ b/Source/Peers/PeerFrames_generated.h
@@ -502,7 +502,8 @@
     VT_STEP = 14,
     VT_PREFILL = 16,
     VT_APART = 18,
-    VT_WITHDRAWN = 20
+    VT_WITHDRAWN = 20,
+    VT_CONTENTS = 22
   };
   const flatbuffers::String *server() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVER);
@@ -531,6 +532,9 @@
   bool withdrawn() const {
     return GetField<uint8_t>(VT_WITHDRAWN, 0) != 0;
   }
+  const flatbuffers::Vector<uint64_t> *contents() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_CONTENTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVER) &&
@@ -543,6 +547,8 @@
            VerifyField<uint8_t>(verifier, VT_PREFILL, 1) &&
            VerifyField<uint8_t>(verifier, VT_APART, 1) &&
            VerifyField<uint8_t>(verifier, VT_WITHDRAWN, 1) &&
+           VerifyOffset(verifier, VT_CONTENTS) &&
+           verifier.VerifyVector(contents()) &&
            verifier.EndTable();
   }
 };
@@ -578,6 +584,9 @@
   void add_withdrawn(bool withdrawn) {
     fbb_.AddElement<uint8_t>(ServerEnd::VT_WITHDRAWN, static_cast<uint8_t>(withdrawn), 0);
   }
+  void add_contents(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> contents) {
+    fbb_.AddOffset(ServerEnd::VT_CONTENTS, contents);
+  }
   explicit ServerEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -599,9 +608,11 @@
     uint16_t step = 0,
     bool prefill = false,
     bool apart = false,
-    bool withdrawn = false) {
+    bool withdrawn = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> contents = 0) {
   ServerEndBuilder builder_(_fbb);
   builder_.add_started_at_ms(started_at_ms);
+  builder_.add_contents(contents);
   builder_.add_ended_ms_ago(ended_ms_ago);
   builder_.add_sent_ms_ago(sent_ms_ago);
   builder_.add_server(server);
@@ -623,8 +634,10 @@
     uint16_t step = 0,
     bool prefill = false,
     bool apart = false,
-    bool withdrawn = false) {
+    bool withdrawn = false,
+    const std::vector<uint64_t> *contents = nullptr) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
+  auto contents__ = contents ? _fbb.CreateVector<uint64_t>(*contents) : 0;
   return almondscale::peerwire::CreateServerEnd(
       _fbb,
       server__,
@@ -635,14 +648,17 @@
       step,
       prefill,
       apart,
-      withdrawn);
+      withdrawn,
+      contents__);
 }
 
 struct CrashRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CrashRecordBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CONTENT = 4,
-    VT_ENDS = 6
+    VT_ENDS = 6,
+    VT_PART = 8,
+    VT_ANSWERED_MS_AGO = 10
   };
   uint64_t content() const {
     return GetField<uint64_t>(VT_CONTENT, 0);
@@ -650,12 +666,20 @@
   const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::ServerEnd>> *ends() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::ServerEnd>> *>(VT_ENDS);
   }
+  bool part() const {
+    return GetField<uint8_t>(VT_PART, 0) != 0;
+  }
+  uint32_t answered_ms_ago() const {
+    return GetField<uint32_t>(VT_ANSWERED_MS_AGO, 4294967295);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONTENT, 8) &&
            VerifyOffset(verifier, VT_ENDS) &&
            verifier.VerifyVector(ends()) &&
            verifier.VerifyVectorOfTables(ends()) &&
+           VerifyField<uint8_t>(verifier, VT_PART, 1) &&
+           VerifyField<uint32_t>(verifier, VT_ANSWERED_MS_AGO, 4) &&
            verifier.EndTable();
   }
 };
@@ -670,6 +694,12 @@
   void add_ends(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::ServerEnd>>> ends) {
     fbb_.AddOffset(CrashRecord::VT_ENDS, ends);
   }
+  void add_part(bool part) {
+    fbb_.AddElement<uint8_t>(CrashRecord::VT_PART, static_cast<uint8_t>(part), 0);
+  }
+  void add_answered_ms_ago(uint32_t answered_ms_ago) {
+    fbb_.AddElement<uint32_t>(CrashRecord::VT_ANSWERED_MS_AGO, answered_ms_ago, 4294967295);
+  }
   explicit CrashRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -684,22 +714,30 @@
 inline flatbuffers::Offset<CrashRecord> CreateCrashRecord(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t content = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::ServerEnd>>> ends = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::ServerEnd>>> ends = 0,
+    bool part = false,
+    uint32_t answered_ms_ago = 4294967295) {
   CrashRecordBuilder builder_(_fbb);
   builder_.add_content(content);
+  builder_.add_answered_ms_ago(answered_ms_ago);
   builder_.add_ends(ends);
+  builder_.add_part(part);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<CrashRecord> CreateCrashRecordDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t content = 0,
-    const std::vector<flatbuffers::Offset<almondscale::peerwire::ServerEnd>> *ends = nullptr) {
+    const std::vector<flatbuffers::Offset<almondscale::peerwire::ServerEnd>> *ends = nullptr,
+    bool part = false,
+    uint32_t answered_ms_ago = 4294967295) {
   auto ends__ = ends ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::ServerEnd>>(*ends) : 0;
   return almondscale::peerwire::CreateCrashRecord(
       _fbb,
       content,
-      ends__);
+      ends__,
+      part,
+      answered_ms_ago);
 }
 
 struct Lifetime FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -113,6 +113,17 @@
         return link;
     }
 
+    bool lacksDataCentre() const
+    {
+        std::set<DataCentre> lacking;
+        for (const auto& entry : m_hosts)
+            lacking.insert(entry.second.dataCentre);
+        lacking.erase(m_self.dataCentre);
+        for (const auto& link : m_links)
+            lacking.erase(link->dataCentre());
+        return !lacking.empty();
+    }
+
     HostRecord m_self;
     std::vector<Address> m_seeds;
     RowMirror& m_mirror;
@@ -382,6 +393,8 @@
 
 bool PeerNetwork::isReader() const { return m_impl->isReader(); }
 
+bool PeerNetwork::lacksDataCentre() const { return m_impl->lacksDataCentre(); }
+
 void PeerNetwork::publish() { m_impl->publish(); }
 
 } // namespace almondscale
--- a/Source/Peers/PeerNetwork.h
+++ b/Source/Peers/PeerNetwork.h
@@ -52,6 +52,8 @@
     void setSeeds(std::vector<Address>);
     // Whether this host reads the store for its data centre.
     bool isReader() const;
+    // Whether this host has no link to any host of some other data centre.
+    bool lacksDataCentre() const;
     // Sends a frame on every link at once, because the state of this host changed.
     void publish();
 
--- a/Source/Serving/CrashRecord.cpp
+++ b/Source/Serving/CrashRecord.cpp
@@ -5,6 +5,7 @@
 #include "Serving/RequestContent.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace almondscale {
 
@@ -17,12 +18,34 @@
         return std::chrono::duration_cast<milliseconds>(now - at).count();
     }
 
+    std::string joinContents(const std::vector<Fingerprint>& contents)
+    {
+        std::string text;
+        for (const auto content : contents)
+            text += (text.empty() ? "" : ",") + contentText(content);
+        return text;
+    }
+
+    std::vector<Fingerprint> splitContents(const std::string& text)
+    {
+        std::vector<Fingerprint> contents;
+        std::istringstream stream(text);
+        for (std::string each; std::getline(stream, each, ',');) {
+            if (const auto content = parseContent(each))
+                contents.push_back(*content);
+        }
+        return contents;
+    }
+
 } // namespace
 
 std::string encodeCrashRecord(const CrashRecord& record, MonotonicTime now, std::int64_t wallMs)
 {
     JsonBuilder json;
-    json.text("content", contentText(record.content)).integer("written_ms", wallMs).beginArray("ends");
+    json.text("content", subjectText(record.subject)).integer("written_ms", wallMs);
+    if (record.answeredAt)
+        json.integer("answered_ms_ago", msAgo(*record.answeredAt, now));
+    json.beginArray("ends");
     for (const auto& end : record.ends) {
         json.beginElement()
             .text("server", end.server.backend.text())
@@ -34,6 +57,7 @@
             .flag("prefill", end.prefill)
             .flag("apart", end.apart)
             .flag("withdrawn", end.withdrawn)
+            .text("contents", joinContents(end.contents))
             .endObject();
     }
     return json.endArray().finish();
@@ -42,13 +66,15 @@
 std::optional<CrashRecord> decodeCrashRecord(const std::string& text, MonotonicTime now, std::int64_t wallMs)
 {
     const auto json = parseJson(text);
-    const auto content = json ? parseContent(jsonString(*json, "content")) : std::nullopt;
+    const auto subject = json ? parseSubject(jsonString(*json, "content")) : std::nullopt;
     const auto* ends = json ? jsonMember(*json, "ends") : nullptr;
-    if (!content || !ends || !ends->IsArray())
+    if (!subject || !ends || !ends->IsArray())
         return std::nullopt;
     // Wall clocks of hosts may differ; a record from the future counts as new.
     const auto age = std::max<std::int64_t>(0, wallMs - jsonInteger(*json, "written_ms"));
-    CrashRecord record { *content, {} };
+    CrashRecord record { *subject, {}, std::nullopt };
+    if (jsonMember(*json, "answered_ms_ago"))
+        record.answeredAt = now - milliseconds(age + jsonInteger(*json, "answered_ms_ago"));
     for (const auto& entry : ends->GetArray()) {
         ServerEnd end;
         end.server.backend = BackendId(jsonString(entry, "server"));
@@ -61,6 +87,7 @@
         end.step = static_cast<int>(jsonInteger(entry, "step"));
         end.apart = jsonFlag(entry, "apart");
         end.withdrawn = jsonFlag(entry, "withdrawn");
+        end.contents = splitContents(jsonString(entry, "contents"));
         if (end.server.backend.empty())
             return std::nullopt;
         record.ends.push_back(std::move(end));
--- a/Source/Serving/CrashRecord.h
+++ b/Source/Serving/CrashRecord.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Dispatch/Fingerprint.h"
+#include "Serving/CrashSubject.h"
 #include "Serving/ServerEnd.h"
 
 #include <optional>
@@ -9,11 +9,13 @@
 
 namespace almondscale {
 
-// The servers that terminated while they ran requests with the same content.
+// The servers that terminated while they ran requests with the same subject.
 struct CrashRecord {
-    Fingerprint content;
+    CrashSubject subject;
     // One entry per server, in no particular order.
     std::vector<ServerEnd> ends;
+    // For parts: when a request with the part was last known to be answered.
+    std::optional<MonotonicTime> answeredAt;
 };
 
 // Converts the record to and from a JSON row of the store. Times are stored as ages relative to `wallMs`, in
--- a/Source/Serving/CrashRecords.cpp
+++ b/Source/Serving/CrashRecords.cpp
@@ -1,7 +1,7 @@
 #include "Serving/CrashRecords.h"
 
 #include <algorithm>
-#include <set>
+#include <iterator>
 #include <utility>
 
 namespace almondscale {
@@ -16,6 +16,16 @@
         return last;
     }
 
+    // The union, sorted and limited in size.
+    std::vector<Fingerprint> joinContents(
+        const std::vector<Fingerprint>& a, const std::vector<Fingerprint>& b, std::size_t maxSize)
+    {
+        std::vector<Fingerprint> joined;
+        std::set_union(a.begin(), a.end(), b.begin(), b.end(), std::back_inserter(joined));
+        joined.resize(std::min(joined.size(), maxSize));
+        return joined;
+    }
+
 } // namespace
 
 CrashRecords::CrashRecords(CrashRecordOptions options)
@@ -23,79 +33,228 @@
 {
 }
 
-Suspicion CrashRecords::suspicion(Fingerprint content, MonotonicTime now) const
+Verdict CrashRecords::verdict(const RequestSubjects& subjects, MonotonicTime now) const
 {
-    const auto found = m_entries.find(content);
-    if (found == m_entries.end())
+    std::optional<Verdict> onTrial;
+    const auto& shared = subjects.sharedParts;
+    for (const auto& bad : badParts()) {
+        const bool hasAll = std::all_of(bad.parts.begin(), bad.parts.end(),
+            [&](auto part) { return std::find(shared.begin(), shared.end(), part) != shared.end(); });
+        if (!hasAll)
+            continue;
+        const Verdict verdict { suspicion(bad.parts.front(), now), bad.parts.front() };
+        if (verdict.suspicion == Suspicion::Refuse)
+            return verdict;
+        onTrial = verdict;
+    }
+    const Verdict verdict { suspicion(subjects.content, now), subjects.content };
+    return onTrial && verdict.suspicion != Suspicion::Refuse ? *onTrial : verdict;
+}
+
+Suspicion CrashRecords::suspicion(const CrashSubject& subject, MonotonicTime now) const
+{
+    const auto* record = find(subject);
+    if (!record)
         return Suspicion::None;
-    const auto& ends = found->second.record.ends;
+    const bool refusalPassed = refusedUntil(subject).passed(now);
+    if (subject.isPart) {
+        if (!findBad(subject))
+            return Suspicion::None;
+        return refusalPassed ? Suspicion::Isolate : Suspicion::Refuse;
+    }
     // Concurrent terminations make the content a suspect too.
-    const auto counted
-        = std::count_if(ends.begin(), ends.end(), [&](const auto& end) { return isCounted(end); });
-    if (counted < m_options.suspectAfter)
+    const auto ends = countedEnds(*record);
+    if (static_cast<int>(ends.size()) < m_options.suspectAfter)
         return Suspicion::None;
-    const bool isolated = std::any_of(ends.begin(), ends.end(),
-        [&](const auto& end) { return end.apart && end.evidence != EndEvidence::Unsure && isCounted(end); });
-    const bool refused = isolated
-        ? consecutiveEnds(found->second, EndEvidence::Unsure) >= m_options.refuseAfter
-        : consecutiveEnds(found->second, EndEvidence::Certain) >= m_options.refuseUnisolatedAfter;
-    return refused && !refusedUntil(content).passed(now) ? Suspicion::Refuse : Suspicion::Isolate;
+    return isBadContent(ends) && !refusalPassed ? Suspicion::Refuse : Suspicion::Isolate;
 }
 
-Deadline CrashRecords::refusedUntil(Fingerprint content) const
+bool CrashRecords::isBadContent(const std::vector<ServerEnd>& counted) const
 {
-    const auto* record = find(content);
+    const bool isolated = std::any_of(counted.begin(), counted.end(),
+        [](const auto& end) { return end.apart && end.evidence != EndEvidence::Unsure; });
+    return isolated ? countSteps(counted, EndEvidence::Unsure) >= m_options.refuseAfter
+                    : countSteps(counted, EndEvidence::Certain) >= m_options.refuseUnisolatedAfter;
+}
+
+bool CrashRecords::isSuspect(const CrashSubject& subject, MonotonicTime now) const
+{
+    if (suspicion(subject, now) != Suspicion::None)
+        return true;
+    const auto* record = find(subject);
+    return subject.isPart && record && !isKnownSound(*record)
+        && countSteps(validEnds(*record), EndEvidence::Certain) >= m_options.suspectAfter;
+}
+
+Deadline CrashRecords::refusedUntil(const CrashSubject& subject) const
+{
+    const auto* record = find(subject);
     return Deadline::after(record ? lastEnd(*record) : MonotonicTime(), m_options.refusalTime);
 }
 
-const CrashRecord* CrashRecords::find(Fingerprint content) const
+const CrashRecord* CrashRecords::find(const CrashSubject& subject) const
 {
-    const auto found = m_entries.find(content);
+    const auto found = m_entries.find(subject);
     return found == m_entries.end() ? nullptr : &found->second.record;
 }
 
-int CrashRecords::consecutiveEnds(Fingerprint content) const
+int CrashRecords::consecutiveEnds(const CrashSubject& subject) const
 {
-    const auto found = m_entries.find(content);
-    return found == m_entries.end() ? 0 : consecutiveEnds(found->second, EndEvidence::Unsure);
+    const auto* record = find(subject);
+    return record ? countSteps(validEnds(*record), EndEvidence::Unsure) : 0;
 }
 
-bool CrashRecords::isCounted(const ServerEnd& end) const
+std::vector<CrashSubject> CrashRecords::subjects() const
 {
-    if (end.withdrawn)
+    std::vector<CrashSubject> subjects;
+    subjects.reserve(m_entries.size());
+    for (const auto& entry : m_entries)
+        subjects.push_back(entry.first);
+    return subjects;
+}
+
+const std::vector<BadParts>& CrashRecords::badParts() const
+{
+    if (m_judgedVersion == m_version)
+        return m_badParts;
+    m_judgedVersion = m_version;
+    std::vector<PartEvidence> evidence;
+    for (const auto& subject : m_candidates) {
+        const auto& record = *find(subject);
+        if (subject.isPart)
+            evidence.push_back({ PromptPartId(subject.id.count()), validEnds(record), isKnownSound(record) });
+    }
+    m_badParts = findBadParts(evidence, m_options.badParts);
+    m_explained.clear();
+    for (const auto& bad : m_badParts)
+        m_explained.insert(bad.servers.begin(), bad.servers.end());
+    return m_badParts;
+}
+
+const BadParts* CrashRecords::findBad(const CrashSubject& part) const
+{
+    for (const auto& bad : badParts()) {
+        if (std::find(bad.parts.begin(), bad.parts.end(), PromptPartId(part.id.count())) != bad.parts.end())
+            return &bad;
+    }
+    return nullptr;
+}
+
+bool CrashRecords::isValid(const CrashRecord& record, const ServerEnd& end) const
+{
+    if (end.withdrawn || (record.answeredAt && end.endedAt <= *record.answeredAt))
+        return false;
+    if (record.subject.isPart && end.evidence == EndEvidence::Unsure)
         return false;
     const auto first = m_firstEndedAt.find(end.server);
     return first == m_firstEndedAt.end() || end.sentAt <= first->second + m_options.propagationDelay;
 }
 
-int CrashRecords::nextStep(Fingerprint content) const
+bool CrashRecords::isCounted(const CrashRecord& record, const ServerEnd& end) const
+{
+    if (!isValid(record, end))
+        return false;
+    badParts();
+    return record.subject.isPart || m_explained.count(end.server) == 0;
+}
+
+std::vector<ServerEnd> CrashRecords::validEnds(const CrashRecord& record) const
+{
+    std::vector<ServerEnd> ends;
+    std::copy_if(record.ends.begin(), record.ends.end(), std::back_inserter(ends),
+        [&](const auto& end) { return isValid(record, end); });
+    return ends;
+}
+
+std::vector<ServerEnd> CrashRecords::countedEnds(const CrashRecord& record) const
+{
+    std::vector<ServerEnd> ends;
+    std::copy_if(record.ends.begin(), record.ends.end(), std::back_inserter(ends),
+        [&](const auto& end) { return isCounted(record, end); });
+    return ends;
+}
+
+bool CrashRecords::isKnownSound(const CrashRecord& record) const
+{
+    if (!record.answeredAt)
+        return false;
+    const auto ends = validEnds(record);
+    const auto first = std::min_element(
+        ends.begin(), ends.end(), [](const auto& a, const auto& b) { return a.endedAt < b.endedAt; });
+    return first != ends.end() && first->endedAt - *record.answeredAt < m_options.soundTime;
+}
+
+bool CrashRecords::adoptAnswer(CrashRecord& record, std::optional<MonotonicTime> answeredAt) const
+{
+    if (!answeredAt)
+        return false;
+    // Times from other hosts are late by the time in transit, so a time that is merely later does not count:
+    // hosts would return it to each other for ever.
+    const bool isNewer = !record.answeredAt || *answeredAt > *record.answeredAt + m_options.soundTime / 2;
+    const bool clears = std::any_of(record.ends.begin(), record.ends.end(),
+        [&](const auto& end) { return isValid(record, end) && end.endedAt <= *answeredAt; });
+    if (!isNewer && !clears)
+        return false;
+    record.answeredAt = answeredAt;
+    return true;
+}
+
+std::optional<MonotonicTime> CrashRecords::lastAnsweredHere(const CrashSubject& subject) const
+{
+    return subject.isPart ? m_answered.lastAnswered(PromptPartId(subject.id.count())) : std::nullopt;
+}
+
+std::vector<int> CrashRecords::nextSteps(const RequestSubjects& subjects) const
+{
+    std::vector<int> steps { nextStep(subjects.content) };
+    steps.reserve(1 + subjects.sharedParts.size());
+    for (const auto part : subjects.sharedParts)
+        steps.push_back(nextStep(part));
+    return steps;
+}
+
+int CrashRecords::nextStep(const CrashSubject& subject) const
 {
     int next = 0;
-    if (const auto* record = find(content)) {
+    if (const auto* record = find(subject)) {
         for (const auto& end : record->ends)
             next = std::max(next, end.step + 1);
     }
     return next;
 }
 
-int CrashRecords::consecutiveEnds(const Entry& entry, EndEvidence minEvidence) const
+int CrashRecords::countSteps(const std::vector<ServerEnd>& ends, EndEvidence minEvidence)
 {
     // Runs with the same step may have been concurrent.
     std::set<int> steps;
-    for (const auto& end : entry.record.ends) {
-        if (end.evidence >= minEvidence && isCounted(end))
+    for (const auto& end : ends) {
+        if (end.evidence >= minEvidence)
             steps.insert(end.step);
     }
     return static_cast<int>(steps.size());
 }
 
-void CrashRecords::noteEnd(Fingerprint content, const ServerEnd& end)
+void CrashRecords::noteEnd(
+    const RequestSubjects& subjects, const ServerEnd& end, const std::vector<int>& steps)
+{
+    auto each = end;
+    each.step = steps.at(0);
+    noteEnd(subjects.content, each);
+    each.contents = { subjects.content };
+    for (std::size_t i = 0; i < subjects.sharedParts.size(); ++i) {
+        each.step = steps.at(i + 1);
+        noteEnd(subjects.sharedParts[i], each);
+    }
+}
+
+void CrashRecords::noteEnd(const CrashSubject& subject, const ServerEnd& end)
 {
     const auto known = m_firstEndedAt.find(end.server);
     if (known != m_firstEndedAt.end() && known->second < end.sentAt)
         return;
-    auto& found = entry(content);
-    if (add(found, end))
+    auto& found = entry(subject);
+    const bool added = add(found, end);
+    if (adoptAnswer(found.record, lastAnsweredHere(subject)) || added)
         recordChange(found);
 }
 
@@ -112,13 +271,37 @@
         recordChange(entry);
 }
 
-void CrashRecords::noteCompleted(Fingerprint content, bool prefill)
+void CrashRecords::noteCompleted(const RequestSubjects& subjects, MonotonicTime now, bool prefill)
+{
+    noteCompleted(subjects.content, prefill);
+    if (!prefill) {
+        noteAnswered(subjects, now);
+        return;
+    }
+    for (const auto part : subjects.sharedParts)
+        noteCompleted(part, true);
+}
+
+void CrashRecords::noteCompleted(const CrashSubject& subject, bool prefill)
 {
-    const auto found = m_entries.find(content);
+    const auto found = m_entries.find(subject);
     if (found != m_entries.end())
         withdraw(found->second, [&](const auto& end) { return end.prefill == prefill; });
 }
 
+void CrashRecords::noteAnswered(const RequestSubjects& subjects, MonotonicTime now)
+{
+    auto parts = subjects.sharedParts;
+    if (subjects.ownPart)
+        parts.push_back(*subjects.ownPart);
+    for (const auto part : parts) {
+        m_answered.note(part, now);
+        const auto found = m_entries.find(part);
+        if (found != m_entries.end() && adoptAnswer(found->second.record, now))
+            recordChange(found->second);
+    }
+}
+
 void CrashRecords::noteAlive(const BackendLifetime& server, MonotonicTime sentAt)
 {
     const auto ended = m_firstEndedAt.find(server);
@@ -147,10 +330,12 @@
 {
     if (record.ends.empty())
         return;
-    auto& found = entry(record.content);
+    auto& found = entry(record.subject);
     bool changed = false;
     for (const auto& end : record.ends)
         changed = add(found, end) || changed;
+    changed = adoptAnswer(found.record, record.answeredAt) || changed;
+    changed = adoptAnswer(found.record, lastAnsweredHere(record.subject)) || changed;
     if (changed)
         recordChange(found);
 }
@@ -163,8 +348,11 @@
     const auto known
         = std::find_if(ends.begin(), ends.end(), [&](const auto& each) { return each.server == end.server; });
     if (known != ends.end()) {
+        auto contents = joinContents(known->contents, end.contents, m_options.maxContentsPerEnd);
         const bool changed = known->evidence < end.evidence || (end.apart && !known->apart)
-            || (end.withdrawn && !known->withdrawn);
+            || (end.withdrawn && !known->withdrawn) || known->step < end.step || known->contents != contents;
+        known->contents = std::move(contents);
+        known->step = std::max(known->step, end.step);
         known->evidence = std::max(known->evidence, end.evidence);
         known->apart = known->apart || end.apart;
         known->withdrawn = known->withdrawn || end.withdrawn;
@@ -182,15 +370,15 @@
     return added;
 }
 
-CrashRecords::Entry& CrashRecords::entry(Fingerprint content)
+CrashRecords::Entry& CrashRecords::entry(const CrashSubject& subject)
 {
-    const auto found = m_entries.find(content);
+    const auto found = m_entries.find(subject);
     if (found != m_entries.end())
         return found->second;
     if (m_entries.size() >= m_options.maxRecords)
         evictOne();
-    auto& added = m_entries[content];
-    added.record.content = content;
+    auto& added = m_entries[subject];
+    added.record.subject = subject;
     return added;
 }
 
@@ -198,8 +386,12 @@
 {
     m_byChange.erase(entry.changed);
     entry.changed = ++m_version;
-    m_byChange[entry.changed] = entry.record.content;
-    entry.consecutive = consecutiveEnds(entry, EndEvidence::Unsure);
+    m_byChange[entry.changed] = entry.record.subject;
+    entry.consecutive = countSteps(validEnds(entry.record), EndEvidence::Unsure);
+    if (entry.consecutive >= m_options.badParts.ends)
+        m_candidates.insert(entry.record.subject);
+    else
+        m_candidates.erase(entry.record.subject);
 }
 
 // Evicts the least significant record: fewest consecutive terminations, then the oldest change.
@@ -213,10 +405,13 @@
     erase(evicted->first);
 }
 
-void CrashRecords::erase(Fingerprint content)
+void CrashRecords::erase(const CrashSubject& subject)
 {
-    const auto found = m_entries.find(content);
+    const auto found = m_entries.find(subject);
     m_byChange.erase(found->second.changed);
+    // The candidates changed.
+    if (m_candidates.erase(subject) > 0)
+        ++m_version;
     m_entries.erase(found);
 }
 
@@ -228,13 +423,13 @@
                 && registered(end.server);
         });
     }
-    std::vector<Fingerprint> old;
-    for (const auto& [content, entry] : m_entries) {
+    std::vector<CrashSubject> old;
+    for (const auto& [subject, entry] : m_entries) {
         if (Deadline::after(lastEnd(entry.record), m_options.lifetime).passed(now))
-            old.push_back(content);
+            old.push_back(subject);
     }
-    for (const auto content : old)
-        erase(content);
+    for (const auto& subject : old)
+        erase(subject);
     for (auto ended = m_firstEndedAt.begin(); ended != m_firstEndedAt.end();) {
         const bool past = Deadline::after(ended->second, m_options.lifetime).passed(now);
         ended = past ? m_firstEndedAt.erase(ended) : std::next(ended);
--- a/Source/Serving/CrashRecords.h
+++ b/Source/Serving/CrashRecords.h
@@ -1,21 +1,25 @@
 #pragma once
 
 #include "Core/Deadline.h"
+#include "Serving/AnsweredParts.h"
+#include "Serving/BadParts.h"
 #include "Serving/CrashRecord.h"
+#include "Serving/RequestSubjects.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
 namespace almondscale {
 
-// How a request may run, given the servers that terminated while running its content.
+// How a request may run, given the servers that terminated while running its subjects.
 enum class Suspicion {
     None,
-    // Only on servers that run no other suspect, and one request of the content at a time.
+    // Only on servers that run no other suspect, and one request of the subject at a time.
     Isolate,
     // Not at all.
     Refuse,
@@ -30,6 +34,10 @@
     // Consecutive terminations from which a request is refused although it never ran isolated, e.g. because
     // the store was not available to isolate suspects.
     int refuseUnisolatedAfter = 4;
+    // Parts are not isolated before they are refused, since many requests may have them.
+    BadPartLimits badParts = {};
+    // A part that was answered this long before a termination is known to be sound.
+    Nanoseconds soundTime = std::chrono::minutes(10);
     // One more run is allowed after the refusal time; the record is dropped after its lifetime.
     Nanoseconds refusalTime = std::chrono::minutes(10);
     Nanoseconds lifetime = std::chrono::hours(1);
@@ -43,30 +51,51 @@
     Nanoseconds propagationDelay = std::chrono::milliseconds(250);
     std::size_t maxRecords = 4096;
     std::size_t maxEndsPerRecord = 8;
+    std::size_t maxContentsPerEnd = 8;
 };
 
-// Finds requests that crash every server they run on, by their content and across all hosts, and tells them
-// from requests that ran on the same server by coincidence. A caller may repeat such a request again and
-// again. Terminations are consecutive if each run was sent knowing of the terminations before it, so that
-// servers which terminate at the same time count once; a completed run clears its content. Hosts exchange
-// records and merge them, so that they converge. Not thread-safe.
+// How a request may run, and because of which subject.
+struct Verdict {
+    Suspicion suspicion = Suspicion::None;
+    CrashSubject subject;
+};
+
+// Finds what crashes every server it runs on, the content of a request or a part of prompts, across all
+// hosts, and tells it from what ran on the same server by coincidence. Terminations are consecutive if each
+// run was sent knowing of the terminations before it, so that servers which terminate at the same time count
+// once; a completed run clears its subjects. Hosts exchange records and merge them, so that they converge.
+// Not thread-safe.
 class CrashRecords {
 public:
     explicit CrashRecords(CrashRecordOptions = {});
 
-    Suspicion suspicion(Fingerprint, MonotonicTime now) const;
-    // The time until which a refused content is refused.
-    Deadline refusedUntil(Fingerprint) const;
-    const CrashRecord* find(Fingerprint) const;
+    Verdict verdict(const RequestSubjects&, MonotonicTime now) const;
+    Suspicion suspicion(const CrashSubject&, MonotonicTime now) const;
+    // Whether the record must outlive the hosts, because a further termination may have the subject refused.
+    bool isSuspect(const CrashSubject&, MonotonicTime now) const;
+    // The time until which a refused subject is refused.
+    Deadline refusedUntil(const CrashSubject&) const;
+    const CrashRecord* find(const CrashSubject&) const;
     // The number of consecutive terminations, see above.
-    int consecutiveEnds(Fingerprint) const;
+    int consecutiveEnds(const CrashSubject&) const;
+    // The parts that requests are refused for, each with the parts that it cannot be told from. Found again
+    // if records changed.
+    const std::vector<BadParts>& badParts() const;
+    // Whether a termination counts against the subject of the record.
+    bool isCounted(const CrashRecord&, const ServerEnd&) const;
+    std::vector<CrashSubject> subjects() const;
 
-    // The step of the next run of the content, see ServerEnd::step.
-    int nextStep(Fingerprint) const;
+    // The steps of the next run of each subject, the content first; see ServerEnd::step.
+    std::vector<int> nextSteps(const RequestSubjects&) const;
+    int nextStep(const CrashSubject&) const;
     // A server terminated while running a request. Ignored if it had terminated before the request was sent.
-    void noteEnd(Fingerprint, const ServerEnd&);
-    // A request of the content, or a prefill for it, ran to completion.
-    void noteCompleted(Fingerprint, bool prefill = false);
+    void noteEnd(const RequestSubjects&, const ServerEnd&, const std::vector<int>& steps);
+    void noteEnd(const CrashSubject&, const ServerEnd&);
+    // A request, or a prefill for it, ran to completion.
+    void noteCompleted(const RequestSubjects&, MonotonicTime now, bool prefill = false);
+    void noteCompleted(const CrashSubject&, bool prefill = false);
+    // A request with these parts was being answered for longer than a bad part lets a server live.
+    void noteAnswered(const RequestSubjects&, MonotonicTime now);
     // The server responded to a request sent at the given time.
     void noteAlive(const BackendLifetime&, MonotonicTime sentAt);
     // The registration of a server that was not shutting down disappeared.
@@ -91,23 +120,40 @@
         int consecutive = 0;
     };
 
-    Entry& entry(Fingerprint);
+    Entry& entry(const CrashSubject&);
     void recordChange(Entry&);
     bool add(Entry&, const ServerEnd&);
-    bool isCounted(const ServerEnd&) const;
-    int consecutiveEnds(const Entry&, EndEvidence minEvidence) const;
+    static int countSteps(const std::vector<ServerEnd>&, EndEvidence minEvidence);
+    std::vector<ServerEnd> validEnds(const CrashRecord&) const;
+    // Whether the termination was neither withdrawn nor followed by an answer to a request with the subject.
+    bool isValid(const CrashRecord&, const ServerEnd&) const;
+    std::vector<ServerEnd> countedEnds(const CrashRecord&) const;
+    // Whether the counted terminations have a content refused, apart from the time.
+    bool isBadContent(const std::vector<ServerEnd>& counted) const;
+    // Whether a request with the part was answered shortly before the first valid termination.
+    bool isKnownSound(const CrashRecord&) const;
+    // Adopts the time of an answer if it tells more than the one in the record; returns whether it does.
+    bool adoptAnswer(CrashRecord&, std::optional<MonotonicTime> answeredAt) const;
+    std::optional<MonotonicTime> lastAnsweredHere(const CrashSubject&) const;
+    const BadParts* findBad(const CrashSubject& part) const;
     // Withdraws the terminations for which the predicate holds.
     void withdraw(Entry&, const std::function<bool(const ServerEnd&)>&);
     void evictOne();
-    void erase(Fingerprint);
-
+    void erase(const CrashSubject&);
     CrashRecordOptions m_options;
-    std::unordered_map<Fingerprint, Entry> m_entries;
-    // Contents by the version of their last change.
-    std::map<std::uint64_t, Fingerprint> m_byChange;
+    std::unordered_map<CrashSubject, Entry> m_entries;
+    // Subjects by the version of their last change.
+    std::map<std::uint64_t, CrashSubject> m_byChange;
+    // Subjects with enough consecutive terminations to be refused for.
+    std::set<CrashSubject> m_candidates;
     // The earliest known termination time of each server in the records.
     std::map<BackendLifetime, MonotonicTime> m_firstEndedAt;
+    AnsweredParts m_answered;
     std::uint64_t m_version = 0;
+    // The bad parts, and all servers that they crashed, as of a version of the records.
+    mutable std::vector<BadParts> m_badParts;
+    mutable std::set<BackendLifetime> m_explained;
+    mutable std::uint64_t m_judgedVersion = 0;
 };
 
 } // namespace almondscale
--- a/Tests/Forwarding/ForwardingFixture.h
+++ b/Tests/Forwarding/ForwardingFixture.h
@@ -144,11 +144,11 @@
     // A suspect lock that only this host uses.
     SuspectLock suspectLock()
     {
-        return { [this](Fingerprint content, BackendId server) {
-                    return acquireSuspectLock(content, std::move(server));
+        return { [this](CrashSubject subject, BackendId server) {
+                    return acquireSuspectLock(subject, std::move(server));
                 },
-            [this](Fingerprint content, BackendId server) {
-                return releaseSuspectLock(content, std::move(server));
+            [this](CrashSubject subject, BackendId server) {
+                return releaseSuspectLock(subject, std::move(server));
             } };
     }
 
@@ -171,7 +171,7 @@
     LivenessProbe livenessProbe;
     CrashRecords crashes;
     // Contents and servers locked by suspects.
-    std::set<Fingerprint> lockedContents;
+    std::set<CrashSubject> lockedSubjects;
     std::set<BackendId> lockedServers;
     ServingContext context;
     Address address;
@@ -179,19 +179,19 @@
     std::vector<std::unique_ptr<LoopbackServer>> servers;
 
 private:
-    awaitable<SuspectLockResult> acquireSuspectLock(Fingerprint content, BackendId server)
+    awaitable<SuspectLockResult> acquireSuspectLock(CrashSubject subject, BackendId server)
     {
-        if (lockedContents.count(content) > 0)
-            co_return SuspectLockResult::ContentBusy;
+        if (lockedSubjects.count(subject) > 0)
+            co_return SuspectLockResult::SubjectBusy;
         if (!lockedServers.insert(server).second)
             co_return SuspectLockResult::ServerBusy;
-        lockedContents.insert(content);
+        lockedSubjects.insert(subject);
         co_return SuspectLockResult::Acquired;
     }
 
-    awaitable<void> releaseSuspectLock(Fingerprint content, BackendId server)
+    awaitable<void> releaseSuspectLock(CrashSubject subject, BackendId server)
     {
-        lockedContents.erase(content);
+        lockedSubjects.erase(subject);
         lockedServers.erase(server);
         co_return;
     }
--- a/Tests/Forwarding/RequestForwarderTest.cpp
+++ b/Tests/Forwarding/RequestForwarderTest.cpp
@@ -615,7 +615,7 @@
         end.step = number;
         crashes.noteEnd(content, end);
     }
-    context.suspectLock.acquire = [this](Fingerprint, BackendId server) -> awaitable<SuspectLockResult> {
+    context.suspectLock.acquire = [this](CrashSubject, BackendId server) -> awaitable<SuspectLockResult> {
         backends.remove(server);
         co_return SuspectLockResult::Unavailable;
     };
--- a/Tests/Host/StatusPagesTest.cpp
+++ b/Tests/Host/StatusPagesTest.cpp
@@ -57,7 +57,8 @@
     BackendTable backends;
     RowMirror mirror;
     Lease lease { roleLeaseKey, HostId("n1"), Incarnation(1), LeaseSettings() };
-    StatusPages pages { self, routes, backends, mirror, lease };
+    CrashRecords crashes;
+    StatusPages pages { self, routes, backends, mirror, lease, crashes };
 };
 
 } // namespace
@@ -172,3 +173,27 @@
     backends.noteLeaving(engine, { now, false });
     CHECK(noticeOf("engine-1") == "leaving, other host, 700");
 }
+
+TEST_CASE_METHOD(
+    StatusPagesFixture, "Suspects page, with a bad part, names it, the servers it crashed and its age")
+{
+    for (int i = 0; i < 3; ++i) {
+        ServerEnd end;
+        end.server = { BackendId("engine-" + std::to_string(i)), 1 };
+        end.endedAt = now - 10s + std::chrono::seconds(i);
+        const RequestSubjects request { Fingerprint(i), { PromptPartId(0xbad) }, std::nullopt };
+        crashes.noteEnd(request, end, crashes.nextSteps(request));
+    }
+    const auto json = page("/suspects");
+    const JsonValue* found = nullptr;
+    for (const auto& entry : jsonMember(json, "suspects")->GetArray()) {
+        if (jsonString(entry, "kind") == "part")
+            found = &entry;
+    }
+    REQUIRE(found);
+    CHECK(jsonString(*found, "id") == "bad");
+    CHECK(jsonString(*found, "state") == "refused");
+    CHECK(jsonString(*found, "servers") == "engine-0,engine-1,engine-2");
+    CHECK(jsonInteger(*found, "age_ms") == 8000);
+    CHECK(jsonInteger(*found, "refused_ms") > 0);
+}
--- a/Tests/Peers/PeerFrameTest.cpp
+++ b/Tests/Peers/PeerFrameTest.cpp
@@ -35,7 +35,9 @@
     end.evidence = EndEvidence::Gone;
     end.step = 2;
     end.apart = true;
-    frame.crashes = { { Fingerprint(77), { end } } };
+    frame.crashes = { { Fingerprint(77), { end }, std::nullopt } };
+    end.contents = { Fingerprint(78), Fingerprint(79) };
+    frame.crashes.push_back({ PromptPartId(80), { end }, now - 7s });
     frame.leaving = { end.server };
     frame.roleTransitions = { { end.server, EngineRole::Decode, Deadline::after(now, 4s) },
         { end.server, EngineRole::Prefill, Deadline(now) } };
@@ -76,8 +78,13 @@
     CHECK(decoded->roleTransitions[0].role == EngineRole::Decode);
     CHECK(decoded->roleTransitions[0].until.remaining(now) == 4s);
     CHECK(decoded->roleTransitions[1].until.passed(now));
-    REQUIRE(decoded->crashes.size() == 1);
-    CHECK(decoded->crashes[0].content == Fingerprint(77));
+    REQUIRE(decoded->crashes.size() == 2);
+    CHECK(decoded->crashes[0].subject == Fingerprint(77));
+    CHECK_FALSE(decoded->crashes[0].answeredAt);
+    CHECK(decoded->crashes[1].subject == PromptPartId(80));
+    CHECK(decoded->crashes[1].answeredAt == now - 7s);
+    CHECK(decoded->crashes[1].ends[0].contents
+        == std::vector<Fingerprint> { Fingerprint(78), Fingerprint(79) });
     REQUIRE(decoded->crashes[0].ends.size() == 1);
     const auto& decodedEnd = decoded->crashes[0].ends[0];
     CHECK(decodedEnd.server == end.server);
--- a/Tests/PlatformAdapter/RequestWireTest.cpp
+++ b/Tests/PlatformAdapter/RequestWireTest.cpp
@@ -157,3 +157,17 @@
     CHECK_FALSE(lost.head.fields.has("Retry-After"));
     CHECK(lost.body.find(R"("run":"unknown")") != std::string::npos);
 }
+
+TEST_CASE_METHOD(
+    RequestWireFixture, "Prompt, with parts in hexadecimal or garbage, has the same ids for the same parts")
+{
+    head.fields.add("Token-Count", "100,10");
+    head.fields.add("Prefix-Hash", " 0bAd:50,zz:x,bad:1,,12345678901234567890:3, f");
+    const auto parts = decoded().prompt->parts;
+    REQUIRE(parts.size() == 6);
+    CHECK(parts[0] == PromptPartId(0xbad));
+    CHECK(parts[0] == parts[2]);
+    CHECK(parts[1] != parts[3]);
+    CHECK(parts[1] != parts[4]);
+    CHECK(parts[5] == PromptPartId(0xf));
+}
--- a/Tests/Soak/parts.py
+++ b/Tests/Soak/parts.py
@@ -174,11 +174,10 @@
         tasks += [asyncio.create_task(self.sound_caller(number)) for number in range(SOUND_CALLERS)]
         await asyncio.sleep(SOUND_ONLY_S)
         self.marked_from = time.monotonic()
-        senders = [self.marked_sender(part) for part in self.marked for _ in range(self.senders)]
-        if self.play_name == "control":
-            senders = []
-        if self.play_name == "bursts":
-            senders = [self.marked_bursts(part) for part in self.marked]
+        marked_sender = self.marked_bursts if self.play_name == "bursts" else self.marked_sender
+        senders = []
+        if self.play_name != "control":
+            senders = [marked_sender(part) for part in self.marked for _ in range(self.senders)]
         if self.play_name == "content":
             senders.append(self.content_sender())
         faults = {"power_loss": [self.power_loss], "rolling": [self.rolling_restart]}.get(self.play_name, [])
