Responses without a request id are not accepted on a connection that was in use before

What callers would see: a refusal without a request id that a server wrote once more, late, on a kept connection was taken for the answer to the next request, so that its caller was told 'not run' although the server ran it. Cause: a response without an id was accepted as the current one on any connection. Servers name the id in each response, and the others are matched by it. Change: without an id a response counts on the first use of a connection only; else it is skipped as a stray one. A stream that broke off and is resumed at a server that answers with an error, whole or by its head, was played too: the caller's connection is closed and the error is not delivered; that holds without a change.

--- a/Source/Forwarding/RequestForwarder.cpp
+++ b/Source/Forwarding/RequestForwarder.cpp
@@ -222,6 +222,8 @@
         steps[i] = std::max(steps[i], m_steps.at(i) + 1);
     m_steps = std::move(steps);
     m_sentInAttempt = true;
+    // On a connection that was in use before, a response without a request id may be a late duplicate.
+    const bool firstUse = !m_connection->hasReadResponse();
     const auto error = co_await m_connection->send(head, m_request.body, deadline);
     if (error)
         co_return error;
@@ -232,7 +234,8 @@
         if (!read)
             co_return read.error();
         auto reply = m_context.wire.decodeReply(std::move(read.value()));
-        if (reply.requestId == m_request.id.text() || (reply.requestId.empty() && !reply.isSigned)) {
+        const bool unnamed = reply.requestId.empty() && !reply.isSigned;
+        if (reply.requestId == m_request.id.text() || (unnamed && firstUse)) {
             if (!reply.wrongBackend)
                 applyServerState(reply);
             co_return reply;
--- a/Tests/Forwarding/RequestForwarderTest.cpp
+++ b/Tests/Forwarding/RequestForwarderTest.cpp
@@ -734,3 +734,51 @@
     addServer("s2", std::nullopt, whole(200, "fine"));
     CHECK(ask("POST", "/unsafe/x").value().head.status == 200);
 }
+
+TEST_CASE_METHOD(ForwardingFixture,
+    "Earlier refusal, written again on a kept connection, is not taken for the answer to the next request")
+{
+    const std::string id = GENERATE("", "Request-Id: another\r\n");
+    auto& server = addServer("s1", std::nullopt,
+        [this, id](const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
+            const std::string refusal
+                = "HTTP/1.1 503 X\r\n" + id + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            std::string text;
+            if (servers.front()->requests > 1)
+                text = refusal + answerText(request, 200, "mine");
+            else
+                text = answerText(request, 200, "first");
+            co_await LoopbackServer::write(socket, text);
+            co_return true;
+        });
+    CHECK(ask("POST", "/unsafe/x").value().body == "first");
+    const auto reply = ask("POST", "/unsafe/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().head.status == 200);
+    CHECK(reply.value().body == "mine");
+    CHECK(server.requests == 2);
+}
+
+TEST_CASE_METHOD(
+    StreamFixture, "Stream that broke off, resumed at an engine that answers with an error, is not completed")
+{
+    const auto error
+        = GENERATE(as<std::string>(), "HTTP/1.1 500 X\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n",
+            "HTTP/1.1 503 X\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n", "HTTP/1.1 404 X\r\nRequest-Id: r1\r\n",
+            "HTTP/1.1 200 X\r\nRequest-Id: r1\r\n");
+    int asked = 0;
+    for (const auto* id : { "d1", "d2" }) {
+        addServer(id, EngineRole::Decode,
+            [this, error, &asked](
+                const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
+                if (asked++ == 0)
+                    co_return co_await stream(6, 2)(request, socket);
+                co_await LoopbackServer::write(socket, error + "Content-Length: 14\r\n\r\nerror: full\n\n\n");
+                co_return true;
+            });
+    }
+    const auto reply = ask("POST", "/stream/x");
+    CHECK(asked == 2);
+    // The connection is closed before the stream is complete.
+    CHECK_FALSE(reply.ok());
+}
