Stream without a length that ends before its first event is broken off

What callers would see: an engine that terminates after the head of a response with neither a length nor chunks closes the connection, which looks like the end of the response; the caller got an empty stream as complete, and a part that crashes engines was cleared by it. A stream that ended inside its first event had its head passed on, so that it could not be sent elsewhere. Cause: the end of the connection was taken for the end of the stream without regard to what had arrived. Change: such a response without any event, like one with part of an event, is a broken run; the head waits for an event.

--- a/Source/Forwarding/BackendConnection.cpp
+++ b/Source/Forwarding/BackendConnection.cpp
@@ -284,6 +284,8 @@
 
 bool BackendConnection::hasReadResponse() const { return m_impl->m_hasReadResponse; }
 
+bool BackendConnection::endsWithResponse() const { return m_impl->m_parser && m_impl->m_parser->need_eof(); }
+
 bool BackendConnection::closedByServer() const
 {
     return m_impl->m_closedByServer || (!m_impl->m_closed && m_impl->peek() == 0);
--- a/Source/Forwarding/BackendConnection.h
+++ b/Source/Forwarding/BackendConnection.h
@@ -50,6 +50,8 @@
     bool isIdle();
     // Whether a response head was read on this connection.
     bool hasReadResponse() const;
+    // Whether the last response has neither a length nor chunks, so that it ends with the connection.
+    bool endsWithResponse() const;
     // Whether the server has closed or reset the connection.
     bool closedByServer() const;
 
--- a/Source/Forwarding/RequestForwarderStream.cpp
+++ b/Source/Forwarding/RequestForwarderStream.cpp
@@ -264,8 +264,12 @@
             co_return failAttempt(id, std::make_error_code(std::errc::message_size));
         if (!m_eventCutter.lastId().empty())
             m_lastEvent = m_eventCutter.lastId();
+        // A response that ends with its connection ends in the same way if the server terminates before it
+        // streams.
+        const bool nothingStreamed = events.empty() && !soundAt && m_connection->endsWithResponse();
+        const bool brokenOff = last && (m_eventCutter.hasPartialEvent() || nothingStreamed);
         // The head is sent with the first event, so that the request can be retried until then.
-        if (!m_headSent && (!events.empty() || last)) {
+        if (!m_headSent && (!events.empty() || (last && !brokenOff))) {
             m_headSent = true;
             m_firstEventAt = bootTime();
             m_directWork.reset();
@@ -285,11 +289,11 @@
             if (!there)
                 co_return handleCallerDisconnect();
         }
+        if (brokenOff)
+            co_return failAttempt(id, std::make_error_code(std::errc::connection_aborted));
         if (last)
             break;
     }
-    if (m_eventCutter.hasPartialEvent())
-        co_return failAttempt(id, std::make_error_code(std::errc::message_size));
     m_context.pool.release(std::move(m_connection));
     dropConnection();
     recordOutcome(id, BackendOutcome::Answered);
--- a/Tests/Forwarding/RequestForwarderTest.cpp
+++ b/Tests/Forwarding/RequestForwarderTest.cpp
@@ -782,3 +782,38 @@
     // The connection is closed before the stream is complete.
     CHECK_FALSE(reply.ok());
 }
+TEST_CASE_METHOD(
+    StreamFixture, "Stream without a length that ends before its first event, is broken off and not complete")
+{
+    int asked = 0;
+    for (const auto* id : { "d1", "d2" }) {
+        addServer(id, EngineRole::Decode,
+            [this, &asked](const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
+                if (asked++ > 0)
+                    co_return co_await stream(2, 2)(request, socket);
+                co_await LoopbackServer::write(socket,
+                    "HTTP/1.1 200 X\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n"
+                    "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n");
+                co_return false;
+            });
+    }
+    const auto reply = ask("POST", "/stream/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().body == event(1) + event(2));
+    CHECK(asked == 2);
+}
+
+TEST_CASE_METHOD(StreamFixture, "Stream without a length that ends after an event, is delivered whole")
+{
+    addServer(
+        "d1", EngineRole::Decode, [](const LoopbackServer::Request&, tcp::socket& socket) -> awaitable<bool> {
+            co_await LoopbackServer::write(socket,
+                "HTTP/1.1 200 X\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n"
+                "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+                    + event(1) + event(2));
+            co_return false;
+        });
+    const auto reply = ask("POST", "/stream/x");
+    REQUIRE(reply.ok());
+    CHECK(reply.value().body == event(1) + event(2));
+}
