Entries of another writer that cannot be right name no server, and the others hold

Cause: an entry with a start time that is no 64-bit number, a role that is none, or no slots was taken for a server; one key with bytes that are not UTF-8 made the whole list unreadable; functions that walk a parsed document recurse, so that a row nested deeply enough ends the process. Change: such registrations are unreadable; rows keep their own faults to themselves; JSON nested more than 64 levels is rejected; ages and steps in crash records are limited. The soak keeps one odd entry among the servers' in each run. A port out of range, a state as a number and deep nesting in the list were harmless before.

--- a/Source/Http/Json.h
+++ b/Source/Http/Json.h
@@ -20,8 +20,12 @@
     JsonDocument& operator=(JsonDocument&&) noexcept;
 };
 
-// Parses JSON; std::nullopt if the text is not valid JSON or not UTF-8.
+// Parses JSON; std::nullopt if the text is not valid JSON, not UTF-8, or nested more than 64 levels deep.
 std::optional<JsonDocument> parseJson(const std::string&);
+// The same for text whose strings may hold bytes that are not UTF-8.
+std::optional<JsonDocument> parseJsonOfAnyBytes(const std::string&);
+// Whether the value is a string in UTF-8.
+bool isUtf8(const JsonValue&);
 
 // The member of an object, or null if the value is not an object or has no such member.
 const JsonValue* jsonMember(const JsonValue&, const char* member);
--- a/Source/Serving/CrashRecord.cpp
+++ b/Source/Serving/CrashRecord.cpp
@@ -13,6 +13,15 @@
 
     using std::chrono::milliseconds;
 
+    // Ages and steps in rows are limited, since another writer may have put any number there.
+    constexpr std::int64_t maxAgeMs = std::chrono::milliseconds(std::chrono::hours(24)).count();
+    constexpr std::int64_t maxStep = 1 << 15;
+
+    std::int64_t ageMember(const JsonValue& object, const char* member)
+    {
+        return std::clamp<std::int64_t>(jsonInteger(object, member), 0, maxAgeMs);
+    }
+
     std::int64_t msAgo(MonotonicTime at, MonotonicTime now)
     {
         return std::chrono::duration_cast<milliseconds>(now - at).count();
@@ -70,21 +79,22 @@
     const auto* ends = json ? jsonMember(*json, "ends") : nullptr;
     if (!subject || !ends || !ends->IsArray())
         return std::nullopt;
+    const auto writtenMs = std::clamp<std::int64_t>(jsonInteger(*json, "written_ms"), 0, wallMs);
     // Wall clocks of hosts may differ; a record from the future counts as new.
-    const auto age = std::max<std::int64_t>(0, wallMs - jsonInteger(*json, "written_ms"));
+    const auto age = std::clamp<std::int64_t>(wallMs - writtenMs, 0, maxAgeMs);
     CrashRecord record { *subject, {}, std::nullopt };
     if (jsonMember(*json, "answered_ms_ago"))
-        record.answeredAt = now - milliseconds(age + jsonInteger(*json, "answered_ms_ago"));
+        record.answeredAt = now - milliseconds(age + ageMember(*json, "answered_ms_ago"));
     for (const auto& entry : ends->GetArray()) {
         ServerEnd end;
         end.server.backend = BackendId(jsonString(entry, "server"));
         end.server.startedAtMs = jsonInteger(entry, "started_ms");
-        end.sentAt = now - milliseconds(age + jsonInteger(entry, "sent_ms_ago"));
-        end.endedAt = now - milliseconds(age + jsonInteger(entry, "ended_ms_ago"));
+        end.sentAt = now - milliseconds(age + ageMember(entry, "sent_ms_ago"));
+        end.endedAt = now - milliseconds(age + ageMember(entry, "ended_ms_ago"));
         end.evidence
             = static_cast<EndEvidence>(std::clamp<std::int64_t>(jsonInteger(entry, "evidence"), 0, 2));
         end.prefill = jsonFlag(entry, "prefill");
-        end.step = static_cast<int>(jsonInteger(entry, "step"));
+        end.step = static_cast<int>(std::clamp<std::int64_t>(jsonInteger(entry, "step"), 0, maxStep));
         end.apart = jsonFlag(entry, "apart");
         end.withdrawn = jsonFlag(entry, "withdrawn");
         end.contents = splitContents(jsonString(entry, "contents"));
--- a/Tests/Http/JsonTest.cpp
+++ b/Tests/Http/JsonTest.cpp
@@ -48,3 +48,12 @@
     REQUIRE(array.has_value());
     CHECK(jsonString(*array, "s", "none") == "none");
 }
+
+TEST_CASE("Json, nested deeper than any message, is rejected, since what walks a document recurses")
+{
+    const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+    CHECK_FALSE(parseJson(R"({"state":)" + deep + "}"));
+    const std::string flat = R"({"a":"[[[[\"[[[[","b":[[[1]],{"c":[]}]})";
+    REQUIRE(parseJson(flat));
+    CHECK(serializeJson(*parseJson(flat)) == flat);
+}
--- a/Tests/PlatformAdapter/RegistrationCodecTest.cpp
+++ b/Tests/PlatformAdapter/RegistrationCodecTest.cpp
@@ -49,3 +49,21 @@
     CHECK_FALSE(platform::sameRegistration(first, registration(R"("state":"draining","sequence":5)")));
     CHECK_FALSE(platform::sameRegistration(first, "broken"));
 }
+
+TEST_CASE("Registration from another writer, with a member that cannot be right, names no server")
+{
+    const std::string deep = std::string(20000, '[') + std::string(20000, ']');
+    const auto odd = GENERATE_COPY(as<std::string>(), registration(R"("state":"ready","born":)" + deep),
+        registration(R"("state":"ready","born":123456789012345678901234567890)"),
+        registration(R"("state":"ready","born":"soon")"), registration(R"("state":"ready","born":1e999)"),
+        registration(R"("state":"ready","stage":7)"), registration(R"("state":"ready","stage":"both")"),
+        registration(R"("state":3)"), registration("\"state\":\"ready\xff\""),
+        R"({"service":"llm","address":"10.0.0.1:70000","zone":"a","slots":64,"state":"ready"})",
+        R"({"service":"llm","address":"10.0.0.1:-1","zone":"a","slots":64,"state":"ready"})",
+        R"({"service":"llm","address":"10.0.0.1:80","zone":"a","slots":99999999999999999999,"state":"ready"})",
+        R"({"service":"llm","address":"10.0.0.1:80","zone":"a","slots":-3,"state":"ready"})",
+        R"({"service":"","address":"10.0.0.1:80","zone":"a","slots":3,"state":"ready"})");
+    const auto change = platform::decodeRegistration("i", odd);
+    CHECK_FALSE(change.record);
+    CHECK(change.unreadable);
+}
--- a/Tests/PlatformAdapter/StoreCodecTest.cpp
+++ b/Tests/PlatformAdapter/StoreCodecTest.cpp
@@ -68,3 +68,14 @@
     CHECK(encodeRowsFeed("op", RowVersion(9), 800ms).head.target
         == "/almondscale/rows-feed?table=op&after=9&waitMs=800");
 }
+
+TEST_CASE("Row whose key is not UTF-8 is unreadable, and the other rows hold")
+{
+    const auto rows = decodeRows(200,
+        "{\"rows\":[{\"key\":\"\xff\xfe\",\"value\":\"bm9kZS0x\",\"rowVersion\":1},"
+        "{\"key\":\"k\",\"value\":\"bm9kZS0x\",\"rowVersion\":2}],\"rowVersion\":2}");
+    REQUIRE(rows.ok());
+    REQUIRE(rows.value().rows.size() == 2);
+    CHECK(rows.value().rows[0].value.empty());
+    CHECK(rows.value().rows[1].value == "node-1");
+}
--- a/Tests/Serving/CrashRecordsTest.cpp
+++ b/Tests/Serving/CrashRecordsTest.cpp
@@ -270,3 +270,17 @@
     CHECK_FALSE(decodeCrashRecord("{}", then, 0));
     CHECK_FALSE(decodeCrashRecord("[1", then, 0));
 }
+
+TEST_CASE_METHOD(
+    CrashRecordsFixture, "Record from another writer, with numbers out of range, is limited and merged")
+{
+    const std::string huge = "9223372036854775807";
+    const auto record = decodeCrashRecord(R"({"content":"00000000000000aa","written_ms":-)" + huge
+            + R"(,"ends":[{"server":"s","started_ms":1,"sent_ms_ago":)" + huge + R"(,"ended_ms_ago":-)" + huge
+            + R"(,"evidence":77,"step":)" + huge + "}]}",
+        now, 1000000);
+    REQUIRE(record);
+    records.merge(*record);
+    CHECK(records.nextStep(record->subject) > 0);
+    CHECK(suspicion(record->subject.id) == Suspicion::None);
+}
--- a/Tests/Soak/fakes.py
+++ b/Tests/Soak/fakes.py
@@ -116,7 +116,7 @@
         if removed:
             row["deleted"] = True
         else:
-            row["value"] = base64.b64encode(value.encode()).decode()
+            row["value"] = base64.b64encode(value.encode(errors="surrogateescape")).decode()
         return row
 
     async def answer(self, line, fields, body, writer):
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -127,6 +127,7 @@
         self.random = random.Random(seed)
         # Separate generators, so that the other faults of a seed do not depend on these draws.
         self.row_random, self.clock_random = random.Random(f"rows {seed}"), random.Random(f"clocks {seed}")
+        self.odd_random = random.Random(f"odd {seed}")
         self.manifest_version = 1
         self.net, self.guard = reserve_network(seed)
         self.store = Store(f"{self.net}.0.1:7000")
@@ -357,6 +358,18 @@
                 if backend.identity == identity and not backend.ending:
                     backend.register()
 
+    async def odd_rows(self):
+        """Keeps one entry of another writer among those of the servers, which names no server to use."""
+        entry = ('{"service":"desk","address":"%s","zone":"a","version":"v1","slots":6,"state":%s,"sequence":1,"born":%s}')
+        odd = ["[" * 20000 + "]" * 20000, '{"service":' * 5000 + "1" + "}" * 5000,
+               entry % (self.backends[0].seen_at, '"ready"', "123456789012345678901234567890"),
+               entry % ("127.0.0.1:70000", '"ready"', "1"), entry % ("127.0.0.1:-1", '"ready"', "1"),
+               entry % (self.backends[0].seen_at, "3", "1"), entry % (self.backends[0].seen_at, '"ready"', "1e999"),
+               "\udcff\udcfe", entry % ("\udcff", '"ready"', "1")]
+        while not self.over:
+            self.store.put("servers", "odd", self.odd_random.choice(odd))
+            await asyncio.sleep(self.odd_random.uniform(0.3, 1.5))
+
     def summary(self):
         return (f"asked={self.counts['asked']} served={self.counts['served']} "
                 f"calm={self.counts['calm_served']}/{self.counts['calm_asked']} orders={len(self.orders)}")
@@ -473,6 +486,7 @@
         tasks = await self.begin()
         self.calm_at = time.monotonic() + FAULTS_S + CALM_S / 2
         tasks += [asyncio.create_task(self.caller(number)) for number in range(12)]
+        tasks.append(asyncio.create_task(self.odd_rows()))
         await asyncio.gather(self.faults(), self.row_faults())
         await asyncio.sleep(CALM_S / 2)
         self.calm = True
