Bad parts are known across data centres that are cut off from each other

Change: a host that lacks another data centre stores parts from their first crash. Log lines of refusals name all parts that cannot be told from each other. Plays that cut hosts off share one set of proxies.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -106,7 +106,7 @@
         m_context.onBrokenRun
             = [this](const BrokenRun& run, bool serverEnded) { countBrokenRun(run, serverEnded); };
         m_context.onCrashRefusal = [this](const CrashSubject& subject) { m_metrics.onCrashRefusal(subject); };
-        m_suspectCoordinator.readsForOthers
+        m_suspectCoordinator.isCutOff
             = [this] { return m_network.isReader() && m_network.lacksDataCentre(); };
         m_context.onServerLeaving = [this](const BackendLifetime&) {
             m_metrics.onServerNotice("leaving");
--- a/Programs/almondscale-host/SuspectCoordinator.cpp
+++ b/Programs/almondscale-host/SuspectCoordinator.cpp
@@ -22,6 +22,8 @@
     constexpr int maxWritesPerInterval = 4;
     // Longer than any request runs, so that the holder of an older lock has died.
     constexpr Nanoseconds maxRunTime = milliseconds(8000);
+    // Consecutive terminations from which the record of a part is stored.
+    constexpr int suspectPartEnds = 2;
     constexpr int maxEnterAttempts = 3;
     constexpr int maxLeaveAttempts = 10;
     constexpr const char* serverKeyPrefix = "server/";
@@ -64,7 +66,7 @@
         if (reviewAt.passed(bootTime())) {
             reviewAt = Deadline::after(bootTime(), reviewInterval);
             reviewRows();
-            if (readsForOthers && readsForOthers())
+            if (isCutOff && isCutOff())
                 co_await loadRecords(false);
         }
         for (int writes = 0; writes < maxWritesPerInterval && !m_unwritten.empty(); ++writes) {
@@ -119,7 +121,7 @@
 {
     for (auto watched = m_watched.begin(); watched != m_watched.end();) {
         const bool stored = m_versions.count(subjectText(*watched)) > 0;
-        if (m_crashes.isSuspect(*watched, bootTime()) != stored)
+        if (isSuspect(*watched) != stored)
             m_unwritten.insert(*watched);
         const bool forgotten = !stored && !m_crashes.find(*watched);
         watched = forgotten ? m_watched.erase(watched) : std::next(watched);
@@ -132,6 +134,13 @@
         [this](CrashSubject subject, BackendId server) { return leave(subject, std::move(server)); } };
 }
 
+bool SuspectCoordinator::isSuspect(const CrashSubject& subject) const
+{
+    // Of the terminations in a row, each data centre may know only one.
+    const int partEnds = isCutOff && isCutOff() ? 1 : suspectPartEnds;
+    return m_crashes.isSuspect(subject, bootTime(), partEnds);
+}
+
 RowVersion SuspectCoordinator::version(const std::string& key) const
 {
     const auto found = m_versions.find(key);
@@ -143,7 +152,7 @@
 {
     RowWrite row { subjectText(subject), std::nullopt, expected };
     const auto* record = m_crashes.find(subject);
-    const bool suspect = record && m_crashes.isSuspect(subject, bootTime());
+    const bool suspect = record && isSuspect(subject);
     if (!suspect && holder.empty())
         return row;
     const auto text = encodeCrashRecord(
--- a/Programs/almondscale-host/SuspectCoordinator.h
+++ b/Programs/almondscale-host/SuspectCoordinator.h
@@ -23,8 +23,9 @@
     awaitable<void> run();
     // A server ended while it ran a request with these subjects for this host.
     void noteServerEnd(const RequestSubjects&);
-    // Whether this host reads the store for data centres that it has no link to.
-    std::function<bool()> readsForOthers;
+    // Whether this host has no link to another data centre, so that only the store tells each of the other's
+    // suspects.
+    std::function<bool()> isCutOff;
     SuspectLock lane();
 
 private:
@@ -52,6 +53,7 @@
     awaitable<SuspectLockResult> enter(CrashSubject, BackendId);
     awaitable<void> leave(CrashSubject, BackendId);
 
+    bool isSuspect(const CrashSubject&) const;
     // The write of the subject's record, locked by the holder if there is one. Removes the row if
     // the subject is neither suspected nor locked.
     RowWrite recordRow(const CrashSubject&, const std::string& holder, RowVersion expected) const;
--- a/Source/Forwarding/RequestForwarderSuspect.cpp
+++ b/Source/Forwarding/RequestForwarderSuspect.cpp
@@ -155,9 +155,10 @@
         last = std::max(last, end.endedAt);
     }
     const auto age = std::chrono::duration_cast<milliseconds>(bootTime() - last);
+    const auto* bad = subject.isPart ? m_context.crashes.findBad(subject) : nullptr;
     LogEvent("crashing_request", LogLevel::Warning)
         .with("request", m_request.id)
-        .with(subject.isPart ? "part" : "content", subjectName(subject))
+        .with(subject.isPart ? "part" : "content", bad ? partsText(bad->parts) : subjectName(subject))
         .with("ended", servers)
         .with("age_ms", age.count());
     if (m_context.onCrashRefusal)
--- a/Source/Serving/CrashRecords.cpp
+++ b/Source/Serving/CrashRecords.cpp
@@ -77,13 +77,13 @@
                     : countSteps(counted, EndEvidence::Certain) >= m_options.refuseUnisolatedAfter;
 }
 
-bool CrashRecords::isSuspect(const CrashSubject& subject, MonotonicTime now) const
+bool CrashRecords::isSuspect(const CrashSubject& subject, MonotonicTime now, int partEnds) const
 {
     if (suspicion(subject, now) != Suspicion::None)
         return true;
     const auto* record = find(subject);
     return subject.isPart && record && !isKnownSound(*record)
-        && countSteps(validEnds(*record), EndEvidence::Certain) >= m_options.suspectAfter;
+        && countSteps(validEnds(*record), EndEvidence::Certain) >= partEnds;
 }
 
 Deadline CrashRecords::refusedUntil(const CrashSubject& subject) const
--- a/Source/Serving/CrashRecords.h
+++ b/Source/Serving/CrashRecords.h
@@ -71,8 +71,9 @@
 
     Verdict verdict(const RequestSubjects&, MonotonicTime now) const;
     Suspicion suspicion(const CrashSubject&, MonotonicTime now) const;
-    // Whether the record must outlive the hosts, because a further termination may have the subject refused.
-    bool isSuspect(const CrashSubject&, MonotonicTime now) const;
+    // Whether the record must outlive the hosts, because further terminations may have the subject refused.
+    // Parts are suspects from the given number of consecutive terminations.
+    bool isSuspect(const CrashSubject&, MonotonicTime now, int partEnds) const;
     // The time until which a refused subject is refused.
     Deadline refusedUntil(const CrashSubject&) const;
     const CrashRecord* find(const CrashSubject&) const;
@@ -81,6 +82,7 @@
     // The parts that requests are refused for, each with the parts that it cannot be told from. Found again
     // if records changed.
     const std::vector<BadParts>& badParts() const;
+    const BadParts* findBad(const CrashSubject& part) const;
     // Whether a termination counts against the subject of the record.
     bool isCounted(const CrashRecord&, const ServerEnd&) const;
     std::vector<CrashSubject> subjects() const;
@@ -135,7 +137,6 @@
     // Adopts the time of an answer if it tells more than the one in the record; returns whether it does.
     bool adoptAnswer(CrashRecord&, std::optional<MonotonicTime> answeredAt) const;
     std::optional<MonotonicTime> lastAnsweredHere(const CrashSubject&) const;
-    const BadParts* findBad(const CrashSubject& part) const;
     // Withdraws the terminations for which the predicate holds.
     void withdraw(Entry&, const std::function<bool(const ServerEnd&)>&);
     void evictOne();
--- a/Tests/Forwarding/ForwardingFixture.h
+++ b/Tests/Forwarding/ForwardingFixture.h
@@ -134,9 +134,14 @@
 
     Result<HttpReply> ask(
         const std::string& method, const std::string& target, const std::string& patienceMs = "1000")
+    {
+        return askHead(requestHead(method, target, patienceMs));
+    }
+
+    Result<HttpReply> askHead(HttpRequestHead head)
     {
         std::optional<Result<HttpReply>> result;
-        spawn(loop.get_executor(), askInto(requestHead(method, target, patienceMs), result));
+        spawn(loop.get_executor(), askInto(std::move(head), result));
         while (!result && loop.run_one() > 0) { }
         return *result;
     }
--- a/Tests/Forwarding/RequestForwarderTest.cpp
+++ b/Tests/Forwarding/RequestForwarderTest.cpp
@@ -817,3 +817,45 @@
     REQUIRE(reply.ok());
     CHECK(reply.value().body == event(1) + event(2));
 }
+
+TEST_CASE_METHOD(
+    CrashingFixture, "Prompts with a part that crashed three engines, are refused at once and unread")
+{
+    int crashed = 0;
+    for (int i = 0; i < 6; ++i)
+        addServer("d" + std::to_string(i), EngineRole::Decode,
+            [this, &crashed](const LoopbackServer::Request& request, tcp::socket& socket) -> awaitable<bool> {
+                if (request["Prefix-Hash"].find("bad:") == std::string_view::npos)
+                    co_return co_await stream(1, 1)(request, socket);
+                co_await LoopbackServer::write(socket, streamHead(request));
+                ++crashed;
+                for (const auto& server : servers) {
+                    if (server->requests > 0 && server != servers.front())
+                        server->end();
+                }
+                co_return false;
+            });
+    const auto askFor = [this](const std::string& parts, int number) {
+        HttpRequestHead head { "POST", "/once/" + std::to_string(number), {} };
+        head.fields.add("Host", "h");
+        head.fields.add("Request-Id", "r1");
+        head.fields.add("Deadline-Ms", "1000");
+        head.fields.add("Token-Count", "1000,20");
+        head.fields.add("Prefix-Hash", parts + ",f" + std::to_string(number) + ":200");
+        const auto reply = askHead(std::move(head));
+        return reply.ok() ? reply.value().head.status : 0;
+    };
+    for (int i = 0; i < 3; ++i) {
+        CHECK(askFor("aa:400,bad:400", i) != 200);
+        runFor(300ms);
+    }
+    CHECK(crashed == 3);
+    const int before = sends();
+    for (int i = 3; i < 6; ++i) {
+        const auto askedAt = bootTime();
+        CHECK(askFor("aa:400,bad:400", i) == 503);
+        CHECK(bootTime() - askedAt < 50ms);
+    }
+    CHECK(sends() == before);
+    CHECK(askFor("aa:400,cc:400", 6) == 200);
+}
--- a/Tests/Peers/PeerNetworkTest.cpp
+++ b/Tests/Peers/PeerNetworkTest.cpp
@@ -175,3 +175,13 @@
     runFor(100ms);
     CHECK(hosts[0]->remoteRequests() == 0);
 }
+
+TEST_CASE_METHOD(PeerNetworkFixture, "Reader whose links to another data centre are lost, lacks it")
+{
+    runFor(1500ms);
+    CHECK_FALSE(hosts[0]->network.lacksDataCentre());
+    CHECK_FALSE(hosts[3]->network.lacksDataCentre());
+    hosts.resize(3);
+    runFor(1500ms);
+    CHECK(hosts[0]->network.lacksDataCentre());
+}
--- a/Tests/Serving/BadPartsTest.cpp
+++ b/Tests/Serving/BadPartsTest.cpp
@@ -282,7 +282,7 @@
 {
     for (int i = 0; i < 2; ++i)
         crashOn({ common, bad });
-    CHECK(records.isSuspect(bad, now));
+    CHECK(records.isSuspect(bad, now, 2));
     const auto row = encodeCrashRecord(*records.find(bad), now, 1000000);
     const auto record = decodeCrashRecord(row, now, 1000000);
     REQUIRE(record);
--- a/Tests/Soak/limits.py
+++ b/Tests/Soak/limits.py
@@ -9,7 +9,6 @@
 """
 import argparse
 import asyncio
-import json
 import os
 import random
 import signal
@@ -17,7 +16,7 @@
 import tempfile
 import time
 
-from fakes import Proxy, read_message
+from fakes import read_message
 from soak import World, run_seeds, run_world
 
 PLAY_S = 24.0
@@ -31,8 +30,6 @@
 MIN_SPENT_SHARE = 0.6
 # A refusal takes at most this long from the arrival of the request.
 MAX_REFUSAL_S = 1.0
-HOSTS_TABLE = "almondscale-hosts"
-PEER_PORT = 7380
 UNUSABLE = ["0", "-3", "many", "", "nan", "inf", "1e300", "9" * 400, "1,5"]
 
 
@@ -51,19 +48,8 @@
         self.statuses = {}
         self.spent = []
         self.worst = 0.0
-        # In front of the port at which each host accepts the connections of other hosts.
-        self.peer_proxies = []
         if play == "partitions":
-            self.peer_proxies = [Proxy(f"{self.net}.5.{i + 1}:{PEER_PORT}", f"{self.net}.1.{i + 1}:{PEER_PORT}")
-                                 for i in range(hosts)]
-            self.store.stored_value = self.behind_peer_proxy
-
-    def behind_peer_proxy(self, table, key, value):
-        if table != HOSTS_TABLE or value is None:
-            return value
-        host = json.loads(value)
-        host["peers"] = host["peers"].replace(f"{self.net}.1.", f"{self.net}.5.")
-        return json.dumps(host)
+            self.add_peer_proxies()
 
     def set_limit(self, backend, limit):
         backend.limit = limit
@@ -238,8 +224,6 @@
             await asyncio.sleep(self.random.uniform(0.5, 3.0))
 
     async def play(self):
-        for proxy in self.peer_proxies:
-            await proxy.start()
         tasks = await self.begin()
         tasks += [asyncio.create_task(self.limited_caller(number)) for number in range(16)]
         faults = {"restarts": [self.restarts], "rolls": [self.rolls], "freezes": [self.freezes],
--- a/Tests/Soak/parts.py
+++ b/Tests/Soak/parts.py
@@ -55,6 +55,8 @@
         self.late = {part: 0 for part in MARKED_PARTS + ["content"]}
         self.sound = []
         self.sequence = 0
+        if play == "cut":
+            self.add_peer_proxies()
 
     def on_arrival(self, backend, request):
         super().on_arrival(backend, request)
@@ -161,6 +163,14 @@
         await asyncio.gather(*(host.end(signal.SIGKILL) for host in self.hosts))
         await asyncio.gather(*(host.start() for host in self.hosts))
 
+    async def cut_hosts_off(self):
+        """Cuts all hosts off from each other; each reaches the store."""
+        while not self.over:
+            for proxy in self.peer_proxies:
+                proxy.mode = "refuse"
+                proxy.reset()
+            await asyncio.sleep(1)
+
     async def rolling_restart(self):
         """Stops and starts one host after the other, all the time."""
         while not self.over:
@@ -180,7 +190,8 @@
             senders = [marked_sender(part) for part in self.marked for _ in range(self.senders)]
         if self.play_name == "content":
             senders.append(self.content_sender())
-        faults = {"power_loss": [self.power_loss], "rolling": [self.rolling_restart]}.get(self.play_name, [])
+        faults = {"power_loss": [self.power_loss], "rolling": [self.rolling_restart],
+                  "cut": [self.cut_hosts_off]}.get(self.play_name, [])
         tasks += [asyncio.create_task(fault()) for fault in faults]
         await asyncio.gather(asyncio.sleep(SEND_S), *senders)
         self.check_end()
@@ -225,7 +236,7 @@
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--senders", type=int, default=1, help="of each marked part")
     parser.add_argument("--play", default="second",
-                        choices=list(LAYOUTS) + ["bursts", "content", "power_loss", "rolling", "control"])
+                        choices=list(LAYOUTS) + ["bursts", "content", "power_loss", "rolling", "cut", "control"])
     arguments = parser.parse_args()
     program = os.path.abspath(arguments.program)
 
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -36,6 +36,8 @@
 NETWORK_COUNT = 250
 # A run keeps this port of its network bound, which reserves the network. No program of the soak uses the port.
 GUARD_PORT = 6999
+HOSTS_TABLE = "almondscale-hosts"
+PEER_PORT = 7380
 # Minimum share of the requests of the final phase that are served.
 MIN_SERVED_SHARE = 0.95
 
@@ -145,7 +147,7 @@
         self.calm_at = 0.0
         self.orders = []
         self.store_proxies = [Proxy(f"{self.net}.2.{i + 1}:7000", self.store.address) for i in range(hosts)]
-        self.backends, self.backend_proxies = [], []
+        self.backends, self.backend_proxies, self.peer_proxies = [], [], []
         for i in range(8):
             role = None if i < 3 else ("prefill" if i < 6 else "decode")
             proxy = Proxy(f"{self.net}.3.{i + 1}:8080", f"{self.net}.4.{i + 1}:8080")
@@ -153,6 +155,19 @@
             self.backends.append(Backend(self, f"s{i}", proxy.target, proxy.address, role))
         self.hosts = [HostProcess(self, i) for i in range(hosts)]
 
+    def add_peer_proxies(self):
+        """Puts a proxy in front of the port at which each host accepts the connections of other hosts."""
+        self.peer_proxies = [Proxy(f"{self.net}.5.{i + 1}:{PEER_PORT}", f"{self.net}.1.{i + 1}:{PEER_PORT}")
+                             for i in range(len(self.hosts))]
+        self.store.stored_value = self.behind_peer_proxy
+
+    def behind_peer_proxy(self, table, key, value):
+        if table != HOSTS_TABLE or value is None:
+            return value
+        host = json.loads(value)
+        host["peers"] = host["peers"].replace(f"{self.net}.1.", f"{self.net}.5.")
+        return json.dumps(host)
+
     def fail(self, what):
         self.failures.append(f"{time.monotonic() - self.started:.2f} s: {what}")
 
@@ -471,7 +486,7 @@
         """Starts the fakes and the hosts; returns the tasks that run until the end."""
         self.started = time.monotonic()
         await self.store.start()
-        for proxy in self.store_proxies + self.backend_proxies:
+        for proxy in self.store_proxies + self.backend_proxies + self.peer_proxies:
             await proxy.start()
         for backend in self.backends:
             await backend.live()
