Crash records: only successful responses clear parts; rows of suspects are written before the rest is looked at

Cause, found by reading: a 4xx response of a server cleared the parts of the prompt, although it shows no answer to it; after the end of a busy server the row of a bad part waited behind contents and parts that have none to write, four every 100 ms. Change: parts are cleared by successes; subjects without a row to write use up no write.

--- a/Programs/almondscale-host/SuspectCoordinator.cpp
+++ b/Programs/almondscale-host/SuspectCoordinator.cpp
@@ -69,9 +69,12 @@
             if (isCutOff && isCutOff())
                 co_await loadRecords(false);
         }
-        for (int writes = 0; writes < maxWritesPerInterval && !m_unwritten.empty(); ++writes) {
+        for (int writes = 0; writes < maxWritesPerInterval && !m_unwritten.empty();) {
             const auto subject = *m_unwritten.begin();
             m_unwritten.erase(m_unwritten.begin());
+            if (!needsWrite(subject))
+                continue;
+            ++writes;
             if (co_await writeRecord(subject))
                 continue;
             m_unwritten.insert(subject);
@@ -161,15 +164,18 @@
     return row;
 }
 
-awaitable<bool> SuspectCoordinator::writeRecord(CrashSubject subject)
+bool SuspectCoordinator::needsWrite(const CrashSubject& subject) const
 {
-    // leave() writes the record.
+    // leave() writes the record of a running suspect.
     if (m_runningSuspects.count(subject) > 0)
-        co_return true;
+        return false;
+    return isSuspect(subject) || m_versions.count(subjectText(subject)) > 0;
+}
+
+awaitable<bool> SuspectCoordinator::writeRecord(CrashSubject subject)
+{
     std::vector<RowWrite> rows;
     rows.push_back(recordRow(subject, std::string(), version(subjectText(subject))));
-    if (!rows.front().value && rows.front().expected == RowVersion(0))
-        co_return true;
     const auto written = co_await m_store.writeCrashRecords(rows);
     if (written.outcome == WriteOutcome::Applied) {
         noteRow(rows.front(), written.version);
--- a/Programs/almondscale-host/SuspectCoordinator.h
+++ b/Programs/almondscale-host/SuspectCoordinator.h
@@ -46,6 +46,8 @@
 
     // Merges the records of the store; returns whether the store answered.
     awaitable<bool> loadRecords(bool atStart);
+    // Whether the record belongs in the store, or is there.
+    bool needsWrite(const CrashSubject&) const;
     // Returns false if the store did not answer.
     awaitable<bool> writeRecord(CrashSubject);
     // Has rows written or removed that no longer match the records.
--- a/Source/Forwarding/RequestForwarder.cpp
+++ b/Source/Forwarding/RequestForwarder.cpp
@@ -374,7 +374,11 @@
         co_return AttemptOutcome::Failed;
     }
     recordOutcome(id, BackendOutcome::Answered);
-    m_context.crashes.noteCompleted(m_subjects, bootTime());
+    // Other responses do not show that the server began to answer the prompt.
+    if (reply.success())
+        m_context.crashes.noteCompleted(m_subjects, bootTime());
+    else
+        m_context.crashes.noteCompleted(m_subjects.content);
     m_outcome = "answered";
     co_await m_writer.sendResponse(std::move(head), std::move(body.value()));
     co_return AttemptOutcome::Delivered;
