--- a/Source/Serving/CrashRecord.cpp
+++ b/Source/Serving/CrashRecord.cpp
@@ -105,4 +105,12 @@
     return record;
 }
 
+MonotonicTime lastEnd(const CrashRecord& record)
+{
+    MonotonicTime last {};
+    for (const auto& end : record.ends)
+        last = std::max(last, end.endedAt);
+    return last;
+}
+
 } // namespace almondscale
--- a/Source/Serving/CrashRecord.h
+++ b/Source/Serving/CrashRecord.h
@@ -18,6 +18,9 @@
     std::optional<MonotonicTime> answeredAt;
 };
 
+// The time of the last termination; the epoch if there is none.
+MonotonicTime lastEnd(const CrashRecord&);
+
 // Converts the record to and from a JSON row of the store. Times are stored as ages relative to `wallMs`, in
 // milliseconds since 1970, because hosts have no common monotonic clock.
 std::string encodeCrashRecord(const CrashRecord&, MonotonicTime now, std::int64_t wallMs);
--- a/Source/Serving/CrashRecords.cpp
+++ b/Source/Serving/CrashRecords.cpp
@@ -8,14 +8,6 @@
 
 namespace {
 
-    MonotonicTime lastEnd(const CrashRecord& record)
-    {
-        MonotonicTime last {};
-        for (const auto& end : record.ends)
-            last = std::max(last, end.endedAt);
-        return last;
-    }
-
     // The union, sorted and limited in size.
     std::vector<Fingerprint> joinContents(
         const std::vector<Fingerprint>& a, const std::vector<Fingerprint>& b, std::size_t maxSize)
@@ -33,77 +25,12 @@
 {
 }
 
-Verdict CrashRecords::verdict(const RequestSubjects& subjects, MonotonicTime now) const
-{
-    std::optional<Verdict> onTrial;
-    const auto& shared = subjects.sharedParts;
-    for (const auto& bad : badParts()) {
-        const bool hasAll = std::all_of(bad.parts.begin(), bad.parts.end(),
-            [&](auto part) { return std::find(shared.begin(), shared.end(), part) != shared.end(); });
-        if (!hasAll)
-            continue;
-        const Verdict verdict { suspicion(bad.parts.front(), now), bad.parts.front() };
-        if (verdict.suspicion == Suspicion::Refuse)
-            return verdict;
-        onTrial = verdict;
-    }
-    const Verdict verdict { suspicion(subjects.content, now), subjects.content };
-    return onTrial && verdict.suspicion != Suspicion::Refuse ? *onTrial : verdict;
-}
-
-Suspicion CrashRecords::suspicion(const CrashSubject& subject, MonotonicTime now) const
-{
-    const auto* record = find(subject);
-    if (!record)
-        return Suspicion::None;
-    const bool refusalPassed = refusedUntil(subject).passed(now);
-    if (subject.isPart) {
-        if (!findBad(subject))
-            return Suspicion::None;
-        return refusalPassed ? Suspicion::Isolate : Suspicion::Refuse;
-    }
-    // Concurrent terminations make the content a suspect too.
-    const auto ends = countedEnds(*record);
-    if (static_cast<int>(ends.size()) < m_options.suspectAfter)
-        return Suspicion::None;
-    return isBadContent(ends) && !refusalPassed ? Suspicion::Refuse : Suspicion::Isolate;
-}
-
-bool CrashRecords::isBadContent(const std::vector<ServerEnd>& counted) const
-{
-    const bool isolated = std::any_of(counted.begin(), counted.end(),
-        [](const auto& end) { return end.apart && end.evidence != EndEvidence::Unsure; });
-    return isolated ? countSteps(counted, EndEvidence::Unsure) >= m_options.refuseAfter
-                    : countSteps(counted, EndEvidence::Certain) >= m_options.refuseUnisolatedAfter;
-}
-
-bool CrashRecords::isSuspect(const CrashSubject& subject, MonotonicTime now, int partEnds) const
-{
-    if (suspicion(subject, now) != Suspicion::None)
-        return true;
-    const auto* record = find(subject);
-    return subject.isPart && record && !isKnownSound(*record)
-        && countSteps(validEnds(*record), EndEvidence::Certain) >= partEnds;
-}
-
-Deadline CrashRecords::refusedUntil(const CrashSubject& subject) const
-{
-    const auto* record = find(subject);
-    return Deadline::after(record ? lastEnd(*record) : MonotonicTime(), m_options.refusalTime);
-}
-
 const CrashRecord* CrashRecords::find(const CrashSubject& subject) const
 {
     const auto found = m_entries.find(subject);
     return found == m_entries.end() ? nullptr : &found->second.record;
 }
 
-int CrashRecords::consecutiveEnds(const CrashSubject& subject) const
-{
-    const auto* record = find(subject);
-    return record ? countSteps(validEnds(*record), EndEvidence::Unsure) : 0;
-}
-
 std::vector<CrashSubject> CrashRecords::subjects() const
 {
     std::vector<CrashSubject> subjects;
@@ -113,77 +40,6 @@
     return subjects;
 }
 
-const std::vector<BadParts>& CrashRecords::badParts() const
-{
-    if (m_judgedVersion == m_version)
-        return m_badParts;
-    m_judgedVersion = m_version;
-    std::vector<PartEvidence> evidence;
-    for (const auto& subject : m_candidates) {
-        const auto& record = *find(subject);
-        if (subject.isPart)
-            evidence.push_back({ PromptPartId(subject.id.count()), validEnds(record), isKnownSound(record) });
-    }
-    m_badParts = findBadParts(evidence, m_options.badParts);
-    m_explained.clear();
-    for (const auto& bad : m_badParts)
-        m_explained.insert(bad.servers.begin(), bad.servers.end());
-    return m_badParts;
-}
-
-const BadParts* CrashRecords::findBad(const CrashSubject& part) const
-{
-    for (const auto& bad : badParts()) {
-        if (std::find(bad.parts.begin(), bad.parts.end(), PromptPartId(part.id.count())) != bad.parts.end())
-            return &bad;
-    }
-    return nullptr;
-}
-
-bool CrashRecords::isValid(const CrashRecord& record, const ServerEnd& end) const
-{
-    if (end.withdrawn || (record.answeredAt && end.endedAt <= *record.answeredAt))
-        return false;
-    if (record.subject.isPart && end.evidence == EndEvidence::Unsure)
-        return false;
-    const auto first = m_firstEndedAt.find(end.server);
-    return first == m_firstEndedAt.end() || end.sentAt <= first->second + m_options.propagationDelay;
-}
-
-bool CrashRecords::isCounted(const CrashRecord& record, const ServerEnd& end) const
-{
-    if (!isValid(record, end))
-        return false;
-    badParts();
-    return record.subject.isPart || m_explained.count(end.server) == 0;
-}
-
-std::vector<ServerEnd> CrashRecords::validEnds(const CrashRecord& record) const
-{
-    std::vector<ServerEnd> ends;
-    std::copy_if(record.ends.begin(), record.ends.end(), std::back_inserter(ends),
-        [&](const auto& end) { return isValid(record, end); });
-    return ends;
-}
-
-std::vector<ServerEnd> CrashRecords::countedEnds(const CrashRecord& record) const
-{
-    std::vector<ServerEnd> ends;
-    std::copy_if(record.ends.begin(), record.ends.end(), std::back_inserter(ends),
-        [&](const auto& end) { return isCounted(record, end); });
-    return ends;
-}
-
-bool CrashRecords::isKnownSound(const CrashRecord& record) const
-{
-    if (!record.answeredAt)
-        return false;
-    const auto ends = validEnds(record);
-    const auto first = std::min_element(
-        ends.begin(), ends.end(), [](const auto& a, const auto& b) { return a.endedAt < b.endedAt; });
-    return first != ends.end() && first->endedAt - *record.answeredAt < m_options.soundTime;
-}
-
 bool CrashRecords::adoptAnswer(CrashRecord& record, std::optional<MonotonicTime> answeredAt) const
 {
     if (!answeredAt)
@@ -223,17 +79,6 @@
     return next;
 }
 
-int CrashRecords::countSteps(const std::vector<ServerEnd>& ends, EndEvidence minEvidence)
-{
-    // Runs with the same step may have been concurrent.
-    std::set<int> steps;
-    for (const auto& end : ends) {
-        if (end.evidence >= minEvidence)
-            steps.insert(end.step);
-    }
-    return static_cast<int>(steps.size());
-}
-
 void CrashRecords::noteEnd(
     const RequestSubjects& subjects, const ServerEnd& end, const std::vector<int>& steps)
 {
--- a/Source/Serving/CrashRecords.h
+++ b/Source/Serving/CrashRecords.h
@@ -129,6 +129,8 @@
     std::vector<ServerEnd> validEnds(const CrashRecord&) const;
     // Whether the termination was neither withdrawn nor followed by an answer to a request with the subject.
     bool isValid(const CrashRecord&, const ServerEnd&) const;
+    // The servers that bad parts crashed; their terminations do not count against contents.
+    const std::set<BackendLifetime>& explainedServers() const;
     std::vector<ServerEnd> countedEnds(const CrashRecord&) const;
     // Whether the counted terminations have a content refused, apart from the time.
     bool isBadContent(const std::vector<ServerEnd>& counted) const;
