--- a/Tests/Soak/parts.py
+++ b/Tests/Soak/parts.py
@@ -44,8 +44,9 @@
 class PartsWorld(World):
     """A run in which prompts with a marked part crash the engines that begin to answer them."""
 
-    def __init__(self, program, seed, hosts, folder, senders, play):
-        super().__init__(program, seed, hosts, folder)
+    def __init__(self, program, seed, hosts, folder, senders, play, before):
+        super().__init__(before or program, seed, hosts, folder)
+        self.program_after = program
         self.senders, self.play_name = senders, play
         self.layout = LAYOUTS.get(play, LAYOUTS["second"])
         self.marked = MARKED_PARTS if play == "two" else MARKED_PARTS[:1]
@@ -172,7 +173,8 @@
             await asyncio.sleep(1)
 
     async def rolling_restart(self):
-        """Stops and starts one host after the other, all the time."""
+        """Stops one host after the other and starts it again, all the time; an older program is replaced by the new one."""
+        self.program = self.program_after
         while not self.over:
             for host in self.hosts:
                 await asyncio.sleep(1)
@@ -231,6 +233,7 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--program", required=True, help="the almondscale-host to run")
+    parser.add_argument("--before", help="an older almondscale-host that the play 'rolling' begins with")
     parser.add_argument("--seeds", default="1-1", help="FIRST-LAST")
     parser.add_argument("--parallel", type=int, default=1)
     parser.add_argument("--hosts", type=int, default=4)
@@ -239,11 +242,13 @@
                         choices=list(LAYOUTS) + ["bursts", "content", "power_loss", "rolling", "cut", "control"])
     arguments = parser.parse_args()
     program = os.path.abspath(arguments.program)
+    before = os.path.abspath(arguments.before) if arguments.before else None
 
     def play_seed(seed):
         random.seed(seed)
         folder = tempfile.mkdtemp(prefix=f"parts-{seed}-")
-        return run_world(PartsWorld(program, seed, arguments.hosts, folder, arguments.senders, arguments.play))
+        return run_world(PartsWorld(program, seed, arguments.hosts, folder, arguments.senders, arguments.play,
+                                    before))
 
     sys.exit(0 if run_seeds(arguments.seeds, arguments.parallel, play_seed) else 1)
 
