Soak: one way to send a request on a connection of its own; refusals without a record say so

Cause, found by reading: two plays built the same call; a record may expire while a lock is requested. Change: World.ask_alone serves both; a refusal whose record is gone names no servers.

--- a/Source/Forwarding/RequestForwarderSuspect.cpp
+++ b/Source/Forwarding/RequestForwarderSuspect.cpp
@@ -145,11 +145,11 @@
         return;
     m_outOfServers = true;
     const auto& subject = m_verdict.subject;
-    const auto& record = *m_context.crashes.find(subject);
+    const auto* record = m_context.crashes.find(subject);
     std::string servers;
     MonotonicTime last {};
-    for (const auto& end : record.ends) {
-        if (!m_context.crashes.isCounted(record, end))
+    for (const auto& end : record ? record->ends : std::vector<ServerEnd>()) {
+        if (!m_context.crashes.isCounted(*record, end))
             continue;
         servers += (servers.empty() ? "" : ",") + end.server.backend.text();
         last = std::max(last, end.endedAt);
--- a/Tests/Soak/crashing.py
+++ b/Tests/Soak/crashing.py
@@ -16,7 +16,6 @@
 import tempfile
 import time
 
-from fakes import read_message
 from soak import World, run_seeds, run_world
 
 SEND_S = 32.0
@@ -76,28 +75,13 @@
         await backend.live()
 
     async def ask(self, request, kind, path):
-        """Sends a request on a connection of its own; returns its status, or None if the connection failed."""
-        host = random.choice([each for each in self.hosts if each.ready] or self.hosts)
+        """Sends a request on a connection of its own; returns its status, or None if that failed."""
         body = b"x" * 200 if kind != "safe" else b""
         head = (f"{'GET' if kind == 'safe' else 'POST'} /{kind}/{path} HTTP/1.1\r\nHost: h\r\nRequest-Id: {request}\r\n"
                 f"Deadline-Ms: 2500\r\nContent-Length: {len(body)}\r\n")
         if kind == "stream":
             head += "Model-Id: m\r\nToken-Count: 1000,60\r\nPrefix-Hash: aa:800,bb:200\r\n"
-        self.asked[request] = (host, time.monotonic())
-        try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(host.ip, 8149), 1)
-        except (OSError, asyncio.TimeoutError):
-            return None
-        try:
-            writer.write(head.encode() + b"\r\n" + body)
-            line, fields, answer = await asyncio.wait_for(read_message(reader), 4)
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.TimeoutError, ValueError):
-            return None
-        finally:
-            writer.close()
-        status = int(line.split()[1])
-        self.check_answer(request, kind, status, fields, answer)
-        return status
+        return await self.ask_alone(request, kind, head.encode() + b"\r\n" + body)
 
     async def marked_sender(self, mark, number):
         end = time.monotonic() + SEND_S
--- a/Tests/Soak/parts.py
+++ b/Tests/Soak/parts.py
@@ -17,7 +17,6 @@
 import tempfile
 import time
 
-from fakes import read_message
 from soak import World, run_seeds, run_world
 
 SEND_S = 36.0
@@ -91,28 +90,13 @@
         await backend.live()
 
     async def ask(self, request, kind, parts, path="x"):
-        """Sends a request on a connection of its own; returns its status, or None if the connection failed."""
-        host = random.choice([each for each in self.hosts if each.ready] or self.hosts)
+        """Sends a request on a connection of its own; returns its status, or None if that failed."""
         prefix = ",".join(f"{part}:200" for part in parts) + f",{random.getrandbits(48):x}:200"
         body = request.encode() if path == "x" else b"the same"
         head = (f"POST /{kind}/{path} HTTP/1.1\r\nHost: h\r\nRequest-Id: {request}\r\nDeadline-Ms: 2500\r\n"
                 f"Model-Id: {'m' if kind == 'stream' else 'n'}\r\nToken-Count: 1000,60\r\nPrefix-Hash: {prefix}\r\n"
                 f"Content-Length: {len(body)}\r\n\r\n")
-        self.asked[request] = (host, time.monotonic())
-        try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(host.ip, 8149), 1)
-        except (OSError, asyncio.TimeoutError):
-            return None
-        try:
-            writer.write(head.encode() + body)
-            line, fields, answer = await asyncio.wait_for(read_message(reader), 4)
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.TimeoutError, ValueError):
-            return None
-        finally:
-            writer.close()
-        status = int(line.split()[1])
-        self.check_answer(request, kind, status, fields, answer)
-        return status
+        return await self.ask_alone(request, kind, head.encode() + body)
 
     def prompt(self, part):
         return [part if each is None else each for each in self.layout]
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -284,6 +284,25 @@
             self.counts["calm_served"] += calm
         return fields.get("connection", "").lower() != "close"
 
+    async def ask_alone(self, request, kind, message):
+        """Sends the message on a connection of its own to a random host; returns its status, or None if that failed."""
+        host = random.choice([each for each in self.hosts if each.ready] or self.hosts)
+        self.asked[request] = (host, time.monotonic())
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(host.ip, 8149), 1)
+        except (OSError, asyncio.TimeoutError):
+            return None
+        try:
+            writer.write(message)
+            line, fields, answer = await asyncio.wait_for(read_message(reader), 4)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.TimeoutError, ValueError):
+            return None
+        finally:
+            writer.close()
+        status = int(line.split()[1])
+        self.check_answer(request, kind, status, fields, answer)
+        return status
+
     def check_answer(self, request, kind, status, fields, answer):
         if status in (429, 503, 408, 421):
             self.refused.add(request)
