Crash records: one way to list the terminations that count against a subject

Cause: the linter found a possible null record in the list of a refusal's servers; the status page built the same list. Change: CrashRecords::countedEnds by subject; serversText and lastEnd serve the log line and the page. No change of behaviour.

--- a/Programs/almondscale-host/StatusPages.cpp
+++ b/Programs/almondscale-host/StatusPages.cpp
@@ -2,8 +2,6 @@
 
 #include "Http/JsonBuilder.h"
 
-#include <algorithm>
-
 namespace almondscale {
 
 namespace {
@@ -174,16 +172,8 @@
     JsonBuilder json;
     json.beginArray("suspects");
     for (const auto& subject : m_crashes.subjects()) {
-        const auto& record = *m_crashes.find(subject);
-        std::string servers;
-        MonotonicTime last {};
-        for (const auto& end : record.ends) {
-            if (!m_crashes.isCounted(record, end))
-                continue;
-            servers += (servers.empty() ? "" : ",") + end.server.backend.text();
-            last = std::max(last, end.endedAt);
-        }
-        if (servers.empty())
+        const auto ends = m_crashes.countedEnds(subject);
+        if (ends.empty())
             continue;
         const auto suspicion = m_crashes.suspicion(subject, now);
         const bool refused = suspicion == Suspicion::Refuse;
@@ -191,9 +181,10 @@
             .text("id", subjectName(subject))
             .text("kind", subject.isPart ? "part" : "content")
             .text("state", suspicionName(suspicion))
-            .text("servers", servers)
+            .text("servers", serversText(ends))
             .integer("consecutive", m_crashes.consecutiveEnds(subject))
-            .integer("age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - last).count())
+            .integer(
+                "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - lastEnd(ends)).count())
             .integer("refused_ms", refused ? msLeft(m_crashes.refusedUntil(subject), now) : 0)
             .endObject();
     }
--- a/Source/Forwarding/RequestForwarderSuspect.cpp
+++ b/Source/Forwarding/RequestForwarderSuspect.cpp
@@ -145,21 +145,13 @@
         return;
     m_outOfServers = true;
     const auto& subject = m_verdict.subject;
-    const auto* record = m_context.crashes.find(subject);
-    std::string servers;
-    MonotonicTime last {};
-    for (const auto& end : record ? record->ends : std::vector<ServerEnd>()) {
-        if (!m_context.crashes.isCounted(*record, end))
-            continue;
-        servers += (servers.empty() ? "" : ",") + end.server.backend.text();
-        last = std::max(last, end.endedAt);
-    }
-    const auto age = std::chrono::duration_cast<milliseconds>(bootTime() - last);
+    const auto ends = m_context.crashes.countedEnds(subject);
+    const auto age = std::chrono::duration_cast<milliseconds>(bootTime() - lastEnd(ends));
     const auto* bad = subject.isPart ? m_context.crashes.findBad(subject) : nullptr;
     LogEvent("crashing_request", LogLevel::Warning)
         .with("request", m_request.id)
         .with(subject.isPart ? "part" : "content", bad ? partsText(bad->parts) : subjectName(subject))
-        .with("ended", servers)
+        .with("ended", serversText(ends))
         .with("age_ms", age.count());
     if (m_context.onCrashRefusal)
         m_context.onCrashRefusal(subject);
--- a/Source/Serving/CrashRecord.cpp
+++ b/Source/Serving/CrashRecord.cpp
@@ -105,12 +105,20 @@
     return record;
 }
 
-MonotonicTime lastEnd(const CrashRecord& record)
+MonotonicTime lastEnd(const std::vector<ServerEnd>& ends)
 {
     MonotonicTime last {};
-    for (const auto& end : record.ends)
+    for (const auto& end : ends)
         last = std::max(last, end.endedAt);
     return last;
 }
 
+std::string serversText(const std::vector<ServerEnd>& ends)
+{
+    std::string text;
+    for (const auto& end : ends)
+        text += (text.empty() ? "" : ",") + end.server.backend.text();
+    return text;
+}
+
 } // namespace almondscale
--- a/Source/Serving/CrashRecord.h
+++ b/Source/Serving/CrashRecord.h
@@ -19,7 +19,9 @@
 };
 
 // The time of the last termination; the epoch if there is none.
-MonotonicTime lastEnd(const CrashRecord&);
+MonotonicTime lastEnd(const std::vector<ServerEnd>&);
+// The servers that terminated, separated by commas.
+std::string serversText(const std::vector<ServerEnd>&);
 
 // Converts the record to and from a JSON row of the store. Times are stored as ages relative to `wallMs`, in
 // milliseconds since 1970, because hosts have no common monotonic clock.
--- a/Source/Serving/CrashRecords.cpp
+++ b/Source/Serving/CrashRecords.cpp
@@ -270,7 +270,7 @@
     }
     std::vector<CrashSubject> old;
     for (const auto& [subject, entry] : m_entries) {
-        if (Deadline::after(lastEnd(entry.record), m_options.lifetime).passed(now))
+        if (Deadline::after(lastEnd(entry.record.ends), m_options.lifetime).passed(now))
             old.push_back(subject);
     }
     for (const auto& subject : old)
--- a/Source/Serving/CrashRecords.h
+++ b/Source/Serving/CrashRecords.h
@@ -83,8 +83,8 @@
     // if records changed.
     const std::vector<BadParts>& badParts() const;
     const BadParts* findBad(const CrashSubject& part) const;
-    // Whether a termination counts against the subject of the record.
-    bool isCounted(const CrashRecord&, const ServerEnd&) const;
+    // The terminations that count against the subject.
+    std::vector<ServerEnd> countedEnds(const CrashSubject&) const;
     std::vector<CrashSubject> subjects() const;
 
     // The steps of the next run of each subject, the content first; see ServerEnd::step.
@@ -131,7 +131,6 @@
     bool isValid(const CrashRecord&, const ServerEnd&) const;
     // The servers that bad parts crashed; their terminations do not count against contents.
     const std::set<BackendLifetime>& explainedServers() const;
-    std::vector<ServerEnd> countedEnds(const CrashRecord&) const;
     // Whether the counted terminations have a content refused, apart from the time.
     bool isBadContent(const std::vector<ServerEnd>& counted) const;
     // Whether a request with the part was answered shortly before the first valid termination.
--- a/Source/Serving/CrashVerdicts.cpp
+++ b/Source/Serving/CrashVerdicts.cpp
@@ -26,9 +26,6 @@
 
 Suspicion CrashRecords::suspicion(const CrashSubject& subject, MonotonicTime now) const
 {
-    const auto* record = find(subject);
-    if (!record)
-        return Suspicion::None;
     const bool refusalPassed = refusedUntil(subject).passed(now);
     if (subject.isPart) {
         if (!findBad(subject))
@@ -36,7 +33,7 @@
         return refusalPassed ? Suspicion::Isolate : Suspicion::Refuse;
     }
     // Concurrent terminations make the content a suspect too.
-    const auto ends = countedEnds(*record);
+    const auto ends = countedEnds(subject);
     if (static_cast<int>(ends.size()) < m_options.suspectAfter)
         return Suspicion::None;
     return isBadContent(ends) && !refusalPassed ? Suspicion::Refuse : Suspicion::Isolate;
@@ -62,7 +59,7 @@
 Deadline CrashRecords::refusedUntil(const CrashSubject& subject) const
 {
     const auto* record = find(subject);
-    return Deadline::after(record ? lastEnd(*record) : MonotonicTime(), m_options.refusalTime);
+    return Deadline::after(record ? lastEnd(record->ends) : MonotonicTime(), m_options.refusalTime);
 }
 
 int CrashRecords::consecutiveEnds(const CrashSubject& subject) const
@@ -114,13 +111,6 @@
     return first == m_firstEndedAt.end() || end.sentAt <= first->second + m_options.propagationDelay;
 }
 
-bool CrashRecords::isCounted(const CrashRecord& record, const ServerEnd& end) const
-{
-    if (!isValid(record, end))
-        return false;
-    return record.subject.isPart || explainedServers().count(end.server) == 0;
-}
-
 std::vector<ServerEnd> CrashRecords::validEnds(const CrashRecord& record) const
 {
     std::vector<ServerEnd> ends;
@@ -129,11 +119,18 @@
     return ends;
 }
 
-std::vector<ServerEnd> CrashRecords::countedEnds(const CrashRecord& record) const
+std::vector<ServerEnd> CrashRecords::countedEnds(const CrashSubject& subject) const
 {
-    std::vector<ServerEnd> ends;
-    std::copy_if(record.ends.begin(), record.ends.end(), std::back_inserter(ends),
-        [&](const auto& end) { return isCounted(record, end); });
+    const auto* record = find(subject);
+    if (!record)
+        return {};
+    auto ends = validEnds(*record);
+    if (subject.isPart)
+        return ends;
+    const auto& explained = explainedServers();
+    ends.erase(std::remove_if(ends.begin(), ends.end(),
+                   [&](const auto& end) { return explained.count(end.server) > 0; }),
+        ends.end());
     return ends;
 }
 
