--- a/Tests/Serving/BadPartsTest.cpp
+++ b/Tests/Serving/BadPartsTest.cpp
@@ -300,9 +300,9 @@
     for (int i = 0; i < 3; ++i)
         crashOn({ common, bad });
     for (int i = 0; i < 10000; ++i) {
-        std::vector<PromptPartId> parts;
-        for (int part = 0; part < 4; ++part)
-            parts.emplace_back(100000 + 10 * i + part);
+        const int first = 100000 + 10 * i;
+        std::vector<PromptPartId> parts { PromptPartId(first), PromptPartId(first + 1),
+            PromptPartId(first + 2) };
         answer(parts);
         crashOn(std::move(parts));
     }
