--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -469,8 +469,14 @@
         raise SystemExit(2)
 
     async def limited():
+        # A signal ends the case in the same way as its time does, with all processes that it started.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             return await asyncio.wait_for(case(), 110)
+        except asyncio.CancelledError:
+            print("the run was ended by a signal")
+            return 2
         except asyncio.TimeoutError:
             print("the run took too long")
             return 2
