--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,7 +8,10 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins"))
 sys.dont_write_bytecode = True
-from world import World, read_message, run_case, troubled  # noqa: E402
+from world import World, read_message, run_case  # noqa: E402
+
+# Without the disruption if it is 0.
+TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 
 ZONES = ["kolkata-depot", "bardhaman-depot", "siliguri-depot"]
 CALLERS = 12
@@ -93,7 +96,7 @@
         for number in range(CALLERS):
             self.spawn(self.caller(number))
         await asyncio.sleep(8)
-        if troubled():
+        if TROUBLED:
             self.hosts[0].send(signal.SIGTERM)
             self.stopped_at = self.record.now()
             try:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,10 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins"))
 sys.dont_write_bytecode = True
-from world import HEARTBEAT_S, Replica, World, read_message, run_case, troubled  # noqa: E402
+from world import HEARTBEAT_S, Replica, World, read_message, run_case  # noqa: E402
+
+# Without the disruption if it is 0.
+TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 
 ZONES = ["kolkata-depot", "bardhaman-depot", "siliguri-depot"]
 ENGINES, DECODING = 9, 2
@@ -54,7 +57,7 @@
         prefill = fields.get("serving-stage") == "prefill"
         marked = any(part.split(":")[0] == BAD for part in fields.get("prefix-hash", "").split(",")[:-1])
         self.world.arrived(self, request, marked)
-        if marked and not prefill and self.stage == "decode" and not self.busy and troubled():
+        if marked and not prefill and self.stage == "decode" and not self.busy and TROUBLED:
             self.world.crashed(self, request)
             self.world.spawn(self.crash())
             return False
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -7,7 +7,10 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins"))
 sys.dont_write_bytecode = True
-from world import HEARTBEAT_S, World, read_message, run_case, troubled  # noqa: E402
+from world import HEARTBEAT_S, World, read_message, run_case  # noqa: E402
+
+# Without the disruption if it is 0.
+TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 
 ZONES = ["kolkata-depot", "bardhaman-depot", "siliguri-depot"]
 AWAY_S = 1.0
@@ -75,7 +78,7 @@
         for number in range(12):
             self.spawn(self.caller(number))
         await asyncio.sleep(max(0.0, 14 - self.record.now()))
-        if troubled():
+        if TROUBLED:
             await self.store.drill(AWAY_S, COPY_AGE_S)
         else:
             await asyncio.sleep(AWAY_S)
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -484,7 +484,3 @@
     sys.stdout.flush()
     # Connections that are still open need no orderly end.
     os._exit(result)
-
-
-def troubled():
-    return os.environ.get("TROUBLE", "1") != "0"
