--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 ROOT = os.path.realpath(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
@@ -480,6 +481,10 @@
         except asyncio.TimeoutError:
             print("the run took too long")
             return 2
+        except Exception:
+            # Without this, an error of the case would end it with the status of a broken rule.
+            traceback.print_exc()
+            return 2
     result = asyncio.run(limited())
     sys.stdout.flush()
     # Connections that are still open need no orderly end.
