Versions of the store are ordered by its era first

Callers saw (CONFIG): after the store came back from an older copy, requests were sent to the service that the newest manifest had replaced, for 7 s by all hosts and for good by two or three of six. The same cause kept servers in use that had left (DRAIN), and hosts wrote their own rows once in a lifetime, so that each counted itself alone and took the whole retry budget (BUDGET).

Cause: versions were compared as if they had one order, in TableSynchronizer, RowMirror, the frames between hosts and BackendDirectory; nothing read Store-Era.

Change: StoreVersion (era, version) is the only ordered type; RowVersion compares for equality alone. A copy of a table is of one era and is replaced as a whole by a later one. Responses of an earlier era count as none. Frames carry the era; what a program sends that knows of none is taken until the era has changed. A server that had left, or drains, is not brought back by an older copy.

This works because no decision depends any more on whether the lost versions have been passed.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -94,6 +94,7 @@
         , m_statusServer(m_loop.get_executor(), statusHooks())
         , m_listener(m_loop.get_executor(), [this](tcp::socket socket) { serve(std::move(socket)); })
     {
+        m_store.onEraChange = [this](StoreEra before) { onStoreRestored(before); };
         m_mirror.isEquivalent = [](SharedTable table, const std::string& before, const std::string& after) {
             return table == SharedTable::Backends && platform::sameRegistration(before, after);
         };
@@ -250,7 +251,7 @@
             .with("sent", m_backends.limits().recentSends(server, now));
     }
 
-    static void logChanges(const std::vector<BackendChange>& changes, RowVersion version)
+    static void logChanges(const std::vector<BackendChange>& changes, StoreVersion version)
     {
         for (const auto& change : changes) {
             LogEvent event("backend", change.unreadable ? LogLevel::Warning : LogLevel::Info);
@@ -291,6 +292,17 @@
             LogEvent("hosts").with("count", m_network.hostCount());
     }
 
+    // The store came back from an older copy of itself.
+    void onStoreRestored(StoreEra before)
+    {
+        LogEvent event("store_restored", LogLevel::Warning);
+        event.with("era", m_store.era()).with("era_before", before).with("in_force", m_routes.version());
+        for (const auto table : sharedTables)
+            event.with(sharedTableName(table), m_mirror.version(table));
+        m_metrics.onStoreRestored();
+        m_suspectCoordinator.onStoreRestored();
+    }
+
     void onTableRead(SharedTable table)
     {
         m_metrics.onStoreReading(sharedTableName(table), true);
--- a/Programs/almondscale-host/HostMetrics.cpp
+++ b/Programs/almondscale-host/HostMetrics.cpp
@@ -55,6 +55,10 @@
         = family(prometheus::BuildCounter(), registry, "almondscale_server_limit_events_total",
             "Limits of backend servers that were named, changed, ended, or began to hold requests back, by "
             "event.");
+    prometheus::Counter& storeRestored
+        = family(prometheus::BuildCounter(), registry, "almondscale_store_restored_total",
+            "Times at which the platform's store was found to have come back from an older copy.")
+              .Add({});
     prometheus::Counter& limitedSends = family(prometheus::BuildCounter(), registry,
         "almondscale_limited_sends_total", "Requests sent to backend servers that have a limit.")
                                             .Add({});
@@ -131,6 +135,8 @@
     m_impl->storeReadings.Add({ { "table", table }, { "answered", answered ? "yes" : "no" } }).Increment();
 }
 
+void HostMetrics::onStoreRestored() { m_impl->storeRestored.Increment(); }
+
 void HostMetrics::setOpenRequests(int count) { m_impl->openRequests.Set(count); }
 void HostMetrics::setManifest(std::int64_t version) { m_impl->manifest.Set(static_cast<double>(version)); }
 
--- a/Programs/almondscale-host/HostMetrics.h
+++ b/Programs/almondscale-host/HostMetrics.h
@@ -27,6 +27,8 @@
     void onLimitEvent(const char* event);
     void onLimitedSend();
     void onStoreReading(const char* table, bool answered);
+    // The store came back from an older copy of itself.
+    void onStoreRestored();
     void setOpenRequests(int);
     void setManifest(std::int64_t version);
     void setHosts(int count, bool reader);
--- a/Programs/almondscale-host/StatusPages.cpp
+++ b/Programs/almondscale-host/StatusPages.cpp
@@ -51,7 +51,7 @@
 
 std::vector<HostRecord> enrolledHosts(const RowMirror& mirror)
 {
-    const auto rows = mirror.changesSince(SharedTable::Hosts, RowVersion(0));
+    const auto rows = mirror.changesSince(SharedTable::Hosts, StoreVersion());
     return rows ? decodeHosts(*rows) : std::vector<HostRecord>();
 }
 
@@ -102,7 +102,7 @@
             = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_mirror.currentAt(table));
         json.integer((word + "_age_ms").c_str(), age.count())
             .integer((word + "_store_version").c_str(),
-                static_cast<std::int64_t>(m_mirror.version(table).count()));
+                static_cast<std::int64_t>(m_mirror.version(table).version.count()));
     }
     return json.finish();
 }
--- a/Programs/almondscale-host/SuspectCoordinator.cpp
+++ b/Programs/almondscale-host/SuspectCoordinator.cpp
@@ -120,6 +120,13 @@
     }
 }
 
+void SuspectCoordinator::onStoreRestored()
+{
+    m_versions.clear();
+    m_heldRows.clear();
+    m_unwritten.insert(m_watched.begin(), m_watched.end());
+}
+
 void SuspectCoordinator::reviewRows()
 {
     for (auto watched = m_watched.begin(); watched != m_watched.end();) {
--- a/Programs/almondscale-host/SuspectCoordinator.h
+++ b/Programs/almondscale-host/SuspectCoordinator.h
@@ -23,6 +23,8 @@
     awaitable<void> run();
     // A server ended while it ran a request with these subjects for this host.
     void noteServerEnd(const RequestSubjects&);
+    // The store came back from an older copy of itself: rows may be gone or have other versions.
+    void onStoreRestored();
     // Whether this host has no link to another data centre, so that only the store tells each of the other's
     // suspects.
     std::function<bool()> isCutOff;
--- a/Programs/almondscale-host/TableSynchronizer.cpp
+++ b/Programs/almondscale-host/TableSynchronizer.cpp
@@ -38,6 +38,8 @@
     constexpr Nanoseconds readerRetryDelay = milliseconds(200);
     // Many copies may become outdated at once; a random delay of up to this is added to spread the retries.
     constexpr Nanoseconds nonReaderRetryDelay = milliseconds(800);
+    // Time over which hosts spread the writes of their rows.
+    constexpr Nanoseconds enrollmentSpread = milliseconds(1500);
     // Maximum age on arrival of the store's response that nothing changed.
     constexpr Nanoseconds maxAnswerAge = milliseconds(100);
     constexpr Nanoseconds checkInterval = milliseconds(50);
@@ -63,7 +65,7 @@
     // The table of hosts determines the reader, so every host without a copy reads it.
     if (table == SharedTable::Hosts && m_mirror.empty(table))
         return true;
-    if (m_hooks.reader())
+    if (m_hooks.reader() || isOfEarlierEra(table))
         return true;
     const auto schedule = scheduleOf(table);
     const auto since
@@ -71,6 +73,11 @@
     return bootTime() - since > schedule.maxAge;
 }
 
+bool TableSynchronizer::isOfEarlierEra(SharedTable table) const
+{
+    return !m_mirror.empty(table) && m_mirror.version(table).era < m_store.era();
+}
+
 awaitable<void> TableSynchronizer::follow(SharedTable table)
 {
     const auto schedule = scheduleOf(table);
@@ -81,7 +88,7 @@
         }
         const bool read = co_await readOnce(table);
         if (read) {
-            co_await sleepFor(m_hooks.reader() ? schedule.interval : checkInterval);
+            co_await sleepFor(m_hooks.reader() && !isOfEarlierEra(table) ? schedule.interval : checkInterval);
             continue;
         }
         m_hooks.onReadFailed(table);
@@ -98,11 +105,14 @@
     Result<StoredRows> rows = ErrorKind::PlatformUnavailable;
     const auto askedAt = bootTime();
     const auto before = m_mirror.version(table);
-    const bool whole = m_mirror.empty(table) || m_snapshotNeeded.count(table) > 0;
+    const bool whole = m_mirror.empty(table) || m_snapshotNeeded.count(table) > 0 || isOfEarlierEra(table);
     if (whole)
         rows = co_await m_store.read(table);
     else
-        rows = co_await m_store.readChanges(table, before, scheduleOf(table).longPollTime);
+        rows = co_await m_store.readChanges(table, before.version, scheduleOf(table).longPollTime);
+    // The changes since a version of an earlier era say nothing.
+    if (rows && !whole && rows.value().newest.era != before.era)
+        co_return true;
     if (rows && rows.value().historyCompacted) {
         LogEvent("store_history_gone").with("table", sharedTableName(table)).with("version", before);
         m_snapshotNeeded.insert(table);
@@ -129,13 +139,15 @@
 awaitable<void> TableSynchronizer::enroll()
 {
     const auto wanted = encodeHostRecord(m_self);
+    // Older copies need not be checked for the row.
+    StoreVersion checked;
     for (;;) {
         co_await sleepFor(checkInterval);
-        if (m_mirror.empty(SharedTable::Hosts))
+        if (m_mirror.empty(SharedTable::Hosts) || m_mirror.version(SharedTable::Hosts) <= checked)
             continue;
         RowVersion version;
         bool enrolled = false;
-        const auto rows = m_mirror.changesSince(SharedTable::Hosts, RowVersion(0));
+        const auto rows = m_mirror.changesSince(SharedTable::Hosts, StoreVersion());
         if (rows) {
             for (const auto& row : rows->rows) {
                 if (row.key != m_self.id.text())
@@ -144,13 +156,20 @@
                 enrolled = row.value == wanted;
             }
         }
-        if (enrolled)
-            co_return;
+        if (enrolled) {
+            checked = m_mirror.version(SharedTable::Hosts);
+            continue;
+        }
+        // When the store has lost the rows of many hosts, they do not write them all at once.
+        if (m_mirror.hasSeenEraChange())
+            co_await sleepFor(
+                Nanoseconds(static_cast<std::int64_t>(uniform(m_random) * enrollmentSpread.count())));
         const auto written = co_await m_store.writeHost(m_self.id, wanted, version);
         LogEvent("enrolled").with("host", m_self.id).with("outcome", static_cast<int>(written.outcome));
         if (written.outcome == WriteOutcome::Applied)
-            co_return;
-        co_await sleepFor(nonReaderRetryDelay);
+            checked = { m_store.era(), written.version };
+        else
+            co_await sleepFor(nonReaderRetryDelay);
     }
 }
 
--- a/Programs/almondscale-host/TableSynchronizer.h
+++ b/Programs/almondscale-host/TableSynchronizer.h
@@ -27,12 +27,14 @@
 
     // Keeps one table current; does not return.
     awaitable<void> follow(SharedTable);
-    // Writes this host's row into the table of hosts, with retries, unless it is there already.
+    // Keeps this host's row in the table of hosts; does not return.
     awaitable<void> enroll();
 
 private:
     awaitable<bool> readOnce(SharedTable);
     bool isDue(SharedTable) const;
+    // Whether the store has started an era of which the copy has nothing.
+    bool isOfEarlierEra(SharedTable) const;
 
     platform::StoreClient& m_store;
     RowMirror& m_mirror;
--- a/Programs/almondscale/StoreCommands.cpp
+++ b/Programs/almondscale/StoreCommands.cpp
@@ -52,7 +52,8 @@
     const auto pages = store.askHosts(hosts);
     JsonBuilder json;
     json.integer("manifest_version", reading.manifest->version)
-        .integer("store_version", static_cast<std::int64_t>(manifestRows.value().newest.count()))
+        .integer("store_era", static_cast<std::int64_t>(manifestRows.value().newest.era.count()))
+        .integer("store_version", static_cast<std::int64_t>(manifestRows.value().newest.version.count()))
         .integer("routes", static_cast<std::int64_t>(reading.manifest->routes.size()))
         .integer("services", static_cast<std::int64_t>(reading.manifest->services.size()))
         .beginArray("hosts");
--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -57,8 +57,9 @@
                 builder.CreateString(row.value), row.version.count(), row.removed));
         const auto ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(update.age).count();
         return peerwire::CreateTableNews(builder, static_cast<std::uint8_t>(update.table),
-            update.rows.newest.count(), update.rows.whole,
-            static_cast<std::uint32_t>(std::max<std::int64_t>(0, ageMs)), builder.CreateVector(rows));
+            update.rows.newest.version.count(), update.rows.whole,
+            static_cast<std::uint32_t>(std::max<std::int64_t>(0, ageMs)), builder.CreateVector(rows),
+            update.rows.newest.era.count());
     }
 
     flatbuffers::Offset<peerwire::Demand> encodeDemandOf(
@@ -211,7 +212,7 @@
             return std::nullopt;
         TableUpdate update;
         update.table = sharedTables.at(from.table());
-        update.rows.newest = RowVersion(from.newest());
+        update.rows.newest = { StoreEra(from.era()), RowVersion(from.newest()) };
         update.rows.whole = from.whole();
         update.age = std::chrono::milliseconds(from.age_ms());
         if (!from.rows())
--- a/Source/Peers/PeerFrames_generated.h
+++ b/Source/Peers/PeerFrames_generated.h
@@ -398,7 +398,8 @@
     VT_NEWEST = 6,
     VT_WHOLE = 8,
     VT_AGE_MS = 10,
-    VT_ROWS = 12
+    VT_ROWS = 12,
+    VT_ERA = 14
   };
   uint8_t table() const {
     return GetField<uint8_t>(VT_TABLE, 0);
@@ -415,6 +416,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Row>> *rows() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Row>> *>(VT_ROWS);
   }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_TABLE, 1) &&
@@ -424,6 +428,7 @@
            VerifyOffset(verifier, VT_ROWS) &&
            verifier.VerifyVector(rows()) &&
            verifier.VerifyVectorOfTables(rows()) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -447,6 +452,9 @@
   void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Row>>> rows) {
     fbb_.AddOffset(TableNews::VT_ROWS, rows);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(TableNews::VT_ERA, era, 0);
+  }
   explicit TableNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -464,8 +472,10 @@
     uint64_t newest = 0,
     bool whole = false,
     uint32_t age_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Row>>> rows = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Row>>> rows = 0,
+    uint64_t era = 0) {
   TableNewsBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_newest(newest);
   builder_.add_rows(rows);
   builder_.add_age_ms(age_ms);
@@ -480,7 +490,8 @@
     uint64_t newest = 0,
     bool whole = false,
     uint32_t age_ms = 0,
-    const std::vector<flatbuffers::Offset<almondscale::peerwire::Row>> *rows = nullptr) {
+    const std::vector<flatbuffers::Offset<almondscale::peerwire::Row>> *rows = nullptr,
+    uint64_t era = 0) {
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::Row>>(*rows) : 0;
   return almondscale::peerwire::CreateTableNews(
       _fbb,
@@ -488,7 +499,8 @@
       newest,
       whole,
       age_ms,
-      rows__);
+      rows__,
+      era);
 }
 
 struct ServerEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -152,7 +152,7 @@
     HostId m_host;
     DataCentre m_dataCentre;
     PeerWork m_work;
-    std::map<SharedTable, RowVersion> m_knownVersions;
+    std::map<SharedTable, StoreVersion> m_knownVersions;
     std::uint64_t m_sentCrashVersion = 0;
     std::size_t m_sentLeavingPosition = 0;
     std::size_t m_sentRoleTransitionPosition = 0;
@@ -183,15 +183,17 @@
 const DataCentre& PeerLink::dataCentre() const { return m_impl->m_dataCentre; }
 const PeerWork& PeerLink::work() const { return m_impl->m_work; }
 
-RowVersion PeerLink::knownVersion(SharedTable table) const
+StoreVersion PeerLink::knownVersion(SharedTable table) const
 {
     const auto found = m_impl->m_knownVersions.find(table);
-    return found == m_impl->m_knownVersions.end() ? RowVersion(0) : found->second;
+    return found == m_impl->m_knownVersions.end() ? StoreVersion() : found->second;
 }
 
-void PeerLink::setKnownVersion(SharedTable table, RowVersion version)
+void PeerLink::setKnownVersion(SharedTable table, StoreVersion version)
 {
     auto& known = m_impl->m_knownVersions[table];
+    if (version.era == StoreEra(0))
+        version.era = known.era;
     if (known < version)
         known = version;
 }
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -39,9 +39,10 @@
     // The load last reported by the other host.
     const PeerWork& work() const;
     // The version of a table that the other host has, because it was sent over this link or received from it.
-    RowVersion knownVersion(SharedTable) const;
-    // Ignored if it is older than the known version.
-    void setKnownVersion(SharedTable, RowVersion);
+    StoreVersion knownVersion(SharedTable) const;
+    // Ignored if it is older than the known version. A version without an era is taken to be of the era that
+    // was last sent.
+    void setKnownVersion(SharedTable, StoreVersion);
     // The version of the crash records up to which they were sent over this link.
     std::uint64_t& sentCrashVersion();
     // The position in the log of announced shutdowns up to which they were sent over this link.
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -245,6 +245,25 @@
         return !link.initiated() && link.dataCentre() == m_self.dataCentre;
     }
 
+    // A host that does not know of eras drops what has a lower version than its own.
+    bool wouldAdopt(const PeerLink& link, SharedTable table) const
+    {
+        const auto known = link.knownVersion(table);
+        return known.era != StoreEra(0) || known.version.count() < m_mirror.version(table).version.count();
+    }
+
+    // Gives an update from a host that does not know of eras the era of this host's replica. Returns false if
+    // the update may be of an earlier one: this host has seen an era change, or learns of it by its own reads
+    // of the table of hosts.
+    bool assumeEra(TableUpdate& update) const
+    {
+        if (update.rows.newest.era != StoreEra(0))
+            return true;
+        update.rows.newest.era = m_mirror.version(update.table).era;
+        return update.rows.newest.era == StoreEra(0)
+            || (update.table != SharedTable::Hosts && !m_mirror.hasSeenEraChange());
+    }
+
     PeerFrame makeFrame(PeerLink& link, bool whole)
     {
         PeerFrame frame;
@@ -263,15 +282,18 @@
             if (m_mirror.empty(table))
                 continue;
             auto rows = m_mirror.changesSince(table, link.knownVersion(table));
+            if (rows && !wouldAdopt(link, table))
+                rows.reset();
             if (!rows && !whole)
                 continue;
             TableUpdate update;
             update.table = table;
             update.age = now - m_mirror.currentAt(table);
             update.rows.newest = m_mirror.version(table);
-            if (rows)
+            if (rows) {
                 update.rows = std::move(*rows);
-            link.setKnownVersion(table, m_mirror.version(table));
+                link.setKnownVersion(table, update.rows.newest);
+            }
             frame.tableUpdates.push_back(std::move(update));
         }
         frame.crashes = m_crashes.changesSince(link.sentCrashVersion(), maxCrashRecordsPerFrame);
@@ -288,10 +310,12 @@
     {
         const auto now = bootTime();
         bool changed = false;
-        for (const auto& update : frame.tableUpdates) {
+        for (auto update : frame.tableUpdates) {
             const auto before = m_mirror.version(update.table);
-            m_mirror.apply(update.table, update.rows, now - update.age, now);
             link.setKnownVersion(update.table, update.rows.newest);
+            if (!assumeEra(update))
+                continue;
+            m_mirror.apply(update.table, update.rows, now - update.age, now);
             changed = changed || before < m_mirror.version(update.table);
         }
         const auto crashesBefore = m_crashes.version();
--- a/Source/Serving/BackendDirectory.cpp
+++ b/Source/Serving/BackendDirectory.cpp
@@ -1,8 +1,8 @@
 #include "Serving/BackendDirectory.h"
 
-#include "Serving/BackendLifetime.h"
-
+#include <iterator>
 #include <set>
+#include <utility>
 
 namespace almondscale {
 
@@ -10,6 +10,11 @@
 
     // Servers register again within 2 s of the store's return; the rest is for reading the registrations.
     constexpr Nanoseconds reregistrationTime = std::chrono::milliseconds(2300);
+    // The store comes back from a copy that is some seconds old.
+    constexpr Nanoseconds maxCopyAge = std::chrono::seconds(60);
+    // The platform removes the registration of a server that sends no heartbeat within this time.
+    constexpr Nanoseconds registrationLifetime = std::chrono::seconds(15);
+    constexpr std::size_t maxDepartures = 4096;
 
 } // namespace
 
@@ -19,10 +24,15 @@
 }
 
 void BackendDirectory::onSnapshot(
-    const std::vector<BackendChange>& entries, RowVersion version, MonotonicTime now)
+    const std::vector<BackendChange>& entries, StoreVersion version, MonotonicTime now)
 {
     if (version < m_version)
         return;
+    const bool restored = m_hasSnapshot && version.era != m_version.era;
+    m_version = version;
+    onCurrent(now);
+    if (restored)
+        m_storeBackAt = now;
     std::set<BackendId> listed;
     std::vector<BackendId> removed;
     for (const auto& entry : entries) {
@@ -33,20 +43,32 @@
         if (listed.count(known.first) == 0)
             removed.push_back(known.first);
     }
-    onChanges(entries, version, now);
+    const auto withheld = std::exchange(m_withheld, {});
+    for (const auto& entry : entries) {
+        if (!entry.record)
+            continue;
+        const auto before = withheld.find(entry.id);
+        if (before != withheld.end() && lifetimeOf(before->second.record) == lifetimeOf(*entry.record))
+            m_withheld.insert(*before);
+        else if (restored && m_departed.count(lifetimeOf(*entry.record)) > 0)
+            m_withheld[entry.id] = { *entry.record, Deadline::after(now, registrationLifetime) };
+        else
+            putListed(*entry.record);
+    }
     for (const auto& id : removed)
         remove(id, now);
     m_hasSnapshot = true;
 }
 
 void BackendDirectory::onChanges(
-    const std::vector<BackendChange>& changes, RowVersion version, MonotonicTime now)
+    const std::vector<BackendChange>& changes, StoreVersion version, MonotonicTime now)
 {
     if (version < m_version)
         return;
     m_version = version;
     onCurrent(now);
     for (const auto& change : changes) {
+        m_withheld.erase(change.id);
         if (change.record)
             put(*change.record);
         else
@@ -83,11 +105,38 @@
     }
     for (const auto& id : over)
         drop(id);
+    for (auto departed = m_departed.begin(); departed != m_departed.end();)
+        departed = departed->second.passed(now) ? m_departed.erase(departed) : std::next(departed);
+    for (auto withheld = m_withheld.begin(); withheld != m_withheld.end();) {
+        if (!withheld->second.until.passed(now)) {
+            ++withheld;
+            continue;
+        }
+        put(withheld->second.record);
+        withheld = m_withheld.erase(withheld);
+    }
+}
+
+void BackendDirectory::putListed(BackendRecord record)
+{
+    const auto known = m_records.find(record.id);
+    // Servers do not return from draining, but older copies of the store do.
+    if (known != m_records.end() && lifetimeOf(known->second) == lifetimeOf(record))
+        record.draining = record.draining || known->second.draining;
+    put(record);
+}
+
+void BackendDirectory::noteDeparture(const BackendLifetime& server, MonotonicTime now)
+{
+    if (m_departed.size() >= maxDepartures)
+        m_departed.erase(m_departed.begin());
+    m_departed[server] = Deadline::after(now, maxCopyAge);
 }
 
 void BackendDirectory::put(const BackendRecord& record)
 {
     m_lapsed.erase(record.id);
+    m_departed.erase(lifetimeOf(record));
     for (auto known = m_records.begin(); known != m_records.end(); ++known) {
         if (known->first == record.id || known->second.address != record.address)
             continue;
@@ -104,14 +153,17 @@
 
 void BackendDirectory::remove(const BackendId& id, MonotonicTime now)
 {
-    if (m_records.count(id) == 0)
+    const auto known = m_records.find(id);
+    if (known == m_records.end())
         return;
     const bool storeWasUnavailable
         = m_storeBackAt != MonotonicTime() && now - m_storeBackAt < reregistrationTime;
-    if (storeWasUnavailable)
+    if (storeWasUnavailable) {
         m_lapsed.emplace(id, m_storeBackAt + reregistrationTime);
-    else
-        drop(id);
+        return;
+    }
+    noteDeparture(lifetimeOf(known->second), now);
+    drop(id);
 }
 
 void BackendDirectory::drop(const BackendId& id)
--- a/Source/Serving/RowMirror.cpp
+++ b/Source/Serving/RowMirror.cpp
@@ -14,8 +14,10 @@
 void RowMirror::apply(SharedTable which, const StoredRows& rows, MonotonicTime currentAt, MonotonicTime now)
 {
     auto& table = m_tables[which];
-    if (rows.newest < table.version || (!table.known && !rows.whole))
+    const bool otherEra = table.known && rows.newest.era != table.version.era;
+    if (rows.newest < table.version || (!rows.whole && (!table.known || otherEra)))
         return;
+    m_eraChanged = m_eraChanged || (otherEra && table.version.era != StoreEra(0));
     table.currentAt = std::max(table.currentAt, currentAt);
     if (onCurrent)
         onCurrent(which, now);
@@ -38,7 +40,7 @@
     changes.newest = rows.newest;
     for (const auto& row : rows.rows) {
         auto& stored = table.rows[row.key];
-        if (isRedundant(which, stored, row))
+        if (isRedundant(which, table, stored, row))
             continue;
         stored = row;
         changes.rows.push_back(row);
@@ -46,11 +48,17 @@
     return changes;
 }
 
-bool RowMirror::isRedundant(SharedTable which, const StoredRow& stored, const StoredRow& row) const
+StoreVersion RowMirror::versionOf(const Table& table, const StoredRow& row)
+{
+    return { table.version.era, row.version };
+}
+
+bool RowMirror::isRedundant(
+    SharedTable which, const Table& table, const StoredRow& stored, const StoredRow& row) const
 {
     if (stored.version == RowVersion(0))
         return false;
-    if (row.version <= stored.version)
+    if (versionOf(table, row) <= versionOf(table, stored))
         return true;
     if (stored.removed || row.removed)
         return stored.removed && row.removed;
@@ -63,10 +71,10 @@
     return !table || !table->known;
 }
 
-RowVersion RowMirror::version(SharedTable which) const
+StoreVersion RowMirror::version(SharedTable which) const
 {
     const auto* table = find(which);
-    return table ? table->version : RowVersion(0);
+    return table ? table->version : StoreVersion();
 }
 
 MonotonicTime RowMirror::currentAt(SharedTable which) const
@@ -75,16 +83,17 @@
     return table ? table->currentAt : MonotonicTime();
 }
 
-std::optional<StoredRows> RowMirror::changesSince(SharedTable which, RowVersion version) const
+std::optional<StoredRows> RowMirror::changesSince(SharedTable which, StoreVersion version) const
 {
     const auto* table = find(which);
     if (!table || !table->known || table->version <= version)
         return std::nullopt;
     StoredRows changes;
     changes.newest = table->version;
-    changes.whole = version == RowVersion(0) || version < table->oldestRemoval;
+    changes.whole = version.version == RowVersion(0) || version.era != table->version.era
+        || version < table->oldestRemoval;
     for (const auto& entry : table->rows) {
-        if (changes.whole ? !entry.second.removed : version < entry.second.version)
+        if (changes.whole ? !entry.second.removed : version < versionOf(*table, entry.second))
             changes.rows.push_back(entry.second);
     }
     return changes;
@@ -107,17 +116,17 @@
 
 void RowMirror::pruneRemovals(Table& table)
 {
-    std::vector<RowVersion> removals;
+    std::vector<StoreVersion> removals;
     for (const auto& entry : table.rows) {
         if (entry.second.removed)
-            removals.push_back(entry.second.version);
+            removals.push_back(versionOf(table, entry.second));
     }
     if (removals.size() <= maxRemovals)
         return;
     std::sort(removals.begin(), removals.end());
     table.oldestRemoval = removals[removals.size() - maxRemovals];
     for (auto row = table.rows.begin(); row != table.rows.end();) {
-        if (row->second.removed && row->second.version < table.oldestRemoval)
+        if (row->second.removed && versionOf(table, row->second) < table.oldestRemoval)
             row = table.rows.erase(row);
         else
             ++row;
--- a/Source/Serving/RowMirror.h
+++ b/Source/Serving/RowMirror.h
@@ -11,7 +11,7 @@
 namespace almondscale {
 
 // This host's replica of the shared tables, updated from the store or by other hosts. A row is replaced only
-// by a newer version.
+// by a newer version, and all rows of a table are of one era.
 class RowMirror {
 public:
     // Called with the changed rows of a table; if `whole` is set, no other rows exist.
@@ -22,36 +22,41 @@
     // Whether two values of a row are equivalent; such a change is not reported.
     std::function<bool(SharedTable, const std::string& before, const std::string& after)> isEquivalent;
 
-    // Applies rows that were current at the given time.
+    // Applies rows that were current at the given time. Rows of an older version than the replica are
+    // ignored, and changes in another era, since the rows that they do not name may have changed too.
     void apply(SharedTable, const StoredRows&, MonotonicTime currentAt, MonotonicTime now);
 
     // Whether nothing is known of the table yet.
     bool empty(SharedTable) const;
-    RowVersion version(SharedTable) const;
+    StoreVersion version(SharedTable) const;
+    // Whether a table was replaced by its rows in a later era.
+    bool hasSeenEraChange() const { return m_eraChanged; }
     // The last time at which the replica was known to be current.
     MonotonicTime currentAt(SharedTable) const;
     // The rows changed after the version; unset if there are none.
-    std::optional<StoredRows> changesSince(SharedTable, RowVersion) const;
+    std::optional<StoredRows> changesSince(SharedTable, StoreVersion) const;
 
 private:
     struct Table {
         std::map<std::string, StoredRow> rows;
-        RowVersion version;
+        StoreVersion version;
         MonotonicTime currentAt {};
         // Removals before this version are no longer known; a reader with an older version gets the whole
         // table.
-        RowVersion oldestRemoval;
+        StoreVersion oldestRemoval;
         bool known = false;
     };
 
     const Table* find(SharedTable) const;
     // Merges the rows and returns those that changed.
     StoredRows merge(SharedTable, Table&, const StoredRows&);
-    bool isRedundant(SharedTable, const StoredRow& stored, const StoredRow&) const;
+    bool isRedundant(SharedTable, const Table&, const StoredRow& stored, const StoredRow&) const;
+    static StoreVersion versionOf(const Table&, const StoredRow&);
     static void replaceAll(Table&, const StoredRows&);
     static void pruneRemovals(Table&);
 
     std::map<SharedTable, Table> m_tables;
+    bool m_eraChanged = false;
 };
 
 } // namespace almondscale
--- a/Source/Serving/StoredRow.h
+++ b/Source/Serving/StoredRow.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Core/RowVersion.h"
+#include "Core/StoreVersion.h"
 
 #include <string>
 #include <vector>
@@ -19,7 +19,7 @@
 // Rows of one table as of one version of the store.
 struct StoredRows {
     std::vector<StoredRow> rows;
-    RowVersion newest;
+    StoreVersion newest;
     // All rows of the table, rather than only the changes after a version.
     bool whole = false;
     // The read stopped before the end of the table.
--- a/Tests/Host/StatusPagesTest.cpp
+++ b/Tests/Host/StatusPagesTest.cpp
@@ -35,7 +35,7 @@
         backends.open(BackendId("engine-1"), load);
         StoredRows rows;
         rows.whole = true;
-        rows.newest = RowVersion(12);
+        rows.newest = { StoreEra(1), RowVersion(12) };
         rows.rows = { { "n1", encodeHostRecord(self), RowVersion(11), false },
             { "n2", encodeHostRecord(other), RowVersion(12), false } };
         mirror.apply(SharedTable::Hosts, rows, now - 250ms, now);
--- a/Tests/Peers/PeerFrameTest.cpp
+++ b/Tests/Peers/PeerFrameTest.cpp
@@ -24,7 +24,7 @@
     TableUpdate update;
     update.table = SharedTable::Backends;
     update.age = 250ms;
-    update.rows.newest = RowVersion(17);
+    update.rows.newest = { StoreEra(3), RowVersion(17) };
     update.rows.whole = true;
     update.rows.rows = { { "i-1", "{}", RowVersion(16), false }, { "i-2", "", RowVersion(17), true } };
     frame.tableUpdates.push_back(update);
@@ -109,7 +109,7 @@
     // 24 bytes per engine and little overhead.
     CHECK(encodePeerFrame(frame, now).size() < 12 * 24 + 100);
     TableUpdate update;
-    update.rows.newest = RowVersion(17);
+    update.rows.newest = { StoreEra(3), RowVersion(17) };
     update.rows.rows = { { "i-1", "{}", RowVersion(17), false } };
     frame.tableUpdates.push_back(update);
     const auto decoded = decodePeerFrame(encodePeerFrame(frame, now), now);
--- a/Tests/Peers/PeerNetworkTest.cpp
+++ b/Tests/Peers/PeerNetworkTest.cpp
@@ -60,7 +60,7 @@
         add("b2", "b", 1);
         StoredRows rows;
         rows.whole = true;
-        rows.newest = RowVersion(1);
+        rows.newest = { StoreEra(1), RowVersion(1) };
         for (const auto& host : hosts)
             rows.rows.push_back(
                 { host->record.id.text(), encodeHostRecord(host->record), RowVersion(1), false });
@@ -86,11 +86,11 @@
         }
     }
 
-    static StoredRows manifest(std::uint64_t version)
+    static StoredRows manifest(std::uint64_t version, std::uint64_t era = 1)
     {
         StoredRows rows;
         rows.whole = true;
-        rows.newest = RowVersion(version);
+        rows.newest = { StoreEra(era), RowVersion(version) };
         rows.rows = { { "config", "v" + std::to_string(version), RowVersion(version), false } };
         return rows;
     }
@@ -120,7 +120,7 @@
     hosts[4]->network.publish();
     runFor(300ms);
     for (const auto& host : hosts)
-        CHECK(host->mirror.version(SharedTable::Manifest) == RowVersion(9));
+        CHECK(host->mirror.version(SharedTable::Manifest).version == RowVersion(9));
 }
 
 TEST_CASE_METHOD(PeerNetworkFixture, "Reader that stops responding is replaced, and its load is dropped")
@@ -135,7 +135,7 @@
     hosts[3]->mirror.apply(SharedTable::Manifest, manifest(9), bootTime(), bootTime());
     hosts[3]->network.publish();
     runFor(500ms);
-    CHECK(hosts[2]->mirror.version(SharedTable::Manifest) == RowVersion(9));
+    CHECK(hosts[2]->mirror.version(SharedTable::Manifest).version == RowVersion(9));
 }
 
 TEST_CASE_METHOD(
@@ -145,7 +145,7 @@
     hosts[3]->mirror.apply(SharedTable::Manifest, manifest(9), bootTime(), bootTime());
     add("a4", "a", 0.5, { hosts[4]->record.peerAddress });
     runFor(1500ms);
-    CHECK(hosts[5]->mirror.version(SharedTable::Manifest) == RowVersion(9));
+    CHECK(hosts[5]->mirror.version(SharedTable::Manifest).version == RowVersion(9));
     CHECK(hosts[5]->network.hostCount() == 6);
 }
 
@@ -185,3 +185,49 @@
     runFor(1500ms);
     CHECK(hosts[0]->network.lacksDataCentre());
 }
+
+// Guards against hosts that keep the rows of an earlier era because their versions are higher.
+TEST_CASE_METHOD(PeerNetworkFixture, "Table update of a later era with a lower version reaches all hosts")
+{
+    runFor(1500ms);
+    hosts[4]->mirror.apply(SharedTable::Manifest, manifest(9), bootTime(), bootTime());
+    hosts[4]->network.publish();
+    runFor(300ms);
+    hosts[2]->mirror.apply(SharedTable::Manifest, manifest(4, 2), bootTime(), bootTime());
+    hosts[2]->network.publish();
+    runFor(300ms);
+    for (const auto& host : hosts)
+        CHECK(host->mirror.version(SharedTable::Manifest) == StoreVersion { StoreEra(2), RowVersion(4) });
+}
+
+TEST_CASE_METHOD(
+    PeerNetworkFixture, "Table update without an era is taken for the current one until the era has changed")
+{
+    hosts.clear();
+    add("a1", "a", 3);
+    auto& mirror = hosts[0]->mirror;
+    mirror.apply(SharedTable::Manifest, manifest(4, 1), bootTime(), bootTime());
+    // As sent by a program that knows of no eras.
+    const auto sendBareVersion = [&](std::uint64_t version) {
+        PeerFrame frame;
+        frame.whole = true;
+        frame.host = HostId("a2");
+        frame.dataCentre = DataCentre("a");
+        TableUpdate update;
+        update.rows = manifest(version, 0);
+        frame.tableUpdates = { update };
+        const auto bytes = encodePeerFrame(frame, bootTime());
+        const std::string length { 0, 0, static_cast<char>(bytes.size() >> 8),
+            static_cast<char>(bytes.size()) };
+        tcp::socket socket(hosts[0]->loop);
+        const auto& peers = hosts[0]->record.peerAddress;
+        socket.connect({ boost::asio::ip::make_address_v4(peers.ip), peers.port });
+        boost::asio::write(socket, boost::asio::buffer(length + bytes));
+        runFor(50ms);
+    };
+    sendBareVersion(9);
+    CHECK(mirror.version(SharedTable::Manifest) == StoreVersion { StoreEra(1), RowVersion(9) });
+    mirror.apply(SharedTable::Manifest, manifest(6, 2), bootTime(), bootTime());
+    sendBareVersion(12);
+    CHECK(mirror.version(SharedTable::Manifest) == StoreVersion { StoreEra(2), RowVersion(6) });
+}
--- a/Tests/PlatformAdapter/StoreClientTest.cpp
+++ b/Tests/PlatformAdapter/StoreClientTest.cpp
@@ -80,7 +80,7 @@
     REQUIRE(rows.ok());
     CHECK(rows.value().whole);
     CHECK(rows.value().rows.size() == 2);
-    CHECK(rows.value().newest == RowVersion(10));
+    CHECK(rows.value().newest.version == RowVersion(10));
     CHECK(targets[1] == "/almondscale/rows-get?table=servers&part=&from=a");
 }
 
@@ -118,3 +118,24 @@
     CHECK(answer.row->value == "value");
     CHECK(answer.row->writer == WriterId("w1"));
 }
+
+TEST_CASE_METHOD(StoreClientFixture, "Response of an era before the latest one is treated as none")
+{
+    const auto inEra = [](const std::string& era, const std::string& body) {
+        auto text = LoopbackServer::response(200, body);
+        return text.insert(text.find("\r\n") + 2, "Store-Era: " + era + "\r\n");
+    };
+    std::vector<StoreEra> left;
+    client.onEraChange = [&](StoreEra before) { left.push_back(before); };
+    answers = { inEra("4", R"({"rows":[],"rowVersion":90})"), inEra("5", R"({"rows":[],"rowVersion":70})"),
+        inEra("4", R"({"rows":[],"rowVersion":91})"), inEra("4", R"({"rowVersion":92})") };
+    CHECK(run(client.read(SharedTable::Manifest)).value().newest
+        == StoreVersion { StoreEra(4), RowVersion(90) });
+    CHECK(left.empty());
+    CHECK(run(client.readChanges(SharedTable::Manifest, RowVersion(90), 0ms)).value().newest
+        == StoreVersion { StoreEra(5), RowVersion(70) });
+    CHECK(left == std::vector<StoreEra> { StoreEra(4) });
+    CHECK_FALSE(run(client.read(SharedTable::Manifest)).ok());
+    CHECK(run(client.writeHost(HostId("n1"), "{}", RowVersion(0))).outcome == WriteOutcome::Unknown);
+    CHECK(client.era() == StoreEra(5));
+}
--- a/Tests/PlatformAdapter/StoreCodecTest.cpp
+++ b/Tests/PlatformAdapter/StoreCodecTest.cpp
@@ -27,7 +27,7 @@
     CHECK(rows.value().rows[0].value == "node-1");
     CHECK(rows.value().rows[0].version == RowVersion(412));
     CHECK(rows.value().rows[1].removed);
-    CHECK(rows.value().newest == RowVersion(530));
+    CHECK(rows.value().newest.version == RowVersion(530));
     CHECK(rows.value().more);
 }
 
--- a/Tests/Serving/RowMirrorTest.cpp
+++ b/Tests/Serving/RowMirrorTest.cpp
@@ -10,11 +10,16 @@
 constexpr MonotonicTime now { 50s };
 constexpr auto table = SharedTable::Backends;
 
-StoredRows rows(std::uint64_t newest, std::vector<StoredRow> list, bool whole = false)
+StoreVersion at(std::uint64_t version, std::uint64_t era = 1)
+{
+    return { StoreEra(era), RowVersion(version) };
+}
+
+StoredRows rows(StoreVersion newest, std::vector<StoredRow> list, bool whole = false)
 {
     StoredRows made;
     made.rows = std::move(list);
-    made.newest = RowVersion(newest);
+    made.newest = newest;
     made.whole = whole;
     return made;
 }
@@ -30,7 +35,7 @@
     {
         mirror.onUpdate
             = [this](SharedTable, const StoredRows& each, MonotonicTime) { updates.push_back(each); };
-        mirror.apply(table, rows(10, { row("x", "1", 4), row("y", "1", 9) }, true), now, now);
+        mirror.apply(table, rows(at(10), { row("x", "1", 4), row("y", "1", 9) }, true), now, now);
         updates.clear();
     }
 
@@ -42,18 +47,18 @@
 
 TEST_CASE_METHOD(RowMirrorFixture, "Mirror, given changes, reports only what is new")
 {
-    mirror.apply(table, rows(12, { row("x", "2", 12) }), now + 1s, now + 1s);
+    mirror.apply(table, rows(at(12), { row("x", "2", 12) }), now + 1s, now + 1s);
     REQUIRE(updates.size() == 1);
     CHECK(updates[0].rows.size() == 1);
-    mirror.apply(table, rows(12, { row("x", "2", 12) }), now + 2s, now + 2s);
+    mirror.apply(table, rows(at(12), { row("x", "2", 12) }), now + 2s, now + 2s);
     CHECK(updates.size() == 1);
     CHECK(mirror.currentAt(table) == now + 2s);
-    const auto lacking = mirror.changesSince(table, RowVersion(10));
+    const auto lacking = mirror.changesSince(table, at(10));
     REQUIRE(lacking);
     CHECK_FALSE(lacking->whole);
     REQUIRE(lacking->rows.size() == 1);
     CHECK(lacking->rows[0].value == "2");
-    CHECK_FALSE(mirror.changesSince(table, RowVersion(12)));
+    CHECK_FALSE(mirror.changesSince(table, at(12)));
 }
 
 TEST_CASE_METHOD(RowMirrorFixture, "Mirror, given an equivalent value, reports nothing")
@@ -61,27 +66,27 @@
     mirror.isEquivalent = [](SharedTable, const std::string& before, const std::string& after) {
         return before.front() == after.front();
     };
-    mirror.apply(table, rows(12, { row("x", "1 beat", 12) }), now, now);
+    mirror.apply(table, rows(at(12), { row("x", "1 beat", 12) }), now, now);
     CHECK(updates.empty());
-    CHECK(mirror.version(table) == RowVersion(12));
+    CHECK(mirror.version(table) == at(12));
 }
 
 TEST_CASE_METHOD(RowMirrorFixture, "Mirror, given rows of an older version, ignores them")
 {
-    mirror.apply(table, rows(8, { row("y", "old", 8) }, true), now + 1s, now + 1s);
+    mirror.apply(table, rows(at(8), { row("y", "old", 8) }, true), now + 1s, now + 1s);
     CHECK(updates.empty());
-    CHECK(mirror.version(table) == RowVersion(10));
+    CHECK(mirror.version(table) == at(10));
     CHECK(mirror.currentAt(table) == now);
 }
 
 TEST_CASE_METHOD(RowMirrorFixture, "Mirror, given a removal, includes it for readers that lag behind")
 {
-    mirror.apply(table, rows(13, { row("x", "", 13, true) }), now, now);
-    const auto lacking = mirror.changesSince(table, RowVersion(10));
+    mirror.apply(table, rows(at(13), { row("x", "", 13, true) }), now, now);
+    const auto lacking = mirror.changesSince(table, at(10));
     REQUIRE(lacking);
     REQUIRE(lacking->rows.size() == 1);
     CHECK(lacking->rows[0].removed);
-    const auto all = mirror.changesSince(table, RowVersion(0));
+    const auto all = mirror.changesSince(table, StoreVersion());
     REQUIRE(all);
     CHECK(all->whole);
     CHECK(all->rows.size() == 1);
@@ -89,8 +94,8 @@
 
 TEST_CASE_METHOD(RowMirrorFixture, "Mirror, replaced as a whole, sends all rows to readers that lag behind")
 {
-    mirror.apply(table, rows(20, { row("z", "1", 18) }, true), now, now);
-    const auto lacking = mirror.changesSince(table, RowVersion(12));
+    mirror.apply(table, rows(at(20), { row("z", "1", 18) }, true), now, now);
+    const auto lacking = mirror.changesSince(table, at(12));
     REQUIRE(lacking);
     CHECK(lacking->whole);
     REQUIRE(lacking->rows.size() == 1);
@@ -100,8 +105,46 @@
 TEST_CASE("Mirror, given changes before it knows a table, waits for all of its rows")
 {
     RowMirror mirror;
-    mirror.apply(table, rows(12, { row("x", "2", 12) }), now, now);
+    mirror.apply(table, rows(at(12), { row("x", "2", 12) }), now, now);
     CHECK(mirror.empty(table));
-    mirror.apply(table, rows(12, {}, true), now, now);
+    mirror.apply(table, rows(at(12), {}, true), now, now);
     CHECK_FALSE(mirror.empty(table));
 }
+
+// Guards against hosts that follow an old manifest after the store came back from an older copy.
+TEST_CASE_METHOD(RowMirrorFixture, "Mirror, given all rows of a later era with a lower version, adopts them")
+{
+    mirror.apply(table, rows(at(6, 2), { row("x", "copy", 4) }, true), now + 1s, now + 1s);
+    REQUIRE(updates.size() == 1);
+    CHECK(updates[0].whole);
+    CHECK(mirror.version(table) == at(6, 2));
+    CHECK(mirror.hasSeenEraChange());
+    SECTION("and then ignores rows of the earlier era with a higher version")
+    {
+        mirror.apply(table, rows(at(90), { row("x", "late", 90) }, true), now + 2s, now + 2s);
+        CHECK(mirror.version(table) == at(6, 2));
+        CHECK(mirror.currentAt(table) == now + 1s);
+    }
+    SECTION("and takes a row whose version was given out before for other contents")
+    {
+        mirror.apply(table, rows(at(9, 2), { row("y", "2", 9) }), now + 2s, now + 2s);
+        const auto lacking = mirror.changesSince(table, at(6, 2));
+        REQUIRE(lacking);
+        REQUIRE(lacking->rows.size() == 1);
+        CHECK(lacking->rows[0].value == "2");
+    }
+    SECTION("and sends all rows to hosts that have a higher version of the earlier era")
+    {
+        const auto lacking = mirror.changesSince(table, at(10));
+        REQUIRE(lacking);
+        CHECK(lacking->whole);
+    }
+}
+
+TEST_CASE_METHOD(RowMirrorFixture, "Mirror, given only changes of a later era, waits for all of its rows")
+{
+    mirror.apply(table, rows(at(12, 2), { row("x", "2", 12) }), now + 1s, now + 1s);
+    CHECK(updates.empty());
+    CHECK(mirror.version(table) == at(10));
+    CHECK(mirror.currentAt(table) == now);
+}
--- a/Tests/Soak/fakes.py
+++ b/Tests/Soak/fakes.py
@@ -1,6 +1,7 @@
 """Fakes of the platform for the soak: a store, backend servers, and a fault-injecting proxy."""
 import asyncio
 import base64
+import collections
 import json
 import random
 import time
@@ -84,18 +85,44 @@
 
 
 class Store(Server):
-    """The platform's store: tables of rows with a common version counter, and a change feed."""
+    """The platform's store: tables of rows with a common version counter, a change feed, and drills."""
 
     def __init__(self, address):
         super().__init__(address)
         self.tables = {}
         self.version = 0
+        # Rises when the store comes back from an older copy of itself.
+        self.era = 1
+        # Copies of the last seconds: (time, tables, version).
+        self.copies = collections.deque(maxlen=200)
         self.changed = asyncio.Event()
         self.mode = "sound"
         self.disturbed_at = -1e9
         # The value that is stored for a row that is written.
         self.stored_value = lambda table, key, value: value
 
+    async def keep_copies(self):
+        while True:
+            if self.server:
+                tables = {table: dict(rows) for table, rows in self.tables.items()}
+                self.copies.append((time.monotonic(), tables, self.version))
+            await asyncio.sleep(0.1)
+
+    async def drill(self, away_s, copy_age_s):
+        """Goes away and comes back from a copy of that age; what was written since is gone."""
+        wanted = time.monotonic() - copy_age_s
+        _, tables, version = min(self.copies, key=lambda copy: abs(copy[0] - wanted))
+        self.crash()
+        await asyncio.sleep(away_s)
+        self.tables = {table: dict(rows) for table, rows in tables.items()}
+        self.version, self.era = version, self.era + 1
+        await self.start()
+
+    def respond(self, writer, status, answer=None):
+        body = b"" if answer is None else json.dumps(answer).encode()
+        writer.write(response(status, body, Store_Era=self.era))
+        return True
+
     def put(self, table, key, value):
         self.version += 1
         self.set_row(table, key, value)
@@ -124,8 +151,7 @@
             await asyncio.sleep(60)
             return False
         if self.mode == "busy":
-            writer.write(response(503))
-            return True
+            return self.respond(writer, 503)
         await asyncio.sleep(0.3 if self.mode == "slow" else 0.002)
         target = urllib.parse.urlsplit(line.split()[1])
         query = {key: value[0] for key, value in urllib.parse.parse_qs(target.query).items()}
@@ -133,10 +159,11 @@
             status, answer = self.transact(json.loads(body))
             if self.mode == "lossy" and random.random() < 0.4:
                 return False
-            writer.write(response(status, json.dumps(answer).encode()))
-            return True
+            return self.respond(writer, status, answer)
         table = query["table"]
         after = int(query.get("after", 0))
+        if target.path.endswith("rows-feed") and after > self.version:
+            return self.respond(writer, 410)
         if target.path.endswith("rows-feed") and not self.rows(table, after):
             deadline = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
             while not self.rows(table, after) and asyncio.get_running_loop().time() < deadline:
@@ -147,9 +174,7 @@
         rows = self.rows(table, after)
         if target.path.endswith("rows-get"):
             rows = [row for row in rows if not row.get("deleted")]
-        answer = {"rows": rows, "hasMore": False, "rowVersion": self.version}
-        writer.write(response(200, json.dumps(answer).encode()))
-        return True
+        return self.respond(writer, 200, {"rows": rows, "hasMore": False, "rowVersion": self.version})
 
     def transact(self, call):
         kept = {}
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -75,6 +75,8 @@
 
     def __init__(self, world, number):
         self.world, self.number = world, number
+        # Instead of the world's program.
+        self.program = None
         self.ip = f"{world.net}.1.{number + 1}"
         self.settings = os.path.join(world.folder, f"host{number}.conf")
         self.process = None
@@ -95,7 +97,7 @@
         self.ended_by_us, self.stopping_since = False, None
         with open(self.settings + ".log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                self.world.program, "--settings", self.settings, stdout=log, stderr=log)
+                self.program or self.world.program, "--settings", self.settings, stdout=log, stderr=log)
         asyncio.create_task(self.watch(self.process))
 
     async def watch(self, process):
@@ -329,8 +331,8 @@
     # Faults.
     async def faults(self):
         # Faults that lose responses are more frequent, because they are the ones that can make retries go wrong.
-        actions = [self.store_fault, self.host_kill, self.host_pause, self.host_term, self.backend_drain,
-                   self.store_link_fault] + 2 * [self.backend_crash, self.link_fault] + 4 * [self.backend_mode]
+        actions = [self.store_fault, self.store_drill, self.host_kill, self.host_pause, self.host_term,
+                   self.backend_drain, self.store_link_fault] + 2 * [self.backend_crash, self.link_fault] + 4 * [self.backend_mode]
         end = time.monotonic() + FAULTS_S
         under_way = []
         while time.monotonic() < end:
@@ -348,6 +350,21 @@
         await asyncio.sleep(span)
         self.store.mode = "sound"
 
+    async def store_drill(self):
+        """The store comes back from an older copy; the operator and the live servers write again what is gone."""
+        span = self.span()
+        self.unplanned(span / 2 + 2)
+        if self.store.server is None:
+            return
+        await self.store.drill(span / 4, span)
+        self.put_manifest()
+        await asyncio.sleep(2)
+        # The platform removes the entries of servers that are gone.
+        alive = {backend.identity for backend in self.backends if backend.server is not None}
+        for key, (value, _, _) in list(self.store.tables.get("servers", {}).items()):
+            if value is not None and key != "odd" and key not in alive:
+                self.store.put("servers", key, None)
+
     async def host_kill(self):
         span = self.span()
         self.unplanned(span + 1)
@@ -512,7 +529,8 @@
         self.put_manifest()
         for host in self.hosts:
             await host.start()
-        tasks = [asyncio.create_task(task) for task in [self.heartbeats(), self.rotation()]]
+        tasks = [asyncio.create_task(task)
+                 for task in [self.heartbeats(), self.rotation(), self.store.keep_copies()]]
         await asyncio.sleep(START_S)
         return tasks
 
