Fencing numbers of a later era of the store are above all of earlier ones

A host also resumed its own row, though another one may have held the lease in the time that the store has lost.

Change: a number is the larger of the row's and era * 2^32, plus one. A row of this host from an earlier era counts as that of another, also if a late write of its own matched a version that was given out again.

--- a/Source/Authority/Lease.cpp
+++ b/Source/Authority/Lease.cpp
@@ -1,9 +1,17 @@
 #include "Authority/Lease.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace almondscale {
 
+namespace {
+
+    // Lets an era have four thousand million holders, and JSON numbers hold two million eras.
+    constexpr unsigned fencingBitsPerEra = 32;
+
+} // namespace
+
 Lease::Lease(std::string rowKey, HostId host, Incarnation incarnation, LeaseSettings settings)
     : m_key(std::move(rowKey))
     , m_host(std::move(host))
@@ -28,10 +36,14 @@
 void Lease::onAnswer(MonotonicTime now, const TableAnswer& answer)
 {
     const auto pending = std::exchange(m_pending, Pending::None);
+    const bool eraChanged = noteEra(answer.era);
     if (pending == Pending::Read)
         onRead(now, answer);
-    else if (pending != Pending::None)
+    // A write across an era change may be lost, or have a fencing number of the earlier era.
+    else if (pending != Pending::None && !eraChanged)
         onWritten(now, pending, answer.written);
+    else
+        m_nextAt = Deadline();
 }
 
 bool Lease::holds(MonotonicTime now) const { return m_held && !m_releasing && !m_validUntil.passed(now); }
@@ -75,6 +87,7 @@
 {
     m_pending = kind;
     m_sentAt = now;
+    m_writtenEra = m_era;
     m_writer = WriterId("lease-" + m_host.text() + "-" + std::to_string(m_incarnation.count()) + "-"
         + std::to_string(++m_writes));
     TableCall call;
@@ -92,10 +105,26 @@
     return write(m_releasing ? Pending::Release : Pending::Renew, now, row);
 }
 
-TableCall Lease::acquire(MonotonicTime now)
+bool Lease::noteEra(StoreEra era)
+{
+    if (era <= m_era)
+        return false;
+    m_era = era;
+    // The same version may belong to another row now.
+    m_row.reset();
+    m_rowCurrent = false;
+    return true;
+}
+
+FencingToken Lease::nextFencing() const
 {
     const auto last = m_row ? m_row->fencing : FencingToken(0);
-    const LeaseRow row { m_host, m_incarnation, last + FencingToken(1), m_settings.duration, false };
+    return std::max(last, FencingToken(m_era.count() << fencingBitsPerEra)) + FencingToken(1);
+}
+
+TableCall Lease::acquire(MonotonicTime now)
+{
+    const LeaseRow row { m_host, m_incarnation, nextFencing(), m_settings.duration, false };
     return write(Pending::Acquire, now, row);
 }
 
@@ -133,7 +162,7 @@
         return;
     }
     if (kind == Pending::Acquire) {
-        m_fencing = (m_row ? m_row->fencing : FencingToken(0)) + FencingToken(1);
+        m_fencing = nextFencing();
         m_row = LeaseRow { m_host, m_incarnation, m_fencing, m_settings.duration, false };
     }
     extend(now);
@@ -145,7 +174,10 @@
     const auto read = decodeLeaseRow(row.value);
     m_rowCurrent = true;
     m_nextAt = Deadline::after(now, m_settings.watchInterval);
-    if (read && isOwn(*read))
+    // A row of this host from an earlier era counts as that of another one: another host may have held the
+    // lease in the time that the store has lost, or acquired it in this era before a late write of this host.
+    const bool confirmed = m_heldEra == m_era || (row.writer == m_writer && m_writtenEra == m_era);
+    if (read && isOwn(*read) && (confirmed || read->released))
         return adoptOwnRow(now, row, *read);
     markLost();
     if (read && read->released)
@@ -188,6 +220,7 @@
 
 void Lease::becomeHolder(MonotonicTime now)
 {
+    m_heldEra = m_era;
     if (m_held)
         return;
     m_held = true;
@@ -214,6 +247,9 @@
     // The last write affects later transitions only until its outcome is known.
     if (m_pending != Pending::None || !m_rowCurrent || !m_held)
         text += " sent_at=" + at(m_sentAt) + " writer=" + m_writer.text();
+    if (m_era != StoreEra(0))
+        text += " era=" + std::to_string(m_era.count()) + " held_era=" + std::to_string(m_heldEra.count())
+            + " written_era=" + std::to_string(m_writtenEra.count());
     return text + (m_releasing ? " releasing" : "") + (m_released ? " released" : "");
 }
 
--- a/Source/Authority/Lease.h
+++ b/Source/Authority/Lease.h
@@ -14,7 +14,8 @@
 // One host's view of one lease, as a state machine over table calls. It performs no
 // I/O. To keep two hosts from holding the lease at once, the holder measures the
 // duration, less the clock drift margin, from before it sent the renewal; a successor
-// measures the whole duration from when it first read the current row version.
+// measures the whole duration from when it first read the current row version. Fencing
+// numbers of a later era of the store are higher than all of earlier ones, whose row may be lost.
 class Lease {
 public:
     Lease(std::string rowKey, HostId, Incarnation, LeaseSettings);
@@ -65,6 +66,9 @@
     void onWritten(MonotonicTime now, Pending, const WriteResult&);
     void adoptRow(MonotonicTime now, const TableRow&);
     void adoptOwnRow(MonotonicTime now, const TableRow&, const LeaseRow&);
+    // Returns whether the store has started a later era than that of the last answer.
+    bool noteEra(StoreEra);
+    FencingToken nextFencing() const;
     void extend(MonotonicTime now);
     void becomeHolder(MonotonicTime now);
     void markLost();
@@ -78,6 +82,10 @@
     std::optional<LeaseRow> m_row;
     RowVersion m_version;
     MonotonicTime m_seenAt {};
+    // The era of the last answer, and those in which this host last was the holder and last wrote the row.
+    StoreEra m_era;
+    StoreEra m_heldEra;
+    StoreEra m_writtenEra;
     bool m_rowCurrent = false;
 
     bool m_held = false;
--- a/Source/Authority/LeaseSettings.h
+++ b/Source/Authority/LeaseSettings.h
@@ -16,7 +16,8 @@
     Nanoseconds retryInterval = std::chrono::milliseconds(500);
     // How long a new holder waits after the acquisition before its first order. At least the
     // time after which an engine drops an incomplete request, so that no order of the
-    // predecessor can take effect later.
+    // predecessor can take effect later; at least `duration` too if the store may lose the row
+    // of a holder, since its successor then does not know to wait.
     Nanoseconds orderSettleTime = std::chrono::seconds(5);
 };
 
--- a/Source/Platform/TableCall.h
+++ b/Source/Platform/TableCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/StoreEra.h"
 #include "Platform/Table.h"
 
 #include <string>
@@ -28,6 +29,8 @@
     // The row that was read; std::nullopt if it is absent.
     std::optional<TableRow> row;
     WriteResult written;
+    // The latest era that the store has stated.
+    StoreEra era;
 };
 
 // Performs the call and blocks until its result is known.
--- a/Tests/Authority/LeaseTest.cpp
+++ b/Tests/Authority/LeaseTest.cpp
@@ -4,6 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdint>
+#include <map>
+
 using namespace almondscale;
 using almondscale::test::FakeTable;
 using std::chrono::milliseconds;
@@ -18,13 +21,18 @@
     FakeTable fake;
     LeaseSettings settings;
     MonotonicTime now { seconds(1000) };
+    StoreEra era;
     Lease a { rowKey, HostId("a"), Incarnation(1), settings };
     Lease b { rowKey, HostId("b"), Incarnation(1), settings };
 
     void call(Lease& lease)
     {
-        if (const auto due = lease.nextCall(now))
-            lease.onAnswer(now, performCall(fake.table(), *due));
+        const auto due = lease.nextCall(now);
+        if (!due)
+            return;
+        auto answer = performCall(fake.table(), *due);
+        answer.era = era;
+        lease.onAnswer(now, answer);
     }
 
     void pass(Nanoseconds time, std::initializer_list<Lease*> running)
@@ -176,3 +184,88 @@
     CHECK(replaced.holds(now));
     CHECK(replaced.fencing() == FencingToken(2));
 }
+
+namespace {
+
+// The store comes back from an older copy of itself, in a new era.
+struct EraFixture : LeaseFixture {
+    EraFixture()
+    {
+        settings.orderSettleTime = settings.duration + milliseconds(300);
+        a = Lease(rowKey, HostId("a"), Incarnation(1), settings);
+        b = Lease(rowKey, HostId("b"), Incarnation(1), settings);
+        era = StoreEra(1);
+        acquireForA();
+    }
+
+    void restore(std::map<std::string, TableRow> copy)
+    {
+        fake.setRows(std::move(copy));
+        era = era + StoreEra(1);
+    }
+
+    // Runs the hosts and checks that one may issue orders at a time, each with a number of its own.
+    void passAndCheck(Nanoseconds time, std::initializer_list<Lease*> running)
+    {
+        for (const auto end = now + time; now < end;) {
+            pass(milliseconds(100), running);
+            REQUIRE_FALSE((a.mayIssueOrders(now) && b.mayIssueOrders(now)));
+            for (auto* lease : { &a, &b }) {
+                if (!lease->mayIssueOrders(now))
+                    continue;
+                REQUIRE(highest <= lease->fencing());
+                REQUIRE((lease->fencing() != highest || lease == holder));
+                highest = lease->fencing();
+                holder = lease;
+            }
+        }
+    }
+
+    FencingToken highest;
+    Lease* holder = nullptr;
+};
+
+} // namespace
+
+// Guards against a fencing number that two holders use, one before and one after the store lost a row.
+TEST_CASE_METHOD(EraFixture, "Lease, row lost with an era, passes on with a fencing number not used before")
+{
+    passAndCheck(seconds(1), { &a });
+    restore({});
+    const bool isCut = GENERATE(true, false);
+    if (isCut)
+        passAndCheck(seconds(60), { &b });
+    else
+        passAndCheck(seconds(60), { &b, &a });
+    CHECK(b.mayIssueOrders(now));
+    CHECK(FencingToken(std::uint64_t(2) << 32U) < b.fencing());
+}
+
+TEST_CASE_METHOD(EraFixture, "Lease, older row of a former holder restored, is not resumed by it")
+{
+    const auto copy = fake.rows();
+    passAndCheck(settings.duration * 3, { &b });
+    REQUIRE(b.mayIssueOrders(now));
+    restore(copy);
+    passAndCheck(seconds(80), { &a, &b });
+    CHECK((a.mayIssueOrders(now) || b.mayIssueOrders(now)));
+    CHECK(FencingToken(std::uint64_t(2) << 32U) < highest);
+}
+
+TEST_CASE_METHOD(EraFixture, "Lease, older row of its holder restored, is held again after a lease's time")
+{
+    const auto copy = fake.rows();
+    passAndCheck(settings.renewInterval * 2, { &a, &b });
+    restore(copy);
+    passAndCheck(settings.duration + settings.orderSettleTime + settings.watchInterval * 2, { &a, &b });
+    CHECK((a.mayIssueOrders(now) || b.mayIssueOrders(now)));
+}
+
+TEST_CASE_METHOD(EraFixture, "Lease, store restored again and again, never has two holders or a lower number")
+{
+    const auto copy = fake.rows();
+    for (int i = 0; i < 40; ++i) {
+        passAndCheck(seconds(1 + i * 7 % 23), { &a, &b });
+        restore(i % 3 == 0 ? std::map<std::string, TableRow>() : i % 3 == 1 ? copy : fake.rows());
+    }
+}
