SuspectCoordinator: order the rows to be written once a second

The order was found each 0.1 s; with 2,800 parts that wait to be written that took several milliseconds each time (by reading, not measured). It is found when the queue is empty, and again each second.

--- a/Programs/almondscale-host/SuspectCoordinator.cpp
+++ b/Programs/almondscale-host/SuspectCoordinator.cpp
@@ -72,7 +72,8 @@
         }
         bool answered = true;
         for (const auto& subject : takeUnwritten()) {
-            answered = answered && co_await writeRecord(subject);
+            if (answered)
+                answered = co_await writeRecord(subject);
             if (!answered)
                 m_unwritten.insert(subject);
         }
@@ -125,6 +126,19 @@
 }
 
 std::vector<CrashSubject> SuspectCoordinator::takeUnwritten()
+{
+    if (m_writeQueue.empty())
+        fillWriteQueue();
+    std::vector<CrashSubject> taken;
+    while (taken.size() < maxWritesPerInterval && !m_writeQueue.empty()) {
+        if (needsWrite(m_writeQueue.back()))
+            taken.push_back(m_writeQueue.back());
+        m_writeQueue.pop_back();
+    }
+    return taken;
+}
+
+void SuspectCoordinator::fillWriteQueue()
 {
     std::vector<std::pair<int, CrashSubject>> byEnds;
     for (const auto& subject : m_unwritten) {
@@ -132,20 +146,17 @@
             byEnds.emplace_back(m_crashes.consecutiveEnds(subject), subject);
     }
     m_unwritten.clear();
-    std::stable_sort(
-        byEnds.begin(), byEnds.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
-    std::vector<CrashSubject> taken;
-    for (const auto& entry : byEnds) {
-        if (taken.size() < maxWritesPerInterval)
-            taken.push_back(entry.second);
-        else
-            m_unwritten.insert(entry.second);
-    }
-    return taken;
+    std::sort(byEnds.begin(), byEnds.end());
+    m_writeQueue.reserve(byEnds.size());
+    for (const auto& entry : byEnds)
+        m_writeQueue.push_back(entry.second);
 }
 
 void SuspectCoordinator::reviewRows()
 {
+    // The order may have changed.
+    m_unwritten.insert(m_writeQueue.begin(), m_writeQueue.end());
+    m_writeQueue.clear();
     for (auto watched = m_watched.begin(); watched != m_watched.end();) {
         const bool stored = m_versions.count(subjectText(*watched)) > 0;
         if (isSuspect(*watched) != stored)
--- a/Programs/almondscale-host/SuspectCoordinator.h
+++ b/Programs/almondscale-host/SuspectCoordinator.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace almondscale {
 
@@ -55,6 +56,7 @@
     // Takes some of the subjects whose rows are to be written, those with most terminations: one crash may
     // add thousands of parts.
     std::vector<CrashSubject> takeUnwritten();
+    void fillWriteQueue();
     // Has rows written or removed that no longer match the records.
     void reviewRows();
     awaitable<SuspectLockResult> enter(CrashSubject, BackendId);
@@ -81,7 +83,9 @@
     // Versions of unlocked rows, as this host last wrote or read them.
     std::map<std::string, RowVersion> m_versions;
     std::map<std::string, HeldRow> m_heldRows;
+    // Subjects whose rows may have to be written, and those of them that do, the most significant last.
     std::set<CrashSubject> m_unwritten;
+    std::vector<CrashSubject> m_writeQueue;
     // Subjects under which servers ended for this host, as long as there is a record or a row.
     std::set<CrashSubject> m_watched;
     std::map<CrashSubject, RunningSuspect> m_runningSuspects;
--- a/Tests/Forwarding/CutHeadTest.cpp
+++ b/Tests/Forwarding/CutHeadTest.cpp
@@ -18,7 +18,7 @@
                                "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 // A server that stops after the bytes and closes the connection, or resets it.
-LoopbackServer::Answer stopAfter(std::string bytes, bool reset)
+LoopbackServer::Answer stopAfter(const std::string& bytes, bool reset)
 {
     return [=](const LoopbackServer::Request&, tcp::socket& socket) -> awaitable<bool> {
         co_await LoopbackServer::write(socket, bytes);
