--- a/Tests/Peers/PeerNetworkTest.cpp
+++ b/Tests/Peers/PeerNetworkTest.cpp
@@ -95,6 +95,19 @@
         return rows;
     }
 
+    // Sends one frame to the first host over a connection of its own, which stays open with the socket.
+    tcp::socket connectAndSend(const PeerFrame& frame)
+    {
+        const auto bytes = encodePeerFrame(frame, bootTime());
+        const std::string length { 0, 0, static_cast<char>(bytes.size() >> 8),
+            static_cast<char>(bytes.size()) };
+        tcp::socket socket(hosts[0]->loop);
+        const auto& peers = hosts[0]->record.peerAddress;
+        socket.connect({ boost::asio::ip::make_address_v4(peers.ip), peers.port });
+        boost::asio::write(socket, boost::asio::buffer(length + bytes));
+        return socket;
+    }
+
     std::vector<std::unique_ptr<TestHost>> hosts;
 };
 
@@ -162,13 +175,7 @@
     frame.work.emplace();
     for (int requests = 1; requests <= 2; ++requests) {
         frame.work->loads[engine] = BackendLoad { 0, requests, 0 };
-        const auto bytes = encodePeerFrame(frame, bootTime());
-        const std::string length { 0, 0, static_cast<char>(bytes.size() >> 8),
-            static_cast<char>(bytes.size()) };
-        tcp::socket socket(hosts[0]->loop);
-        const auto& peers = hosts[0]->record.peerAddress;
-        socket.connect({ boost::asio::ip::make_address_v4(peers.ip), peers.port });
-        boost::asio::write(socket, boost::asio::buffer(length + bytes));
+        const auto socket = connectAndSend(frame);
         if (requests == 1)
             runFor(5ms);
     }
@@ -216,13 +223,7 @@
         TableUpdate update;
         update.rows = manifest(version, 0);
         frame.tableUpdates = { update };
-        const auto bytes = encodePeerFrame(frame, bootTime());
-        const std::string length { 0, 0, static_cast<char>(bytes.size() >> 8),
-            static_cast<char>(bytes.size()) };
-        tcp::socket socket(hosts[0]->loop);
-        const auto& peers = hosts[0]->record.peerAddress;
-        socket.connect({ boost::asio::ip::make_address_v4(peers.ip), peers.port });
-        boost::asio::write(socket, boost::asio::buffer(length + bytes));
+        const auto socket = connectAndSend(frame);
         runFor(50ms);
     };
     sendBareVersion(9);
