Foundation for organisations, usage reports and pools

Added: KeyDigest and organisations, pools and allowAnonymous of the manifest, with a check that names entry and remedy (manifest_rejected; the manifest before it stays in force); settings of duties, revocation, usage and machine limits; the calls to report usage and to order servers; fields of the frames between hosts, which cost no byte while unset; reads and writes of own tables. The lease moves from RoleController to DutyLease, so that several duties share it.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -11,6 +11,7 @@
 #include "Peers/PeerNetwork.h"
 #include "RoleController.h"
 #include "Serving/BackendDirectory.h"
+#include "Serving/ManifestCheck.h"
 #include "Serving/ServiceReachability.h"
 #include "SettingsChange.h"
 #include "StatusPages.h"
@@ -77,15 +78,16 @@
         , m_tableSynchronizer(m_store, m_mirror, m_self,
               { [this] { return m_network.isReader(); }, [this](SharedTable table) { onTableRead(table); },
                   [this](SharedTable table) { onTableReadFailed(table); } })
-        , m_roleController(m_store, m_controlPool, m_routes, m_backends, m_settings.host, m_settings.lease,
-              { [this] { return m_network.isReader(); }, [this] { return totalDemand(); },
+        , m_dutyLease(m_store, m_settings.host, m_settings.lease, [this] { return m_network.isReader(); })
+        , m_roleController(m_controlPool, m_dutyLease, m_routes, m_backends,
+              { [this] { return totalDemand(); },
                   [this](const RoleTransition& turn) {
                       if (m_backends.noteRoleTransition(turn, bootTime()))
                           m_network.publish();
                   },
                   [this](const BackendId& engine) { onEngineLeaving(engine); } })
         , m_suspectCoordinator(m_store, m_crashes, m_settings.host)
-        , m_pages(m_self, m_routes, m_backends, m_mirror, m_roleController.lease(), m_crashes)
+        , m_pages(m_self, m_routes, m_backends, m_mirror, m_dutyLease.lease(), m_crashes)
         , m_context { m_loop.get_executor(), m_wire, m_routes, m_backends, m_placement, m_retries, m_demand,
             m_speeds, m_decodeTimes, m_pool, m_controlPool, m_lifeProbe, m_crashes,
             m_suspectCoordinator.lane(), systemRandom() }
@@ -151,6 +153,7 @@
             start(m_tableSynchronizer.follow(table));
         start(m_tableSynchronizer.enroll());
         start(m_network.run());
+        start(m_dutyLease.run());
         start(m_roleController.run());
         start(m_suspectCoordinator.run());
         start(sweep());
@@ -276,7 +279,15 @@
                 .with("store_version", *reading.unreadable)
                 .with("in_force", m_routes.version());
         }
-        if (!reading.manifest || !m_routes.adopt(std::move(*reading.manifest)))
+        if (!reading.manifest)
+            return;
+        const auto errors = checkManifest(*reading.manifest, m_settings.dataCentres);
+        for (const auto& error : errors)
+            LogEvent("manifest_rejected", LogLevel::Error)
+                .with("version", reading.manifest->version)
+                .with("error", error)
+                .with("in_force", m_routes.version());
+        if (!errors.empty() || !m_routes.adopt(std::move(*reading.manifest)))
             return;
         LogEvent("manifest_in_force")
             .with("version", m_routes.version())
@@ -464,7 +475,7 @@
         m_context.shutdown = schedule;
         for (const auto& session : m_sessions)
             session->endRequestBy(schedule.requestsEnd);
-        m_roleController.release();
+        m_dutyLease.release();
         while (!schedule.listenUntil.passed(bootTime()))
             co_await sleepFor(shutdownPollInterval);
         m_listener.stop();
@@ -501,6 +512,7 @@
     ServiceDemands m_peerDemand;
     PeerNetwork m_network;
     TableSynchronizer m_tableSynchronizer;
+    DutyLease m_dutyLease;
     RoleController m_roleController;
     SuspectCoordinator m_suspectCoordinator;
     HostMetrics m_metrics;
--- a/Programs/almondscale-host/RoleController.cpp
+++ b/Programs/almondscale-host/RoleController.cpp
@@ -1,7 +1,6 @@
 #include "RoleController.h"
 
 #include "Core/LogEvent.h"
-#include "Core/RandomSource.h"
 #include "Forwarding/AsyncEvent.h"
 #include "Forwarding/BootClock.h"
 #include "platform/EngineCalls.h"
@@ -10,7 +9,7 @@
 
 namespace {
 
-    // How often the lease and the split are checked.
+    // How often the split is checked.
     constexpr Nanoseconds controlInterval = std::chrono::milliseconds(200);
     // Engines respond to orders and report calls within a few milliseconds.
     constexpr Nanoseconds callTimeout = std::chrono::milliseconds(500);
@@ -22,30 +21,14 @@
     constexpr int statusAccepted = 202;
     constexpr int statusUnchanged = 200;
 
-    LeaseSettings leaseSettings(Nanoseconds lease)
-    {
-        LeaseSettings settings;
-        settings.duration = lease;
-        // Covers clock drift between machines, which is small, and late scheduling of the process.
-        settings.clockDriftMargin = lease / 4;
-        settings.renewInterval = lease / 3;
-        settings.watchInterval = lease * 2 / 3;
-        settings.retryInterval = lease / 10;
-        // Engines must not get orders of two holders within one lease duration.
-        settings.orderSettleTime = lease + std::chrono::milliseconds(300);
-        return settings;
-    }
-
 } // namespace
 
-RoleController::RoleController(platform::StoreClient& store, ConnectionPool& pool, const RouteTable& routes,
-    const BackendTable& backends, HostId host, Nanoseconds lease, Hooks hooks)
-    : m_store(store)
-    , m_pool(pool)
+RoleController::RoleController(ConnectionPool& pool, const DutyLease& lease, const RouteTable& routes,
+    const BackendTable& backends, Hooks hooks)
+    : m_pool(pool)
+    , m_lease(lease)
     , m_routes(routes)
     , m_backends(backends)
-    , m_host(std::move(host))
-    , m_lease(roleLeaseKey, m_host, Incarnation(systemRandom()()), leaseSettings(lease))
     , m_split(backends)
     , m_hooks(std::move(hooks))
 {
@@ -54,38 +37,12 @@
 awaitable<void> RoleController::run()
 {
     for (;;) {
-        // The holder keeps the lease as long as it can renew it, even if it is no longer a candidate.
-        if (!m_hooks.isCandidate() && !m_lease.holds(bootTime()) && !m_releasing) {
-            co_await sleepFor(controlInterval);
-            continue;
-        }
-        if (auto call = m_lease.nextCall(bootTime())) {
-            auto answer = co_await m_store.perform(std::move(*call));
-            m_lease.onAnswer(bootTime(), answer);
-            logLeaseChange();
-            continue;
-        }
-        logLeaseChange();
-        if (m_lease.mayIssueOrders(bootTime()))
+        if (m_lease.mayAct())
             co_await reassignRoles();
         co_await sleepFor(controlInterval);
     }
 }
 
-void RoleController::release()
-{
-    m_releasing = true;
-    m_lease.release();
-}
-
-void RoleController::logLeaseChange()
-{
-    const bool holding = m_lease.holds(bootTime());
-    if (holding != m_holding)
-        LogEvent(holding ? "lease_taken" : "lease_ended").with("fencing", m_lease.fencing().count());
-    m_holding = holding;
-}
-
 awaitable<void> RoleController::reassignRoles()
 {
     const auto demand = m_hooks.demand();
@@ -134,10 +91,10 @@
         m_split.onOrdered(assignment, bootTime());
         co_return;
     }
-    if (!m_lease.mayIssueOrders(bootTime()))
+    if (!m_lease.mayAct())
         co_return;
     auto call = platform::encodeRoleOrder(
-        { assignment.engine, assignment.role, m_host, m_lease.fencing(), report->accepted });
+        { assignment.engine, assignment.role, m_lease.host(), m_lease.fencing(), report->accepted });
     m_split.onOrdered(assignment, bootTime());
     const auto deadline = std::min(m_lease.validUntil(), Deadline::after(bootTime(), callTimeout));
     const auto reply
--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -18,6 +18,9 @@
     // Weight of an open request relative to prefill milliseconds, to select the most loaded engines.
     constexpr double requestWeightMs = 10;
 
+    // Added to ages that are encoded in whole milliseconds and must not appear smaller.
+    constexpr Nanoseconds roundUp = std::chrono::milliseconds(1);
+
     // The default of the field in the schema.
     constexpr std::uint32_t neverAnswered = std::numeric_limits<std::uint32_t>::max();
 
@@ -125,6 +128,66 @@
         return builder.CreateVectorOfStructs(sends);
     }
 
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peerwire::UsageRecord>>> encodeUsage(
+        flatbuffers::FlatBufferBuilder& builder, const std::vector<UsageRecord>& from)
+    {
+        if (from.empty())
+            return {};
+        std::vector<flatbuffers::Offset<peerwire::UsageRecord>> records;
+        records.reserve(from.size());
+        for (const auto& record : from) {
+            std::vector<flatbuffers::Offset<peerwire::UsageCount>> counts;
+            counts.reserve(record.counts.size());
+            for (const auto& [organisation, requests] : record.counts)
+                counts.push_back(peerwire::CreateUsageCount(
+                    builder, builder.CreateSharedString(organisation.text()), requests));
+            const auto host = builder.CreateSharedString(record.id.host.text());
+            records.push_back(peerwire::CreateUsageRecord(builder, host, record.id.incarnation.count(),
+                record.id.window.count(), record.closed, builder.CreateVector(counts)));
+        }
+        return builder.CreateVector(records);
+    }
+
+    UsageRecord decodeUsage(const peerwire::UsageRecord& from)
+    {
+        UsageRecord record;
+        record.id
+            = { HostId(textOf(from.host())), Incarnation(from.incarnation()), UsageWindow(from.window()) };
+        record.closed = from.closed();
+        if (from.counts()) {
+            for (const auto* count : *from.counts())
+                record.counts[Organisation(textOf(count->organisation()))] = count->requests();
+        }
+        return record;
+    }
+
+    flatbuffers::Offset<flatbuffers::Vector<const peerwire::ServerSpeed*>> encodeServerSpeeds(
+        flatbuffers::FlatBufferBuilder& builder, const std::unordered_map<std::uint64_t, ServerSpeed>& from)
+    {
+        if (from.empty())
+            return {};
+        std::vector<peerwire::ServerSpeed> speeds;
+        speeds.reserve(from.size());
+        for (const auto& [backend, speed] : from)
+            speeds.emplace_back(backend, static_cast<float>(speed.prefillSum),
+                static_cast<float>(speed.prefillWeight), static_cast<float>(speed.decodeSum),
+                static_cast<float>(speed.decodeWeight));
+        return builder.CreateVectorOfStructs(speeds);
+    }
+
+    bool isFinite(const peerwire::ServerSpeed& speed)
+    {
+        return std::isfinite(speed.prefill_sum()) && std::isfinite(speed.prefill_weight())
+            && std::isfinite(speed.decode_sum()) && std::isfinite(speed.decode_weight());
+    }
+
+    std::uint32_t wholeMs(Nanoseconds duration)
+    {
+        const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+        return static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::uint32_t>::max()));
+    }
+
     std::uint32_t msAgo(MonotonicTime at, MonotonicTime now)
     {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
@@ -333,9 +396,18 @@
         partList = encodeParts(builder, frame.work->sentPrefixes);
         rateList = encodeRequestRates(builder, frame.work->traffic.requestRates);
     }
+    const auto usageList = encodeUsage(builder, frame.usage);
+    std::vector<UsageRecord> stored;
+    for (const auto& id : frame.storedUsage)
+        stored.push_back({ id, {}, true });
+    const auto storedList = encodeUsage(builder, stored);
+    const auto speedList = encodeServerSpeeds(builder, frame.serverSpeeds);
     builder.Finish(peerwire::CreatePeerFrame(builder, host, dataCentre, frame.work.has_value(), loadList,
         demandList, updateList, partList, frame.whole, crashList, leavingList, transitionList, limitList,
-        sendsList, frame.whole && frame.work ? frame.work->traffic.hosts : 0, rateList));
+        sendsList, frame.whole && frame.work ? frame.work->traffic.hosts : 0, rateList, frame.probe,
+        frame.echoedProbe, frame.manifestProvenAge.has_value(),
+        frame.manifestProvenAge ? wholeMs(*frame.manifestProvenAge + roundUp) : 0, usageList, storedList,
+        speedList));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -378,6 +450,25 @@
             frame.limits.push_back(std::move(statement));
         }
     }
+    frame.probe = from->probe();
+    frame.echoedProbe = from->echoed_probe();
+    if (from->manifest_proven())
+        frame.manifestProvenAge = std::chrono::milliseconds(from->manifest_proven_age_ms());
+    if (from->usage()) {
+        for (const auto* each : *from->usage())
+            frame.usage.push_back(decodeUsage(*each));
+    }
+    if (from->stored_usage()) {
+        for (const auto* each : *from->stored_usage())
+            frame.storedUsage.push_back(decodeUsage(*each).id);
+    }
+    if (from->server_speeds()) {
+        for (const auto* each : *from->server_speeds()) {
+            if (isFinite(*each))
+                frame.serverSpeeds[each->backend()] = { each->prefill_sum(), each->prefill_weight(),
+                    each->decode_sum(), each->decode_weight() };
+        }
+    }
     if (from->turns()) {
         for (const auto* each : *from->turns()) {
             if (!each->engine())
--- a/Source/Peers/PeerFrame.h
+++ b/Source/Peers/PeerFrame.h
@@ -9,13 +9,16 @@
 #include "Serving/EngineDemand.h"
 #include "Serving/FleetTraffic.h"
 #include "Serving/LimitStatement.h"
+#include "Serving/ServerSpeed.h"
 #include "Serving/SharedTable.h"
 #include "Serving/StoredRow.h"
+#include "Serving/UsageRecord.h"
 
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace almondscale {
@@ -61,6 +64,18 @@
     std::vector<RoleTransition> roleTransitions;
     // Changed limits of servers.
     std::vector<LimitStatement> limits;
+    // A stamp of the sender, and the last one that it received over this link; 0 if there is none. A frame
+    // that echoes a stamp was made after the stamp was sent, which proves the age of what the frame says
+    // without a common clock.
+    std::uint64_t probe = 0;
+    std::uint64_t echoedProbe = 0;
+    // Time since the sender could prove that its manifest was the newest; unset if it never could.
+    std::optional<Nanoseconds> manifestProvenAge;
+    std::vector<UsageRecord> usage;
+    // Records that are in the store.
+    std::vector<UsageRecordId> storedUsage;
+    // By the hash of the server's id. Only a whole frame has speeds.
+    std::unordered_map<std::uint64_t, ServerSpeed> serverSpeeds;
 };
 
 // Encodes the frame without the length prefix that PeerLink adds. Times are encoded as ages relative to
--- a/Source/Peers/PeerFrames_generated.h
+++ b/Source/Peers/PeerFrames_generated.h
@@ -49,6 +49,14 @@
 
 struct LimitedSends;
 
+struct UsageCount;
+struct UsageCountBuilder;
+
+struct UsageRecord;
+struct UsageRecordBuilder;
+
+struct ServerSpeed;
+
 struct PeerFrame;
 struct PeerFrameBuilder;
 
@@ -177,6 +185,47 @@
 };
 FLATBUFFERS_STRUCT_END(LimitedSends, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServerSpeed FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t backend_;
+  float prefill_sum_;
+  float prefill_weight_;
+  float decode_sum_;
+  float decode_weight_;
+
+ public:
+  ServerSpeed()
+      : backend_(0),
+        prefill_sum_(0),
+        prefill_weight_(0),
+        decode_sum_(0),
+        decode_weight_(0) {
+  }
+  ServerSpeed(uint64_t _backend, float _prefill_sum, float _prefill_weight, float _decode_sum, float _decode_weight)
+      : backend_(flatbuffers::EndianScalar(_backend)),
+        prefill_sum_(flatbuffers::EndianScalar(_prefill_sum)),
+        prefill_weight_(flatbuffers::EndianScalar(_prefill_weight)),
+        decode_sum_(flatbuffers::EndianScalar(_decode_sum)),
+        decode_weight_(flatbuffers::EndianScalar(_decode_weight)) {
+  }
+  uint64_t backend() const {
+    return flatbuffers::EndianScalar(backend_);
+  }
+  float prefill_sum() const {
+    return flatbuffers::EndianScalar(prefill_sum_);
+  }
+  float prefill_weight() const {
+    return flatbuffers::EndianScalar(prefill_weight_);
+  }
+  float decode_sum() const {
+    return flatbuffers::EndianScalar(decode_sum_);
+  }
+  float decode_weight() const {
+    return flatbuffers::EndianScalar(decode_weight_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ServerSpeed, 24);
+
 struct Demand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef DemandBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1002,6 +1051,171 @@
       per_second);
 }
 
+struct UsageCount FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageCountBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ORGANISATION = 4,
+    VT_REQUESTS = 6
+  };
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
+  }
+  uint32_t requests() const {
+    return GetField<uint32_t>(VT_REQUESTS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct UsageCountBuilder {
+  typedef UsageCount Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(UsageCount::VT_ORGANISATION, organisation);
+  }
+  void add_requests(uint32_t requests) {
+    fbb_.AddElement<uint32_t>(UsageCount::VT_REQUESTS, requests, 0);
+  }
+  explicit UsageCountBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageCount> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageCount>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageCount> CreateUsageCount(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    uint32_t requests = 0) {
+  UsageCountBuilder builder_(_fbb);
+  builder_.add_requests(requests);
+  builder_.add_organisation(organisation);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<UsageCount> CreateUsageCountDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *organisation = nullptr,
+    uint32_t requests = 0) {
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
+  return almondscale::peerwire::CreateUsageCount(
+      _fbb,
+      organisation__,
+      requests);
+}
+
+struct UsageRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageRecordBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HOST = 4,
+    VT_INCARNATION = 6,
+    VT_WINDOW = 8,
+    VT_CLOSED = 10,
+    VT_COUNTS = 12
+  };
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  int64_t window() const {
+    return GetField<int64_t>(VT_WINDOW, 0);
+  }
+  bool closed() const {
+    return GetField<uint8_t>(VT_CLOSED, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::UsageCount>> *counts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::UsageCount>> *>(VT_COUNTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<int64_t>(verifier, VT_WINDOW, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CLOSED, 1) &&
+           VerifyOffset(verifier, VT_COUNTS) &&
+           verifier.VerifyVector(counts()) &&
+           verifier.VerifyVectorOfTables(counts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct UsageRecordBuilder {
+  typedef UsageRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(UsageRecord::VT_HOST, host);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(UsageRecord::VT_INCARNATION, incarnation, 0);
+  }
+  void add_window(int64_t window) {
+    fbb_.AddElement<int64_t>(UsageRecord::VT_WINDOW, window, 0);
+  }
+  void add_closed(bool closed) {
+    fbb_.AddElement<uint8_t>(UsageRecord::VT_CLOSED, static_cast<uint8_t>(closed), 0);
+  }
+  void add_counts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::UsageCount>>> counts) {
+    fbb_.AddOffset(UsageRecord::VT_COUNTS, counts);
+  }
+  explicit UsageRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageRecord> CreateUsageRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    uint64_t incarnation = 0,
+    int64_t window = 0,
+    bool closed = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::UsageCount>>> counts = 0) {
+  UsageRecordBuilder builder_(_fbb);
+  builder_.add_window(window);
+  builder_.add_incarnation(incarnation);
+  builder_.add_counts(counts);
+  builder_.add_host(host);
+  builder_.add_closed(closed);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<UsageRecord> CreateUsageRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *host = nullptr,
+    uint64_t incarnation = 0,
+    int64_t window = 0,
+    bool closed = false,
+    const std::vector<flatbuffers::Offset<almondscale::peerwire::UsageCount>> *counts = nullptr) {
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto counts__ = counts ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::UsageCount>>(*counts) : 0;
+  return almondscale::peerwire::CreateUsageRecord(
+      _fbb,
+      host__,
+      incarnation,
+      window,
+      closed,
+      counts__);
+}
+
 struct PeerFrame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PeerFrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1019,7 +1233,14 @@
     VT_LIMITS = 26,
     VT_LIMITED_SENDS = 28,
     VT_HOST_COUNT = 30,
-    VT_REQUEST_RATES = 32
+    VT_REQUEST_RATES = 32,
+    VT_PROBE = 34,
+    VT_ECHOED_PROBE = 36,
+    VT_MANIFEST_PROVEN = 38,
+    VT_MANIFEST_PROVEN_AGE_MS = 40,
+    VT_USAGE = 42,
+    VT_STORED_USAGE = 44,
+    VT_SERVER_SPEEDS = 46
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -1066,6 +1287,27 @@
   const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::RequestRate>> *request_rates() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::RequestRate>> *>(VT_REQUEST_RATES);
   }
+  uint64_t probe() const {
+    return GetField<uint64_t>(VT_PROBE, 0);
+  }
+  uint64_t echoed_probe() const {
+    return GetField<uint64_t>(VT_ECHOED_PROBE, 0);
+  }
+  bool manifest_proven() const {
+    return GetField<uint8_t>(VT_MANIFEST_PROVEN, 0) != 0;
+  }
+  uint32_t manifest_proven_age_ms() const {
+    return GetField<uint32_t>(VT_MANIFEST_PROVEN_AGE_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>> *usage() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>> *>(VT_USAGE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>> *stored_usage() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>> *>(VT_STORED_USAGE);
+  }
+  const flatbuffers::Vector<const almondscale::peerwire::ServerSpeed *> *server_speeds() const {
+    return GetPointer<const flatbuffers::Vector<const almondscale::peerwire::ServerSpeed *> *>(VT_SERVER_SPEEDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -1102,6 +1344,18 @@
            VerifyOffset(verifier, VT_REQUEST_RATES) &&
            verifier.VerifyVector(request_rates()) &&
            verifier.VerifyVectorOfTables(request_rates()) &&
+           VerifyField<uint64_t>(verifier, VT_PROBE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ECHOED_PROBE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_MANIFEST_PROVEN, 1) &&
+           VerifyField<uint32_t>(verifier, VT_MANIFEST_PROVEN_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_USAGE) &&
+           verifier.VerifyVector(usage()) &&
+           verifier.VerifyVectorOfTables(usage()) &&
+           VerifyOffset(verifier, VT_STORED_USAGE) &&
+           verifier.VerifyVector(stored_usage()) &&
+           verifier.VerifyVectorOfTables(stored_usage()) &&
+           VerifyOffset(verifier, VT_SERVER_SPEEDS) &&
+           verifier.VerifyVector(server_speeds()) &&
            verifier.EndTable();
   }
 };
@@ -1155,6 +1409,27 @@
   void add_request_rates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::RequestRate>>> request_rates) {
     fbb_.AddOffset(PeerFrame::VT_REQUEST_RATES, request_rates);
   }
+  void add_probe(uint64_t probe) {
+    fbb_.AddElement<uint64_t>(PeerFrame::VT_PROBE, probe, 0);
+  }
+  void add_echoed_probe(uint64_t echoed_probe) {
+    fbb_.AddElement<uint64_t>(PeerFrame::VT_ECHOED_PROBE, echoed_probe, 0);
+  }
+  void add_manifest_proven(bool manifest_proven) {
+    fbb_.AddElement<uint8_t>(PeerFrame::VT_MANIFEST_PROVEN, static_cast<uint8_t>(manifest_proven), 0);
+  }
+  void add_manifest_proven_age_ms(uint32_t manifest_proven_age_ms) {
+    fbb_.AddElement<uint32_t>(PeerFrame::VT_MANIFEST_PROVEN_AGE_MS, manifest_proven_age_ms, 0);
+  }
+  void add_usage(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>>> usage) {
+    fbb_.AddOffset(PeerFrame::VT_USAGE, usage);
+  }
+  void add_stored_usage(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>>> stored_usage) {
+    fbb_.AddOffset(PeerFrame::VT_STORED_USAGE, stored_usage);
+  }
+  void add_server_speeds(flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::ServerSpeed *>> server_speeds) {
+    fbb_.AddOffset(PeerFrame::VT_SERVER_SPEEDS, server_speeds);
+  }
   explicit PeerFrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1182,8 +1457,21 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::Limit>>> limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::LimitedSends *>> limited_sends = 0,
     int32_t host_count = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::RequestRate>>> request_rates = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::RequestRate>>> request_rates = 0,
+    uint64_t probe = 0,
+    uint64_t echoed_probe = 0,
+    bool manifest_proven = false,
+    uint32_t manifest_proven_age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>>> usage = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>>> stored_usage = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::ServerSpeed *>> server_speeds = 0) {
   PeerFrameBuilder builder_(_fbb);
+  builder_.add_echoed_probe(echoed_probe);
+  builder_.add_probe(probe);
+  builder_.add_server_speeds(server_speeds);
+  builder_.add_stored_usage(stored_usage);
+  builder_.add_usage(usage);
+  builder_.add_manifest_proven_age_ms(manifest_proven_age_ms);
   builder_.add_request_rates(request_rates);
   builder_.add_host_count(host_count);
   builder_.add_limited_sends(limited_sends);
@@ -1197,6 +1485,7 @@
   builder_.add_loads(loads);
   builder_.add_data_centre(data_centre);
   builder_.add_host(host);
+  builder_.add_manifest_proven(manifest_proven);
   builder_.add_whole(whole);
   builder_.add_has_work(has_work);
   return builder_.Finish();
@@ -1218,7 +1507,14 @@
     const std::vector<flatbuffers::Offset<almondscale::peerwire::Limit>> *limits = nullptr,
     const std::vector<almondscale::peerwire::LimitedSends> *limited_sends = nullptr,
     int32_t host_count = 0,
-    const std::vector<flatbuffers::Offset<almondscale::peerwire::RequestRate>> *request_rates = nullptr) {
+    const std::vector<flatbuffers::Offset<almondscale::peerwire::RequestRate>> *request_rates = nullptr,
+    uint64_t probe = 0,
+    uint64_t echoed_probe = 0,
+    bool manifest_proven = false,
+    uint32_t manifest_proven_age_ms = 0,
+    const std::vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>> *usage = nullptr,
+    const std::vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>> *stored_usage = nullptr,
+    const std::vector<almondscale::peerwire::ServerSpeed> *server_speeds = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<almondscale::peerwire::Load>(*loads) : 0;
@@ -1231,6 +1527,9 @@
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::Limit>>(*limits) : 0;
   auto limited_sends__ = limited_sends ? _fbb.CreateVectorOfStructs<almondscale::peerwire::LimitedSends>(*limited_sends) : 0;
   auto request_rates__ = request_rates ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::RequestRate>>(*request_rates) : 0;
+  auto usage__ = usage ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>>(*usage) : 0;
+  auto stored_usage__ = stored_usage ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>>(*stored_usage) : 0;
+  auto server_speeds__ = server_speeds ? _fbb.CreateVectorOfStructs<almondscale::peerwire::ServerSpeed>(*server_speeds) : 0;
   return almondscale::peerwire::CreatePeerFrame(
       _fbb,
       host__,
@@ -1247,7 +1546,14 @@
       limits__,
       limited_sends__,
       host_count,
-      request_rates__);
+      request_rates__,
+      probe,
+      echoed_probe,
+      manifest_proven,
+      manifest_proven_age_ms,
+      usage__,
+      stored_usage__,
+      server_speeds__);
 }
 
 inline const almondscale::peerwire::PeerFrame *GetPeerFrame(const void *buf) {
--- a/Source/Serving/CallerRequest.h
+++ b/Source/Serving/CallerRequest.h
@@ -2,7 +2,10 @@
 
 #include "Core/Identifier.h"
 #include "Core/MonotonicTime.h"
+#include "Core/Organisation.h"
+#include "Core/Priority.h"
 #include "Serving/HttpHeads.h"
+#include "Serving/KeyDigest.h"
 #include "Serving/PromptShape.h"
 
 #include <optional>
@@ -25,6 +28,12 @@
     std::optional<PromptShape> prompt;
     // The id of the last event that the caller received, where it resumes a stream.
     std::string lastEventId;
+    // The caller's key, which is forwarded to no server.
+    std::optional<KeyDigest> key;
+    // The organisation of the key; empty for an anonymous caller.
+    Organisation organisation;
+    // The organisation's priority, which goes before that of the route.
+    std::optional<Priority> priority;
 };
 
 } // namespace almondscale
--- a/Source/Serving/Manifest.h
+++ b/Source/Serving/Manifest.h
@@ -2,6 +2,8 @@
 
 #include "Core/ByteCount.h"
 #include "Serving/EngineSpec.h"
+#include "Serving/OrganisationSpec.h"
+#include "Serving/PoolSpec.h"
 #include "Serving/Route.h"
 
 #include <cstdint>
@@ -18,6 +20,8 @@
     int maxConnections = 0;
     // Set for services whose servers are engines.
     std::optional<EngineSpec> engine;
+    // Set for services whose number of servers can be ordered.
+    std::optional<PoolSpec> pool;
 };
 
 // Limits on callers' requests and connections.
@@ -34,6 +38,8 @@
     std::vector<Route> routes;
     std::map<ServiceName, ServiceSpec> services;
     CallerLimits limits;
+    // Unset if callers have no keys.
+    std::optional<std::vector<OrganisationSpec>> organisations;
 };
 
 } // namespace almondscale
--- /dev/null
+++ b/Source/Serving/RevocationBounds.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "Core/MonotonicTime.h"
+
+namespace almondscale {
+
+// How soon a key that the operators took away must stop working.
+struct RevocationBounds {
+    // The bound holds for every host, also for one that is cut off from the store.
+    bool strict = false;
+    // Time from the store's acknowledgement of the manifest; requests sent later must not run.
+    Nanoseconds time = std::chrono::seconds(5);
+};
+
+} // namespace almondscale
--- a/Source/Serving/Route.h
+++ b/Source/Serving/Route.h
@@ -44,6 +44,8 @@
     // Maximum number of backend servers that one request is sent to.
     int maxAttempts = 1;
     std::vector<RouteShare> shares;
+    // Callers need no key.
+    bool allowAnonymous = false;
 
     // Whether a request that may have been executed can be sent again.
     bool repeatable() const { return kind == RouteKind::Safe || (kind == RouteKind::Stream && resumable); }
--- a/Tests/Peers/PeerFrameTest.cpp
+++ b/Tests/Peers/PeerFrameTest.cpp
@@ -146,3 +146,33 @@
     bytes.resize(bytes.size() / 2);
     CHECK_FALSE(decodePeerFrame(bytes, now));
 }
+
+TEST_CASE("Stamps, usage and speeds of a frame survive encoding, and cost nothing if there are none")
+{
+    PeerFrame frame;
+    const auto plain = encodePeerFrame(frame, now).size();
+    frame.probe = 5;
+    frame.echoedProbe = 4;
+    frame.manifestProvenAge = 1200us;
+    UsageRecord record { { HostId("n1"), Incarnation(9), UsageWindow(77) }, { { Organisation("o"), 3 } },
+        true };
+    frame.usage = { record };
+    frame.storedUsage = { record.id };
+    frame.serverSpeeds[42] = { 3, 2, 1.5, 1 };
+    const auto bytes = encodePeerFrame(frame, now);
+    CHECK(bytes.size() > plain);
+    const auto decoded = decodePeerFrame(bytes, now);
+    REQUIRE(decoded);
+    CHECK(decoded->probe == 5);
+    CHECK(decoded->echoedProbe == 4);
+    // An age is rounded up, since it proves how old something is at most.
+    CHECK(decoded->manifestProvenAge == Nanoseconds(2ms));
+    REQUIRE(decoded->usage.size() == 1);
+    CHECK(decoded->usage[0].counts.at(Organisation("o")) == 3);
+    CHECK(decoded->usage[0].closed);
+    REQUIRE(decoded->storedUsage.size() == 1);
+    CHECK(decoded->storedUsage[0].window == UsageWindow(77));
+    CHECK(decoded->storedUsage[0].incarnation == Incarnation(9));
+    CHECK(decoded->serverSpeeds.at(42).decodeSum == Approx(1.5));
+    CHECK_FALSE(decodePeerFrame(encodePeerFrame(PeerFrame(), now), now)->manifestProvenAge);
+}
--- a/Tests/PlatformAdapter/ManifestCodecTest.cpp
+++ b/Tests/PlatformAdapter/ManifestCodecTest.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 using namespace almondscale;
+using namespace almondscale::platform;
 using namespace std::chrono_literals;
 
 namespace {
@@ -78,3 +79,54 @@
     CHECK(reading.manifest->version == 5);
     CHECK(reading.unreadable == RowVersion(59));
 }
+
+namespace {
+
+const std::string withOrganisations
+    = R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/a/","kind":"safe","service":"s",)"
+      R"("allowAnonymous":true}],"services":[{"name":"s","maxConnections":5,"autoscaling":{"min":1,"max":30,)"
+      R"("bootTimeoutS":4.0,"spotPrice":0.22,"zonePrices":{"plateau":1.0,"almadies":0.8}}}],)"
+      R"("tenants":[{"name":"hule930","apiKeys":["gjqnirth5mgjy5rcpihh","acruddedev3nax7u27gx"],"priority":1},)"
+      R"({"name":"fida11","apiKeys":[]}]})";
+
+} // namespace
+
+TEST_CASE("Manifest with organisations gives their keys as digests, and pools")
+{
+    const auto manifest = decodeManifest(withOrganisations);
+    REQUIRE(manifest);
+    CHECK(manifest->routes[0].allowAnonymous);
+    REQUIRE(manifest->organisations);
+    REQUIRE(manifest->organisations->size() == 2);
+    const auto& first = manifest->organisations->at(0);
+    CHECK(first.name == Organisation("hule930"));
+    CHECK(first.keys[1] == KeyDigest::of("acruddedev3nax7u27gx"));
+    CHECK(first.priority == Priority(1));
+    CHECK_FALSE(manifest->organisations->at(1).priority);
+    const auto& pool = manifest->services.at(ServiceName("s")).pool;
+    REQUIRE(pool);
+    CHECK(pool->min == 1);
+    CHECK(pool->max == 30);
+    CHECK(pool->bootTime == std::chrono::seconds(4));
+    CHECK(*pool->spotPrice == Approx(0.22));
+    CHECK(pool->prices.at(DataCentre("almadies")) == Approx(0.8));
+}
+
+TEST_CASE("Manifest without its keys has none of them and decodes to the same organisations")
+{
+    const auto text = withoutKeys(withOrganisations);
+    CHECK(text.find("gjqnirth5mgjy5rcpihh") == std::string::npos);
+    CHECK(text.find("acruddedev3nax7u27gx") == std::string::npos);
+    const auto manifest = decodeManifest(text);
+    REQUIRE(manifest);
+    CHECK(manifest->organisations->at(0).keys[0] == KeyDigest::of("gjqnirth5mgjy5rcpihh"));
+    CHECK(withoutKeys(text) == text);
+}
+
+TEST_CASE("Manifest without organisations is left as it is, to the byte")
+{
+    const std::string text = R"({"version":7, "routes":[]})";
+    CHECK(withoutKeys(text) == text);
+    CHECK_FALSE(decodeManifest(text)->organisations);
+    CHECK(withoutKeys("no json") == "no json");
+}
--- a/Tests/PlatformAdapter/NodeSettingsTest.cpp
+++ b/Tests/PlatformAdapter/NodeSettingsTest.cpp
@@ -47,3 +47,34 @@
     CHECK(read.errors.size() > 3);
     CHECK(read.errors[0] == "node.conf: the key \"nodeName\" is missing; add nodeName=VALUE");
 }
+
+TEST_CASE("Settings of a deployment with organisations give duties, revocation, usage and machine limits")
+{
+    const auto read = parseNodeSettings(valid
+            + "zones.a=r\nzones.b=r\nbounds.strictRevoke=true\nbounds.revokeMs=5000\nbounds.usageWindowS=5\n"
+              "bounds.usageLateS=10\nlimits.memoryMb=160\nlimits.maxFds=4100\n"
+              "cloud.address=10.200.0.118:8103\ncloud.duties=usage_report,autoscale\ncloud.dutyPerS=50.0\n",
+        "node.conf");
+    REQUIRE(read.errors.empty());
+    const auto& settings = read.settings;
+    CHECK(settings.dataCentres == std::set<DataCentre> { DataCentre("a"), DataCentre("b") });
+    CHECK(settings.revocation.strict);
+    CHECK(settings.revocation.time == 5s);
+    CHECK(settings.usage.window == 5s);
+    CHECK(settings.usage.due == 10s);
+    CHECK(settings.machine.memory == ByteCount(160 << 20));
+    CHECK(settings.machine.descriptors == 4100);
+    REQUIRE(settings.duties);
+    CHECK(settings.duties->address.text() == "10.200.0.118:8103");
+    CHECK(settings.duties->usageReports);
+    CHECK(settings.duties->poolOrders);
+    CHECK(settings.duties->callsPerSecond == Approx(50));
+}
+
+TEST_CASE("Settings without organisations have no duties and no strict revocation")
+{
+    const auto read = parseNodeSettings(valid, "node.conf");
+    CHECK_FALSE(read.settings.duties);
+    CHECK_FALSE(read.settings.revocation.strict);
+    CHECK(read.settings.machine.memory == ByteCount(0));
+}
