--- a/Source/Serving/CallerRequest.h
+++ b/Source/Serving/CallerRequest.h
@@ -29,11 +29,11 @@
     // The id of the last event that the caller received, where it resumes a stream.
     std::string lastEventId;
     // The caller's key, which is forwarded to no server.
-    std::optional<KeyDigest> key;
+    std::optional<KeyDigest> key = {};
     // The organisation of the key; empty for an anonymous caller.
-    Organisation organisation;
+    Organisation organisation = {};
     // The organisation's priority, which goes before that of the route.
-    std::optional<Priority> priority;
+    std::optional<Priority> priority = {};
 };
 
 } // namespace almondscale
--- a/Source/Serving/Manifest.h
+++ b/Source/Serving/Manifest.h
@@ -21,7 +21,7 @@
     // Set for services whose servers are engines.
     std::optional<EngineSpec> engine;
     // Set for services whose number of servers can be ordered.
-    std::optional<PoolSpec> pool;
+    std::optional<PoolSpec> pool = {};
 };
 
 // Limits on callers' requests and connections.
