Callers with keys: 401, organisation for servers, and a bound on the age of the manifest

Requests of callers ran whatever key they carried, and the key was forwarded to backend servers. A request is now checked against the organisations of the manifest in force when it has been read and before each send; servers get the organisation and never the key. With strict revocation, keyed requests are refused with 503 once this host cannot prove that its manifest was the newest one within the bound. Proofs come from reads of the store, dated before they were sent, and from frames that echo this host's stamp.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -12,6 +12,7 @@
 #include "RoleController.h"
 #include "Serving/BackendDirectory.h"
 #include "Serving/ManifestCheck.h"
+#include "Serving/ManifestFreshness.h"
 #include "Serving/ServiceReachability.h"
 #include "SettingsChange.h"
 #include "StatusPages.h"
@@ -23,6 +24,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <set>
 
@@ -58,6 +60,7 @@
         , m_placement(m_backends, m_settings.dataCentre, placementOptions())
         , m_reach(m_backends, m_settings.dataCentre)
         , m_retries(m_settings.retries, assumedHosts)
+        , m_freshness(m_settings.revocation, bootTime())
         , m_self { m_settings.host, m_settings.dataCentre, m_settings.peers, m_settings.strength }
         , m_store(m_controlPool, m_settings.store)
         , m_network(m_loop.get_executor(), m_self, m_settings.seeds, m_mirror, m_crashes,
@@ -74,10 +77,18 @@
                   },
                   [this](const LimitStatement& statement) {
                       return m_backends.limits().noteRelayed(statement, bootTime());
-                  } })
+                  },
+                  [this] { return m_settings.revocation.strict; }, [this] { return m_freshness.proof(); },
+                  [this](const ManifestProof& proof) { onManifestProof(proof); } })
         , m_tableSynchronizer(m_store, m_mirror, m_self,
               { [this] { return m_network.isReader(); }, [this](SharedTable table) { onTableRead(table); },
-                  [this](SharedTable table) { onTableReadFailed(table); } })
+                  [this](SharedTable table) { onTableReadFailed(table); },
+                  [this](SharedTable table, StoreVersion newest, MonotonicTime sentAt) {
+                      if (table == SharedTable::Manifest)
+                          onManifestProof({ sentAt, newest });
+                  },
+                  [this] { return hasKeys() && m_freshness.isReadDue(bootTime()); },
+                  [this] { return m_freshness.startRead(bootTime()); } })
         , m_dutyLease(m_store, m_settings.host, m_settings.lease, [this] { return m_network.isReader(); })
         , m_roleController(m_controlPool, m_dutyLease, m_routes, m_backends,
               { [this] { return totalDemand(); },
@@ -119,6 +130,9 @@
         };
         m_context.onServerBarred = [this](const BackendLifetime&) { m_metrics.onServerNotice("barred"); };
         m_context.onLimitChanged = [this] { m_network.publish(); };
+        m_context.keyTrust
+            = [this] { return m_freshness.keyTrust(bootTime(), m_mirror.currentAt(SharedTable::Manifest)); };
+        m_context.onKeyRefusal = [this](ErrorKind kind) { m_metrics.onKeyRefusal(errorName(kind)); };
         m_context.onLimitedSend = [this] { m_metrics.onLimitedSend(); };
         m_backends.limits().setHostCount(assumedHosts);
         m_backends.limits().onEvent
@@ -279,15 +293,29 @@
                 .with("store_version", *reading.unreadable)
                 .with("in_force", m_routes.version());
         }
-        if (!reading.manifest)
+        if (!reading.manifest) {
+            // The table has other rows too.
+            m_copyInForce = m_copyInForce && !rows.whole && !newestManifestRow(rows);
+            m_freshness.onCopy(rows.newest, m_copyInForce);
             return;
+        }
+        const auto version = reading.manifest->version;
+        const auto* row = newestManifestRow(rows);
+        const auto text = std::hash<std::string>()(row->value);
         const auto errors = checkManifest(*reading.manifest, m_settings.dataCentres);
         for (const auto& error : errors)
             LogEvent("manifest_rejected", LogLevel::Error)
                 .with("version", reading.manifest->version)
                 .with("error", error)
                 .with("in_force", m_routes.version());
-        if (!errors.empty() || !m_routes.adopt(std::move(*reading.manifest)))
+        const bool adopted = errors.empty() && m_routes.adopt(std::move(*reading.manifest));
+        if (adopted)
+            m_manifestText = text;
+        // The store may have come back with an older manifest, or have got another one of the same version.
+        const bool superseded = version < m_routes.version() || text == m_manifestText;
+        m_copyInForce = errors.empty() && !reading.unreadable && !row->removed && superseded;
+        m_freshness.onCopy(rows.newest, m_copyInForce);
+        if (!adopted)
             return;
         LogEvent("manifest_in_force")
             .with("version", m_routes.version())
@@ -295,6 +323,20 @@
             .with("store_version", rows.newest);
     }
 
+    // The last row of the manifest; null if there is none.
+    static const StoredRow* newestManifestRow(const StoredRows& rows)
+    {
+        const auto row = std::find_if(rows.rows.rbegin(), rows.rows.rend(), platform::isManifestRow);
+        return row == rows.rows.rend() ? nullptr : &*row;
+    }
+
+    bool hasKeys() const { return m_routes.organisations(); }
+
+    void onManifestProof(const ManifestProof& proof)
+    {
+        m_freshness.onProof(proof, m_mirror.version(SharedTable::Manifest));
+    }
+
     void applyHosts()
     {
         m_network.setHosts(enrolledHosts(m_mirror));
@@ -380,14 +422,20 @@
         return { {}, [this] { return metrics(); },
             [this](const std::string& path) {
                 return m_pages.page(
-                    path, { ready(), m_network.isReader(), m_context.openRequests }, bootTime());
+                    path, { ready(), m_network.isReader(), m_context.openRequests, proofAge() }, bootTime());
             } };
     }
 
     bool ready() const
     {
         return !m_context.shutdown && !m_routes.empty() && m_directory.hasSnapshot()
-            && !m_context.servedElsewhere;
+            && !m_context.servedElsewhere && !m_context.refusesKeys();
+    }
+
+    // Unset if callers have no keys, or without strict revocation.
+    std::optional<Nanoseconds> proofAge() const
+    {
+        return hasKeys() && m_settings.revocation.strict ? m_freshness.age(bootTime()) : std::nullopt;
     }
 
     std::string metrics()
@@ -398,6 +446,8 @@
         m_metrics.setBackends(m_backends.all().size());
         m_metrics.setBadParts(m_crashes.badParts());
         m_metrics.setLimitedServers(m_backends.limits().limitedCount());
+        if (const auto age = proofAge())
+            m_metrics.setProofAge(*age);
         return m_metrics.text();
     }
 
@@ -416,12 +466,26 @@
             m_controlPool.closeExpired();
             m_directory.sweep(bootTime());
             sweepCrashRecords();
+            logKeyTrust();
             m_backends.limits().forgetAfterRemoval(
                 [this](const BackendLifetime& server) { return isRegistered(server); }, bootTime());
             m_backends.forgetPrefixesBefore(bootTime() - m_placement.options().prefixLifetime);
         }
     }
 
+    void logKeyTrust()
+    {
+        const bool refuses = m_context.refusesKeys();
+        if (refuses == m_refusesKeys)
+            return;
+        m_refusesKeys = refuses;
+        const auto age = m_freshness.age(bootTime());
+        LogEvent(refuses ? "manifest_too_old" : "manifest_proven", LogLevel::Warning)
+            .with("version", m_routes.version())
+            .with("age_ms", age ? std::chrono::duration_cast<std::chrono::milliseconds>(*age).count() : -1)
+            .with("copy_in_force", m_copyInForce);
+    }
+
     void sweepCrashRecords()
     {
         const bool current = m_directory.isCurrent(bootTime());
@@ -504,6 +568,11 @@
     ServiceReachability m_reach;
     CrashRecords m_crashes;
     RetryLimiter m_retries;
+    ManifestFreshness m_freshness;
+    // Whether the manifest in force is at least that of the store's newest row, and its text as a hash.
+    bool m_copyInForce = false;
+    std::size_t m_manifestText = 0;
+    bool m_refusesKeys = false;
     DemandMeter m_demand;
     DecodeTimes m_decodeTimes;
     HostRecord m_self;
--- a/Programs/almondscale-host/HostMetrics.cpp
+++ b/Programs/almondscale-host/HostMetrics.cpp
@@ -62,6 +62,9 @@
     prometheus::Counter& limitedSends = family(prometheus::BuildCounter(), registry,
         "almondscale_limited_sends_total", "Requests sent to backend servers that have a limit.")
                                             .Add({});
+    // Added with their first value, as only deployments with keys have them.
+    prometheus::Family<prometheus::Counter>* keyRefusals = nullptr;
+    prometheus::Gauge* proofAge = nullptr;
     prometheus::Gauge& limitedServers
         = gauge("almondscale_limited_servers", "Backend servers that have a limit.");
     prometheus::Family<prometheus::Counter>& storeReadings = family(prometheus::BuildCounter(), registry,
@@ -125,6 +128,22 @@
 
 void HostMetrics::onLimitedSend() { m_impl->limitedSends.Increment(); }
 
+void HostMetrics::onKeyRefusal(const char* reason)
+{
+    if (!m_impl->keyRefusals)
+        m_impl->keyRefusals = &Impl::family(prometheus::BuildCounter(), m_impl->registry,
+            "almondscale_key_refusals_total", "Requests refused because of their keys, by reason.");
+    m_impl->keyRefusals->Add({ { "reason", reason } }).Increment();
+}
+
+void HostMetrics::setProofAge(Nanoseconds age)
+{
+    if (!m_impl->proofAge)
+        m_impl->proofAge = &m_impl->gauge("almondscale_manifest_proof_age_seconds",
+            "Time since the manifest in force was proven to be the newest.");
+    m_impl->proofAge->Set(std::chrono::duration<double>(age).count());
+}
+
 void HostMetrics::setLimitedServers(std::size_t count)
 {
     m_impl->limitedServers.Set(static_cast<double>(count));
--- a/Programs/almondscale-host/HostMetrics.h
+++ b/Programs/almondscale-host/HostMetrics.h
@@ -26,6 +26,9 @@
     // A server named, changed or ended its limit, or the limit holds requests back.
     void onLimitEvent(const char* event);
     void onLimitedSend();
+    // A request was refused because of its key.
+    void onKeyRefusal(const char* reason);
+    void setProofAge(Nanoseconds);
     void onStoreReading(const char* table, bool answered);
     // The store came back from an older copy of itself.
     void onStoreRestored();
--- a/Programs/almondscale-host/StatusPages.cpp
+++ b/Programs/almondscale-host/StatusPages.cpp
@@ -94,6 +94,9 @@
         .integer("routes", static_cast<std::int64_t>(m_routes.manifest()->routes.size()))
         .integer("servers", static_cast<std::int64_t>(m_backends.all().size()))
         .integer("hosts", static_cast<std::int64_t>(enrolledHosts(m_mirror).size()));
+    if (process.proofAge)
+        json.integer("manifest_proof_age_ms",
+            std::chrono::duration_cast<std::chrono::milliseconds>(*process.proofAge).count());
     for (const auto table : sharedTables) {
         if (m_mirror.empty(table))
             continue;
--- a/Programs/almondscale-host/StatusPages.h
+++ b/Programs/almondscale-host/StatusPages.h
@@ -24,6 +24,8 @@
         bool ready = false;
         bool reader = false;
         int openRequests = 0;
+        // Time since the manifest was proven to be the newest, where that matters.
+        std::optional<Nanoseconds> proofAge = {};
     };
 
     StatusPages(const HostRecord& self, const RouteTable&, const BackendTable&, const RowMirror&,
--- a/Programs/almondscale-host/TableSynchronizer.cpp
+++ b/Programs/almondscale-host/TableSynchronizer.cpp
@@ -4,6 +4,8 @@
 #include "Forwarding/AsyncEvent.h"
 #include "Forwarding/BootClock.h"
 
+#include <algorithm>
+
 namespace almondscale {
 
 namespace {
@@ -65,7 +67,7 @@
     // The table of hosts determines the reader, so every host without a copy reads it.
     if (table == SharedTable::Hosts && m_mirror.empty(table))
         return true;
-    if (m_hooks.reader() || isOfEarlierEra(table))
+    if (m_hooks.reader() || isOfEarlierEra(table) || isManifestReadDue(table))
         return true;
     const auto schedule = scheduleOf(table);
     const auto since
@@ -73,6 +75,19 @@
     return bootTime() - since > schedule.maxAge;
 }
 
+bool TableSynchronizer::isManifestReadDue(SharedTable table) const
+{
+    return table == SharedTable::Manifest && m_hooks.isManifestReadDue && m_hooks.isManifestReadDue();
+}
+
+Nanoseconds TableSynchronizer::startRead(SharedTable table)
+{
+    const auto wait = scheduleOf(table).longPollTime;
+    if (table != SharedTable::Manifest || !m_hooks.onManifestReadStart)
+        return wait;
+    return std::min(wait, m_hooks.onManifestReadStart());
+}
+
 bool TableSynchronizer::isOfEarlierEra(SharedTable table) const
 {
     return !m_mirror.empty(table) && m_mirror.version(table).era < m_store.era();
@@ -105,11 +120,12 @@
     Result<StoredRows> rows = ErrorKind::PlatformUnavailable;
     const auto askedAt = bootTime();
     const auto before = m_mirror.version(table);
+    const auto wait = startRead(table);
     const bool whole = m_mirror.empty(table) || m_snapshotNeeded.count(table) > 0 || isOfEarlierEra(table);
     if (whole)
         rows = co_await m_store.read(table);
     else
-        rows = co_await m_store.readChanges(table, before.version, scheduleOf(table).longPollTime);
+        rows = co_await m_store.readChanges(table, before.version, wait);
     // The changes since a version of an earlier era say nothing.
     if (rows && !whole && rows.value().newest.era != before.era)
         co_return true;
@@ -130,9 +146,12 @@
     if (whole)
         m_snapshotNeeded.erase(table);
     // A long poll that ended without a change shows that there was none until its end.
-    const bool waited = !whole && rows.value().rows.empty() && scheduleOf(table).longPollTime.count() > 0;
+    const bool waited = !whole && rows.value().rows.empty() && wait.count() > 0;
     m_mirror.apply(table, rows.value(), waited ? bootTime() - maxAnswerAge : askedAt, bootTime());
     m_hooks.onRead(table);
+    // An answer that is cut short, or older than the copy was, does not show the newest version.
+    if (m_hooks.onNewest && !rows.value().more && before <= rows.value().newest)
+        m_hooks.onNewest(table, rows.value().newest, askedAt);
     co_return true;
 }
 
--- a/Programs/almondscale-host/TableSynchronizer.h
+++ b/Programs/almondscale-host/TableSynchronizer.h
@@ -21,6 +21,13 @@
         std::function<void(SharedTable)> onRead;
         // The store did not answer, rejected the call or returned rows older than the copy.
         std::function<void(SharedTable)> onReadFailed;
+        // A read that was sent at the time has shown the newest version of the table, and the copy is at
+        // least of that version.
+        std::function<void(SharedTable, StoreVersion newest, MonotonicTime sentAt)> onNewest = {};
+        // Whether this host reads the manifest although it is no reader and its copy is current.
+        std::function<bool()> isManifestReadDue = {};
+        // A read of the manifest begins; returns how long it may wait for a change.
+        std::function<Nanoseconds()> onManifestReadStart = {};
     };
 
     TableSynchronizer(platform::StoreClient&, RowMirror&, HostRecord self, Hooks);
@@ -33,6 +40,9 @@
 private:
     awaitable<bool> readOnce(SharedTable);
     bool isDue(SharedTable) const;
+    bool isManifestReadDue(SharedTable) const;
+    // How long a read that begins now waits for a change.
+    Nanoseconds startRead(SharedTable);
     // Whether the store has started an era of which the copy has nothing.
     bool isOfEarlierEra(SharedTable) const;
 
--- a/Source/Core/ErrorInfo.cpp
+++ b/Source/Core/ErrorInfo.cpp
@@ -10,7 +10,7 @@
     constexpr auto unknown = ExecutionStatus::Unknown;
 
     // One row per kind, in the order of the enumeration.
-    constexpr std::array<ErrorInfo, 35> table { {
+    constexpr std::array<ErrorInfo, 36> table { {
         { ErrorKind::None, "none", 200, notRun, false, "" },
         { ErrorKind::BadRequest, "bad_request", 400, notRun, false, "The request is malformed." },
         { ErrorKind::HeaderTooLarge, "header_too_large", 431, notRun, false,
@@ -40,6 +40,8 @@
         { ErrorKind::CrashingRequestNotRun, "crashing_request_not_run", 503, notRun, true,
             "Backend servers crashed while running this request, so it was not run again." },
         { ErrorKind::NoRules, "no_rules", 503, notRun, true, "This host holds no rules yet." },
+        { ErrorKind::ManifestTooOld, "manifest_too_old", 503, notRun, true,
+            "This host cannot tell whether the key is still valid." },
         { ErrorKind::ShuttingDown, "shutting_down", 503, notRun, true, "This host is shutting down." },
         { ErrorKind::BookingNotRecorded, "booking_not_recorded", 503, notRun, true,
             "The booking could not be recorded and was not sent." },
--- a/Source/Core/ErrorKind.h
+++ b/Source/Core/ErrorKind.h
@@ -25,6 +25,7 @@
     CrashingRequest,
     CrashingRequestNotRun,
     NoRules,
+    ManifestTooOld,
     ShuttingDown,
     BookingNotRecorded,
     BookingInProgress,
--- a/Source/Forwarding/CallerSession.cpp
+++ b/Source/Forwarding/CallerSession.cpp
@@ -34,6 +34,8 @@
             return "OK";
         case 400:
             return "Bad Request";
+        case 401:
+            return "Unauthorized";
         case 404:
             return "Not Found";
         case 503:
@@ -137,6 +139,7 @@
     {
         const auto limits = m_context.routes.manifest()->limits;
         RequestReader reader(limits);
+        m_responseHasBody = true;
         ByteBudget::Reservation reservation(m_context.bufferBudget);
         m_idle = true;
         const auto idleUntil = Deadline::after(bootTime(), limits.idleTimeout + idleTimeoutMargin);
@@ -182,8 +185,10 @@
     awaitable<bool> handleRequest(ReceivedRequest received)
     {
         m_keepAlive = received.keepAlive && !m_context.closesCallerConnections();
-        const auto method = received.head.method;
-        auto decoded = m_context.wire.decodeRequest(std::move(received.head), std::move(received.body));
+        m_responseHasBody = received.head.method != "HEAD";
+        const bool hasKeys = m_context.routes.organisations();
+        auto decoded
+            = m_context.wire.decodeRequest(std::move(received.head), std::move(received.body), hasKeys);
         if (!decoded)
             co_return co_await refuse(decoded.kind());
         if (m_context.routes.empty())
@@ -195,7 +200,9 @@
                 .with("manifest", m_context.routes.version());
             co_return co_await refuse(ErrorKind::NotFound);
         }
-        m_responseHasBody = method != "HEAD";
+        const auto refusal = authenticate(m_context, decoded.value(), *route);
+        if (refusal != ErrorKind::None)
+            co_return co_await refuse(refusal);
         m_responseComplete = false;
         m_forwarder = std::make_shared<RequestForwarder>(
             m_context, std::move(decoded.value()), route, responseWriter());
@@ -272,7 +279,6 @@
 
     awaitable<bool> refuse(ErrorKind kind)
     {
-        m_responseHasBody = true;
         // After a request that was not read completely, the position in the byte stream is unknown.
         if (kind == ErrorKind::RequestTimeout || kind == ErrorKind::HeaderTooLarge
             || kind == ErrorKind::BodyTooLarge || kind == ErrorKind::BadRequest)
--- a/Source/Forwarding/RequestForwarder.cpp
+++ b/Source/Forwarding/RequestForwarder.cpp
@@ -296,6 +296,26 @@
         m_context.onServerBarred(m_server);
 }
 
+bool RequestForwarder::Impl::confirmKey()
+{
+    const auto refusal = authenticate(m_context, m_request, *m_route);
+    if (refusal == ErrorKind::None)
+        return true;
+    releaseUnused();
+    m_outOfServers = true;
+    // Once something was sent, the caller is not told that its key is wrong; the repeated request is.
+    const bool sent = m_requestSends > 0 || m_prefillSent;
+    if (!sent || refusal == ErrorKind::ManifestTooOld)
+        m_error = refusal;
+    return false;
+}
+
+void RequestForwarder::Impl::releaseUnused()
+{
+    m_context.pool.addUnused(std::move(m_connection));
+    m_connection.reset();
+}
+
 BackendCall RequestForwarder::Impl::makeCall()
 {
     BackendCall call(std::move(*m_permit));
@@ -303,7 +323,7 @@
     call.remaining = m_deadline.remaining(bootTime());
     call.lastEventId = m_lastEvent;
     if (m_request.prompt)
-        call.priority = m_route->priority;
+        call.priority = effectivePriority();
     return call;
 }
 
@@ -416,7 +436,7 @@
     const ScopedLoad work(m_context.backends, id, BackendLoad { 0, 1, 0 });
     const bool connected
         = co_await openConnection(id, m_context.backends.find(id)->record.address, m_deadline);
-    if (!connected)
+    if (!connected || !confirmKey())
         co_return AttemptOutcome::NotRun;
     ++m_requestSends;
     const auto sentAt = bootTime();
@@ -446,7 +466,7 @@
     if (!m_context.backends.limitedRate(m_service, bootTime(), role))
         co_return true;
     const auto target = std::min(m_deadline, Deadline(m_arrivedAt + m_route->target));
-    const RoomQueue::Place place(m_context.roomQueue, { m_service, role }, m_route->priority);
+    const RoomQueue::Place place(m_context.roomQueue, { m_service, role }, effectivePriority());
     while (!stopped()) {
         const auto now = bootTime();
         const auto servers = m_context.backends.usable(m_service, now, role);
@@ -504,10 +524,11 @@
     if (m_context.onRequestEnd)
         m_context.onRequestEnd({ m_route->name, m_callerDisconnected ? "caller_left" : m_outcome,
             bootTime() - m_arrivedAt, std::max(0, m_requestSends - 1) });
-    LogEvent("request")
-        .with("request", m_request.id)
-        .with("route", m_route->name)
-        .with("backend", m_backend)
+    LogEvent event("request");
+    event.with("request", m_request.id).with("route", m_route->name);
+    if (m_context.routes.organisations())
+        event.with("organisation", m_request.organisation);
+    event.with("backend", m_backend)
         .with("manifest", m_context.routes.version())
         .with("outcome", m_callerDisconnected ? "caller_left" : m_outcome)
         .with("sent", m_requestSends)
--- a/Source/Forwarding/RequestForwarderImpl.h
+++ b/Source/Forwarding/RequestForwarderImpl.h
@@ -65,6 +65,16 @@
     // Retry-After delay for a refusal.
     std::optional<Nanoseconds> refusalRetryAfter(ErrorKind kind) const;
 
+    // Priority of the caller's organisation, or of the route.
+    Priority effectivePriority() const { return m_request.priority.value_or(m_route->priority); }
+
+    // Checks the caller's key again before a send, since the request may have waited. If it returns false,
+    // the request is not sent, and no other attempt is made.
+    bool confirmKey();
+
+    // Returns a connection on which nothing was sent.
+    void releaseUnused();
+
     // Uses up m_permit.
     BackendCall makeCall();
 
--- a/Source/Forwarding/RequestForwarderStream.cpp
+++ b/Source/Forwarding/RequestForwarderStream.cpp
@@ -130,7 +130,7 @@
     const auto deadline
         = std::min(m_deadline, Deadline::after(sentAt, 3 * fromMs(choice.expectedMs) + prefillTimeoutMargin));
     const bool connected = co_await openConnection(id, address, deadline);
-    if (!connected)
+    if (!connected || !confirmKey())
         co_return std::nullopt;
     auto call = makeCall();
     call.prefillOnly = true;
@@ -211,7 +211,7 @@
         if (stopped())
             co_return AttemptOutcome::NotRun;
     }
-    if (source && hasSourceExpired())
+    if ((source && hasSourceExpired()) || !confirmKey())
         co_return AttemptOutcome::NotRun;
     const auto id = m_backend;
     ++m_requestSends;
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -12,6 +12,7 @@
 #include "Serving/DecodeTimes.h"
 #include "Serving/DemandMeter.h"
 #include "Serving/EngineSpeeds.h"
+#include "Serving/KeyCheck.h"
 #include "Serving/Placement.h"
 #include "Serving/RetryLimiter.h"
 #include "Serving/RoomQueue.h"
@@ -66,7 +67,17 @@
     // Covers buffered responses and request bodies that are being received.
     ByteBudget bufferBudget = {};
 
-    bool closesCallerConnections() const { return shutdown || servedElsewhere; }
+    // What the age of the manifest allows with callers' keys; anything if unset.
+    std::function<KeyTrust()> keyTrust = {};
+    // Called for each request that is refused because of its key.
+    std::function<void(ErrorKind)> onKeyRefusal = {};
+
+    // Whether requests with keys are refused, since the manifest may be outdated.
+    bool refusesKeys() const { return routes.organisations() && keyTrust && !keyTrust().serves; }
+    bool closesCallerConnections() const { return shutdown || servedElsewhere || refusesKeys(); }
 };
 
+// Checks the caller's key against the manifest in force, see checkKey().
+ErrorKind authenticate(ServingContext&, CallerRequest&, const Route&);
+
 } // namespace almondscale
--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -407,7 +407,7 @@
         sendsList, frame.whole && frame.work ? frame.work->traffic.hosts : 0, rateList, frame.probe,
         frame.echoedProbe, frame.manifestProvenAge.has_value(),
         frame.manifestProvenAge ? wholeMs(*frame.manifestProvenAge + roundUp) : 0, usageList, storedList,
-        speedList));
+        speedList, frame.manifestProvenVersion.version.count(), frame.manifestProvenVersion.era.count()));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -454,6 +454,8 @@
     frame.echoedProbe = from->echoed_probe();
     if (from->manifest_proven())
         frame.manifestProvenAge = std::chrono::milliseconds(from->manifest_proven_age_ms());
+    frame.manifestProvenVersion
+        = { StoreEra(from->manifest_proven_era()), RowVersion(from->manifest_proven_version()) };
     if (from->usage()) {
         for (const auto* each : *from->usage())
             frame.usage.push_back(decodeUsage(*each));
--- a/Source/Peers/PeerFrame.h
+++ b/Source/Peers/PeerFrame.h
@@ -71,6 +71,8 @@
     std::uint64_t echoedProbe = 0;
     // Time since the sender could prove that its manifest was the newest; unset if it never could.
     std::optional<Nanoseconds> manifestProvenAge;
+    // The version that the proof is about, see ManifestProof.h.
+    StoreVersion manifestProvenVersion;
     std::vector<UsageRecord> usage;
     // Records that are in the store.
     std::vector<UsageRecordId> storedUsage;
--- a/Source/Peers/PeerFrames_generated.h
+++ b/Source/Peers/PeerFrames_generated.h
@@ -1240,7 +1240,9 @@
     VT_MANIFEST_PROVEN_AGE_MS = 40,
     VT_USAGE = 42,
     VT_STORED_USAGE = 44,
-    VT_SERVER_SPEEDS = 46
+    VT_SERVER_SPEEDS = 46,
+    VT_MANIFEST_PROVEN_VERSION = 48,
+    VT_MANIFEST_PROVEN_ERA = 50
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -1308,6 +1310,12 @@
   const flatbuffers::Vector<const almondscale::peerwire::ServerSpeed *> *server_speeds() const {
     return GetPointer<const flatbuffers::Vector<const almondscale::peerwire::ServerSpeed *> *>(VT_SERVER_SPEEDS);
   }
+  uint64_t manifest_proven_version() const {
+    return GetField<uint64_t>(VT_MANIFEST_PROVEN_VERSION, 0);
+  }
+  uint64_t manifest_proven_era() const {
+    return GetField<uint64_t>(VT_MANIFEST_PROVEN_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -1356,6 +1364,8 @@
            verifier.VerifyVectorOfTables(stored_usage()) &&
            VerifyOffset(verifier, VT_SERVER_SPEEDS) &&
            verifier.VerifyVector(server_speeds()) &&
+           VerifyField<uint64_t>(verifier, VT_MANIFEST_PROVEN_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MANIFEST_PROVEN_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -1430,6 +1440,12 @@
   void add_server_speeds(flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::ServerSpeed *>> server_speeds) {
     fbb_.AddOffset(PeerFrame::VT_SERVER_SPEEDS, server_speeds);
   }
+  void add_manifest_proven_version(uint64_t manifest_proven_version) {
+    fbb_.AddElement<uint64_t>(PeerFrame::VT_MANIFEST_PROVEN_VERSION, manifest_proven_version, 0);
+  }
+  void add_manifest_proven_era(uint64_t manifest_proven_era) {
+    fbb_.AddElement<uint64_t>(PeerFrame::VT_MANIFEST_PROVEN_ERA, manifest_proven_era, 0);
+  }
   explicit PeerFrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1464,8 +1480,12 @@
     uint32_t manifest_proven_age_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>>> usage = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>>> stored_usage = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::ServerSpeed *>> server_speeds = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::ServerSpeed *>> server_speeds = 0,
+    uint64_t manifest_proven_version = 0,
+    uint64_t manifest_proven_era = 0) {
   PeerFrameBuilder builder_(_fbb);
+  builder_.add_manifest_proven_era(manifest_proven_era);
+  builder_.add_manifest_proven_version(manifest_proven_version);
   builder_.add_echoed_probe(echoed_probe);
   builder_.add_probe(probe);
   builder_.add_server_speeds(server_speeds);
@@ -1514,7 +1534,9 @@
     uint32_t manifest_proven_age_ms = 0,
     const std::vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>> *usage = nullptr,
     const std::vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>> *stored_usage = nullptr,
-    const std::vector<almondscale::peerwire::ServerSpeed> *server_speeds = nullptr) {
+    const std::vector<almondscale::peerwire::ServerSpeed> *server_speeds = nullptr,
+    uint64_t manifest_proven_version = 0,
+    uint64_t manifest_proven_era = 0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<almondscale::peerwire::Load>(*loads) : 0;
@@ -1553,7 +1575,9 @@
       manifest_proven_age_ms,
       usage__,
       stored_usage__,
-      server_speeds__);
+      server_speeds__,
+      manifest_proven_version,
+      manifest_proven_era);
 }
 
 inline const almondscale::peerwire::PeerFrame *GetPeerFrame(const void *buf) {
--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -10,8 +10,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
+#include <deque>
 #include <map>
+#include <utility>
 
 namespace almondscale {
 
@@ -24,6 +27,9 @@
     // A manifest with hundreds of routes and all registrations are far smaller.
     constexpr std::uint32_t maxFrameBytes = 8 << 20;
 
+    // Stamps that are remembered; the other host has as many whole frames to echo one.
+    constexpr std::size_t maxProbes = 16;
+
     using Length = std::array<unsigned char, 4>;
 
     Length encodeLength(std::size_t size)
@@ -77,6 +83,8 @@
 
     void applyReport(const PeerFrame& frame)
     {
+        if (frame.probe != 0)
+            m_receivedProbe = frame.probe;
         if (frame.whole) {
             m_host = frame.host;
             m_dataCentre = frame.dataCentre;
@@ -157,6 +165,10 @@
     std::size_t m_sentLeavingPosition = 0;
     std::size_t m_sentRoleTransitionPosition = 0;
     std::uint64_t m_sentLimitVersion = 0;
+    std::uint64_t m_receivedProbe = 0;
+    std::uint64_t m_lastProbe = 0;
+    // The times of the last stamps, oldest first.
+    std::deque<std::pair<std::uint64_t, MonotonicTime>> m_probes;
     std::weak_ptr<Impl> m_self;
 };
 
@@ -205,4 +217,23 @@
 
 std::size_t& PeerLink::sentRoleTransitionPosition() { return m_impl->m_sentRoleTransitionPosition; }
 
+std::uint64_t PeerLink::makeProbe()
+{
+    auto& probes = m_impl->m_probes;
+    probes.emplace_back(++m_impl->m_lastProbe, bootTime());
+    if (probes.size() > maxProbes)
+        probes.pop_front();
+    return m_impl->m_lastProbe;
+}
+
+std::uint64_t PeerLink::receivedProbe() const { return m_impl->m_receivedProbe; }
+
+std::optional<MonotonicTime> PeerLink::probeTime(std::uint64_t probe) const
+{
+    const auto& probes = m_impl->m_probes;
+    const auto found = std::find_if(
+        probes.begin(), probes.end(), [probe](const auto& each) { return each.first == probe; });
+    return found == probes.end() ? std::nullopt : std::optional(found->second);
+}
+
 } // namespace almondscale
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace almondscale {
 
@@ -52,6 +53,13 @@
     // The same for the log of role transitions.
     std::size_t& sentRoleTransitionPosition();
 
+    // A stamp of this moment, to be sent with the next frame.
+    std::uint64_t makeProbe();
+    // The last stamp received from the other host; 0 if there is none.
+    std::uint64_t receivedProbe() const;
+    // When the stamp was made; unset if it is none of this link.
+    std::optional<MonotonicTime> probeTime(std::uint64_t probe) const;
+
 private:
     class Impl;
     std::shared_ptr<Impl> m_impl;
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -303,9 +303,42 @@
             frame.roleTransitions = m_hooks.roleTransitionsSince(link.sentRoleTransitionPosition());
         if (m_hooks.limitsSince)
             frame.limits = m_hooks.limitsSince(link.sentLimitVersion(), maxLimitsPerFrame);
+        if (exchangesProofs() && (whole || hasManifestRows(frame)))
+            addProof(link, frame, now);
         return frame;
     }
 
+    bool exchangesProofs() const { return m_hooks.exchangesProofs && m_hooks.exchangesProofs(); }
+
+    // With the rows of a new era, the receiver drops its proof, so that it gets one together with them.
+    static bool hasManifestRows(const PeerFrame& frame)
+    {
+        return std::any_of(
+            frame.tableUpdates.begin(), frame.tableUpdates.end(), [](const TableUpdate& update) {
+                return update.table == SharedTable::Manifest && !update.rows.rows.empty();
+            });
+    }
+
+    void addProof(PeerLink& link, PeerFrame& frame, MonotonicTime now) const
+    {
+        frame.probe = link.makeProbe();
+        frame.echoedProbe = link.receivedProbe();
+        const auto proof = m_hooks.manifestProof();
+        if (!proof)
+            return;
+        frame.manifestProvenAge = now - proof->provenAt;
+        frame.manifestProvenVersion = proof->version;
+    }
+
+    // The frame was made after the probe that it echoes was sent, and its proof is as much older as it says.
+    void applyProof(const PeerLink& link, const PeerFrame& frame) const
+    {
+        if (!frame.manifestProvenAge || !exchangesProofs())
+            return;
+        if (const auto sentAt = link.probeTime(frame.echoedProbe))
+            m_hooks.onManifestProof({ *sentAt - *frame.manifestProvenAge, frame.manifestProvenVersion });
+    }
+
     void onFrame(PeerLink& link, const PeerFrame& frame)
     {
         const auto now = bootTime();
@@ -318,6 +351,7 @@
             m_mirror.apply(update.table, update.rows, now - update.age, now);
             changed = changed || before < m_mirror.version(update.table);
         }
+        applyProof(link, frame);
         const auto crashesBefore = m_crashes.version();
         for (const auto& record : frame.crashes)
             m_crashes.merge(record);
--- a/Source/Peers/PeerNetwork.h
+++ b/Source/Peers/PeerNetwork.h
@@ -4,10 +4,12 @@
 #include "Peers/PeerFrame.h"
 #include "Serving/CrashRecords.h"
 #include "Serving/HostRecord.h"
+#include "Serving/ManifestProof.h"
 #include "Serving/RowMirror.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace almondscale {
 
@@ -33,6 +35,11 @@
         std::function<std::vector<LimitStatement>(std::uint64_t& version, std::size_t maxCount)> limitsSince
             = {};
         std::function<bool(const LimitStatement&)> onLimit = {};
+        // Whether hosts prove to each other how old their manifests are.
+        std::function<bool()> exchangesProofs = {};
+        // The latest proof of this host, and one that another host gave.
+        std::function<std::optional<ManifestProof>()> manifestProof = {};
+        std::function<void(const ManifestProof&)> onManifestProof = {};
     };
 
     // The seeds are peer addresses of other hosts, used until the table of hosts is known. They may be stale.
--- a/Source/Serving/CallerRequest.h
+++ b/Source/Serving/CallerRequest.h
@@ -28,8 +28,12 @@
     std::optional<PromptShape> prompt;
     // The id of the last event that the caller received, where it resumes a stream.
     std::string lastEventId;
+    // Whether callers have keys, so that the key was decoded and removed from the head.
+    bool keyDecoded = false;
     // The caller's key, which is forwarded to no server.
     std::optional<KeyDigest> key = {};
+    // The caller sent something in the place of a key, or more than one.
+    bool keyMalformed = false;
     // The organisation of the key; empty for an anonymous caller.
     Organisation organisation = {};
     // The organisation's priority, which goes before that of the route.
--- a/Source/Serving/RouteTable.cpp
+++ b/Source/Serving/RouteTable.cpp
@@ -33,6 +33,7 @@
     if (manifest.version <= m_manifest->version)
         return false;
     m_manifest = std::make_shared<const Manifest>(std::move(manifest));
+    m_organisations = m_manifest->organisations ? std::make_shared<Organisations>(m_manifest) : nullptr;
     m_routes.clear();
     for (const auto& route : m_manifest->routes)
         m_routes[lowerHost(route.host) + route.pathPrefix] = std::make_shared<const Route>(route);
--- a/Source/Serving/RouteTable.h
+++ b/Source/Serving/RouteTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Serving/Manifest.h"
+#include "Serving/Organisations.h"
 
 #include <memory>
 #include <string>
@@ -22,6 +23,8 @@
     bool empty() const { return m_manifest->version == 0; }
     std::shared_ptr<const Manifest> manifest() const { return m_manifest; }
 
+    // The organisations of the manifest; null if callers have no keys.
+    const Organisations* organisations() const { return m_organisations.get(); }
     // The route with the longest matching path prefix, or null. The host may include a port.
     std::shared_ptr<const Route> find(const std::string& host, const std::string& target) const;
     // The service's specification, or null if unknown.
@@ -29,6 +32,7 @@
 
 private:
     std::shared_ptr<const Manifest> m_manifest;
+    std::shared_ptr<const Organisations> m_organisations;
     // By host and path prefix, since there can be hundreds of routes.
     std::unordered_map<std::string, std::shared_ptr<const Route>> m_routes;
 };
--- a/Source/Serving/ServingWire.h
+++ b/Source/Serving/ServingWire.h
@@ -20,7 +20,9 @@
 
 // Encoding and decoding of the protocol of callers and backend servers, without any decisions.
 struct ServingWire {
-    std::function<Result<CallerRequest>(HttpRequestHead, std::string body)> decodeRequest;
+    // `hasKeys` is set if callers have keys; otherwise fields that are about keys are forwarded like any
+    // others.
+    std::function<Result<CallerRequest>(HttpRequestHead, std::string body, bool hasKeys)> decodeRequest;
     std::function<HttpRequestHead(const CallerRequest&, const BackendCall&)> encodeCall;
     std::function<BackendReply(HttpResponseHead)> decodeReply;
     // The KV cache handle in the response to a prefill.
--- a/Tests/PlatformAdapter/RequestWireTest.cpp
+++ b/Tests/PlatformAdapter/RequestWireTest.cpp
@@ -24,7 +24,7 @@
 
     CallerRequest decoded() const
     {
-        auto request = wire.decodeRequest(head, "body");
+        auto request = wire.decodeRequest(head, "body", hasKeys);
         REQUIRE(request.ok());
         return request.value();
     }
@@ -52,6 +52,7 @@
 
     ServingWire wire;
     HttpRequestHead head;
+    bool hasKeys = false;
 };
 
 } // namespace
@@ -131,7 +132,7 @@
 TEST_CASE_METHOD(RequestWireFixture, "Request without an id is rejected")
 {
     head.fields.erase("Request-Id");
-    CHECK(wire.decodeRequest(head, "").kind() == ErrorKind::BadRequest);
+    CHECK(wire.decodeRequest(head, "", false).kind() == ErrorKind::BadRequest);
 }
 
 TEST_CASE_METHOD(RequestWireFixture, "Reply is decoded with whether the server did not run the request")
--- a/Tests/Soak/fakes.py
+++ b/Tests/Soak/fakes.py
@@ -319,6 +319,8 @@
         # Maximum delay after which the end of a connection to the server ends the one to the client.
         self.max_close_delay_s = 0.0
         self.writers = set()
+        # Called with all bytes that are passed on.
+        self.on_bytes = None
 
     async def start(self):
         host, port = self.address.split(":")
@@ -355,6 +357,8 @@
     async def pump(self, reader, writer, direction):
         try:
             while data := await reader.read(65536):
+                if self.on_bytes:
+                    self.on_bytes(data)
                 if self.mode == "delay":
                     await asyncio.sleep(0.15)
                 # Silent, or partitioned in one direction: bytes are dropped and the connection stays open.
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -93,7 +93,7 @@
                        f"seedNodes={self.world.net}.1.1:8144,{self.world.net}.1.2:8144\n"
                        f"platform.address={self.world.store_proxies[self.number].address}\nbounds.graceS=6\n"
                        f"limits.cpuShare=0.25\nlimits.linkMbps={100 + self.number}\n"
-                       "bounds.retryBudgetMin=56\nbounds.leaseMs=3000\n")
+                       "bounds.retryBudgetMin=56\nbounds.leaseMs=3000\n" + self.world.more_settings)
         self.ended_by_us, self.stopping_since = False, None
         with open(self.settings + ".log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -126,6 +126,10 @@
 class World:
     """One seed's run."""
 
+    backend_type = Backend
+    # Further lines of each host's settings.
+    more_settings = ""
+
     def __init__(self, program, seed, hosts, folder):
         self.program, self.seed, self.folder = program, seed, folder
         self.random = random.Random(seed)
@@ -154,7 +158,7 @@
             role = None if i < 3 else ("prefill" if i < 6 else "decode")
             proxy = Proxy(f"{self.net}.3.{i + 1}:8080", f"{self.net}.4.{i + 1}:8080")
             self.backend_proxies.append(proxy)
-            self.backends.append(Backend(self, f"s{i}", proxy.target, proxy.address, role))
+            self.backends.append(self.backend_type(self, f"s{i}", proxy.target, proxy.address, role))
         self.hosts = [HostProcess(self, i) for i in range(hosts)]
 
     def add_peer_proxies(self):
