Usage of organisations is counted, stored and reported once per window

Requests that began to run were neither counted nor reported. UsageMeter counts them by window and organisation, in true time (TrueTime, the median offset of the wall clock in the last minute). A host sends changed counts to its reader in whole frames; readers write the records of their hosts 1.6 s after the end of a window (UsageCollector), and the holder of the lease reads them at 2.8 s, fixes the body of the report in a row and sends it until it is acknowledged (UsageReporter, UsageController). DutyCalls sends calls to the platform within dutyPerS, with the stamp of the time of sending. Nothing of this runs unless the settings have usage_report.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -18,6 +18,7 @@
 #include "StatusServer.h"
 #include "SuspectCoordinator.h"
 #include "TableSynchronizer.h"
+#include "UsageController.h"
 #include "platform/RequestWire.h"
 
 #include <boost/asio/io_context.hpp>
@@ -74,6 +75,20 @@
                   },
                   [this](const LimitStatement& statement) {
                       return m_backends.limits().noteRelayed(statement, bootTime());
+                  },
+                  [this](std::uint64_t& version) {
+                      return m_usage ? m_usage->changesSince(version) : std::vector<UsageRecord>();
+                  },
+                  [this](const UsageRecord& record) {
+                      if (m_usage)
+                          m_usage->addRecord(record);
+                  },
+                  [this](const HostId& host, std::uint64_t& position) {
+                      return m_usage ? m_usage->storedSince(host, position) : std::vector<UsageRecordId>();
+                  },
+                  [this](const UsageRecordId& id) {
+                      if (m_usage)
+                          m_usage->noteStored(id);
                   } })
         , m_tableSynchronizer(m_store, m_mirror, m_self,
               { [this] { return m_network.isReader(); }, [this](SharedTable table) { onTableRead(table); },
@@ -96,6 +111,7 @@
         , m_statusServer(m_loop.get_executor(), statusHooks())
         , m_listener(m_loop.get_executor(), [this](tcp::socket socket) { serve(std::move(socket)); })
     {
+        startDuties();
         m_store.onEraChange = [this](StoreEra before) { onStoreRestored(before); };
         m_mirror.isEquivalent = [](SharedTable table, const std::string& before, const std::string& after) {
             return table == SharedTable::Backends && platform::sameRegistration(before, after);
@@ -156,6 +172,11 @@
         start(m_dutyLease.run());
         start(m_roleController.run());
         start(m_suspectCoordinator.run());
+        if (m_usage) {
+            start(m_usage->collect());
+            start(m_usage->fixReports());
+            start(m_usage->sendReports());
+        }
         start(sweep());
         start(probeMissingServers());
         boost::asio::signal_set signals(m_loop, SIGTERM, SIGINT);
@@ -188,6 +209,24 @@
         return options;
     }
 
+    void startDuties()
+    {
+        if (!m_settings.duties)
+            return;
+        m_dutyCalls.emplace(m_controlPool, m_dutyLease, *m_settings.duties);
+        if (!m_settings.duties->usageReports)
+            return;
+        UsageController::Hooks hooks;
+        hooks.isReader = [this] { return m_network.isReader(); };
+        hooks.counts = [this] { return m_routes.manifest()->organisations.has_value(); };
+        hooks.onReported = [this](bool accepted) { m_metrics.onUsageReport(accepted); };
+        hooks.onLate = [this] { m_metrics.onUsageLate(); };
+        m_usage.emplace(m_store, *m_dutyCalls, m_dutyLease, m_settings.usage, std::move(hooks));
+        m_context.onRunBegan = [this](const Organisation& organisation, MonotonicTime began) {
+            m_usage->onRunBegan(organisation, began);
+        };
+    }
+
     void start(awaitable<void> task) { spawn(m_loop.get_executor(), std::move(task)); }
 
     void awaitReload(boost::asio::signal_set& signals)
@@ -312,17 +351,23 @@
             event.with(sharedTableName(table), m_mirror.version(table));
         m_metrics.onStoreRestored();
         m_suspectCoordinator.onStoreRestored();
+        if (m_usage)
+            m_usage->onStoreRestored();
     }
 
     void onTableRead(SharedTable table)
     {
         m_metrics.onStoreReading(sharedTableName(table), true);
+        if (m_usage)
+            m_usage->onStoreAnswered();
         m_network.publish();
     }
 
     void onTableReadFailed(SharedTable table)
     {
         m_metrics.onStoreReading(sharedTableName(table), false);
+        if (m_usage)
+            m_usage->onStoreFailed();
         if (table == SharedTable::Backends)
             m_directory.onReadFailed(bootTime());
     }
@@ -398,6 +443,8 @@
         m_metrics.setBackends(m_backends.all().size());
         m_metrics.setBadParts(m_crashes.badParts());
         m_metrics.setLimitedServers(m_backends.limits().limitedCount());
+        if (m_usage)
+            m_metrics.setUsageBacklog(m_usage->backlog());
         return m_metrics.text();
     }
 
@@ -486,6 +533,8 @@
                 break;
             co_await sleepFor(shutdownPollInterval);
         }
+        if (m_usage)
+            co_await m_usage->flush(schedule.connectionsEnd);
         m_loop.stop();
     }
 
@@ -514,6 +563,9 @@
     TableSynchronizer m_tableSynchronizer;
     DutyLease m_dutyLease;
     RoleController m_roleController;
+    // Unset if the deployment has no such duties.
+    std::optional<DutyCalls> m_dutyCalls;
+    std::optional<UsageController> m_usage;
     SuspectCoordinator m_suspectCoordinator;
     HostMetrics m_metrics;
     StatusPages m_pages;
--- a/Programs/almondscale-host/HostMetrics.cpp
+++ b/Programs/almondscale-host/HostMetrics.cpp
@@ -64,6 +64,10 @@
                                             .Add({});
     prometheus::Gauge& limitedServers
         = gauge("almondscale_limited_servers", "Backend servers that have a limit.");
+    // Registered with their first value, since most deployments report no usage.
+    prometheus::Family<prometheus::Counter>* usageReports = nullptr;
+    prometheus::Counter* usageLate = nullptr;
+    prometheus::Gauge* usageBacklog = nullptr;
     prometheus::Family<prometheus::Counter>& storeReadings = family(prometheus::BuildCounter(), registry,
         "almondscale_store_readings_total", "Readings of the store, by table and whether it answered.");
     prometheus::Gauge& openRequests = gauge("almondscale_open_requests", "Requests that are being served.");
@@ -137,6 +141,32 @@
 
 void HostMetrics::onStoreRestored() { m_impl->storeRestored.Increment(); }
 
+void HostMetrics::onUsageReport(bool accepted)
+{
+    if (!m_impl->usageReports)
+        m_impl->usageReports
+            = &Impl::family(prometheus::BuildCounter(), m_impl->registry, "almondscale_usage_reports_total",
+                "Windows whose usage was reported, or skipped since the platform refused the report.");
+    m_impl->usageReports->Add({ { "outcome", accepted ? "reported" : "skipped" } }).Increment();
+}
+
+void HostMetrics::onUsageLate()
+{
+    if (!m_impl->usageLate)
+        m_impl->usageLate = &Impl::family(prometheus::BuildCounter(), m_impl->registry,
+            "almondscale_usage_late_total", "Windows whose usage was not reported when it was due.")
+                                 .Add({});
+    m_impl->usageLate->Increment();
+}
+
+void HostMetrics::setUsageBacklog(std::int64_t windows)
+{
+    if (!m_impl->usageBacklog)
+        m_impl->usageBacklog = &m_impl->gauge("almondscale_usage_backlog",
+            "Windows that have ended and whose usage is not reported; 0 unless this host reports it.");
+    m_impl->usageBacklog->Set(static_cast<double>(windows));
+}
+
 void HostMetrics::setOpenRequests(int count) { m_impl->openRequests.Set(count); }
 void HostMetrics::setManifest(std::int64_t version) { m_impl->manifest.Set(static_cast<double>(version)); }
 
--- a/Programs/almondscale-host/HostMetrics.h
+++ b/Programs/almondscale-host/HostMetrics.h
@@ -29,6 +29,10 @@
     void onStoreReading(const char* table, bool answered);
     // The store came back from an older copy of itself.
     void onStoreRestored();
+    // A report of usage was acknowledged, or skipped after refusals; one became late.
+    void onUsageReport(bool accepted);
+    void onUsageLate();
+    void setUsageBacklog(std::int64_t windows);
     void setOpenRequests(int);
     void setManifest(std::int64_t version);
     void setHosts(int count, bool reader);
--- a/Source/Forwarding/RequestForwarder.cpp
+++ b/Source/Forwarding/RequestForwarder.cpp
@@ -76,6 +76,7 @@
         co_await runAttempts([this] { return attemptPlain(); });
     }
     m_deadlineTimer.cancel();
+    notePossibleRun();
     logSummary();
 }
 
@@ -345,11 +346,29 @@
 
 AttemptOutcome RequestForwarder::Impl::failAttempt(const BackendId& id, const std::error_code& error)
 {
+    m_possibleRunAt = m_sentAt;
     recordLostAttempt(id, error);
     ++m_possibleRuns;
     return AttemptOutcome::MayHaveRun;
 }
 
+void RequestForwarder::Impl::noteRunBegan(MonotonicTime began)
+{
+    // A stream that the caller resumes began to run when it was first requested.
+    const bool resumed = !m_request.lastEventId.empty();
+    if (resumed || m_request.organisation.empty() || std::exchange(m_runNoted, true))
+        return;
+    if (m_context.onRunBegan)
+        m_context.onRunBegan(m_request.organisation, began);
+}
+
+void RequestForwarder::Impl::notePossibleRun()
+{
+    // A stream whose caller left before its first event has not begun, as far as anyone has seen.
+    if (m_possibleRunAt != MonotonicTime() && !(m_engine && m_callerDisconnected))
+        noteRunBegan(m_possibleRunAt);
+}
+
 awaitable<AttemptOutcome> RequestForwarder::Impl::handleRefusal(
     const BackendId& id, const BackendReply& reply, Deadline deadline)
 {
@@ -374,6 +393,10 @@
 awaitable<AttemptOutcome> RequestForwarder::Impl::handleWholeResponse(
     const BackendId& id, BackendReply reply, Deadline deadline)
 {
+    // A server begins with a plain request about when it arrives, so the time of sending is closer than that
+    // of the response.
+    if (!reply.success() || reply.isSigned)
+        noteRunBegan(m_sentAt);
     auto body = co_await readRemainingBody(deadline);
     if (!body)
         co_return failAttempt(id, body.error());
--- a/Source/Forwarding/RequestForwarderImpl.h
+++ b/Source/Forwarding/RequestForwarderImpl.h
@@ -117,6 +117,12 @@
     // Records a lost attempt that may have run the request.
     AttemptOutcome failAttempt(const BackendId& id, const std::error_code& error);
 
+    // The request began to run on a server at the time; only the first such call counts.
+    void noteRunBegan(MonotonicTime began);
+
+    // Counts a request that ended without evidence of a run, but may have run.
+    void notePossibleRun();
+
     // Handles a response that says that the request did not run.
     awaitable<AttemptOutcome> handleRefusal(
         const BackendId& id, const BackendReply& reply, Deadline deadline);
@@ -227,6 +233,9 @@
     // Sends other than prefills, and attempts that may have run the request.
     int m_requestSends = 0;
     int m_possibleRuns = 0;
+    // When the last attempt that may have run was sent.
+    MonotonicTime m_possibleRunAt {};
+    bool m_runNoted = false;
     // Attempts after the first that sent something, including those that did not run.
     int m_furtherAttempts = 0;
     // Whether the last attempt sent anything to a server.
--- a/Source/Forwarding/RequestForwarderStream.cpp
+++ b/Source/Forwarding/RequestForwarderStream.cpp
@@ -262,6 +262,8 @@
         // Without this limit an event that never ends would be buffered without bound.
         if (m_eventCutter.partialEventBytes() > maxEventBytes)
             co_return failAttempt(id, std::make_error_code(std::errc::message_size));
+        if (!events.empty())
+            noteRunBegan(bootTime());
         if (!m_eventCutter.lastId().empty())
             m_lastEvent = m_eventCutter.lastId();
         // A response that ends with its connection ends in the same way if the server terminates before it
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -56,6 +56,8 @@
     std::function<void()> onLimitChanged = {};
     // Called for each request sent to a server that has a limit.
     std::function<void()> onLimitedSend = {};
+    // Called once for each request of an organisation that began to run, with the time of that.
+    std::function<void(const Organisation&, MonotonicTime began)> onRunBegan = {};
     RoomQueue roomQueue = {};
     // Set while the host is shutting down; caller connections are closed after the next response.
     std::optional<ShutdownSchedule> shutdown = {};
--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -157,6 +157,8 @@
     std::size_t m_sentLeavingPosition = 0;
     std::size_t m_sentRoleTransitionPosition = 0;
     std::uint64_t m_sentLimitVersion = 0;
+    std::uint64_t m_sentUsageVersion = 0;
+    std::uint64_t m_sentStoredUsagePosition = 0;
     std::weak_ptr<Impl> m_self;
 };
 
@@ -201,6 +203,9 @@
 std::uint64_t& PeerLink::sentCrashVersion() { return m_impl->m_sentCrashVersion; }
 std::size_t& PeerLink::sentLeavingPosition() { return m_impl->m_sentLeavingPosition; }
 
+std::uint64_t& PeerLink::sentUsageVersion() { return m_impl->m_sentUsageVersion; }
+std::uint64_t& PeerLink::sentStoredUsagePosition() { return m_impl->m_sentStoredUsagePosition; }
+
 std::uint64_t& PeerLink::sentLimitVersion() { return m_impl->m_sentLimitVersion; }
 
 std::size_t& PeerLink::sentRoleTransitionPosition() { return m_impl->m_sentRoleTransitionPosition; }
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -51,6 +51,10 @@
     std::uint64_t& sentLimitVersion();
     // The same for the log of role transitions.
     std::size_t& sentRoleTransitionPosition();
+    // The version of this host's usage up to which it was sent over this link, and the position in the log of
+    // stored records.
+    std::uint64_t& sentUsageVersion();
+    std::uint64_t& sentStoredUsagePosition();
 
 private:
     class Impl;
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -303,9 +303,31 @@
             frame.roleTransitions = m_hooks.roleTransitionsSince(link.sentRoleTransitionPosition());
         if (m_hooks.limitsSince)
             frame.limits = m_hooks.limitsSince(link.sentLimitVersion(), maxLimitsPerFrame);
+        addUsage(frame, link);
         return frame;
     }
 
+    // Usage passes between a host and its reader only, so that each record has one writer.
+    void addUsage(PeerFrame& frame, PeerLink& link)
+    {
+        if (frame.whole && &link == m_readerLink.get() && m_hooks.usageSince)
+            frame.usage = m_hooks.usageSince(link.sentUsageVersion());
+        if (isFollower(link) && m_hooks.storedUsageSince)
+            frame.storedUsage = m_hooks.storedUsageSince(link.host(), link.sentStoredUsagePosition());
+    }
+
+    void takeUsage(const PeerFrame& frame, const PeerLink& link)
+    {
+        for (const auto& record : frame.usage) {
+            if (isFollower(link) && m_hooks.onUsage)
+                m_hooks.onUsage(record);
+        }
+        for (const auto& id : frame.storedUsage) {
+            if (m_hooks.onStoredUsage)
+                m_hooks.onStoredUsage(id);
+        }
+    }
+
     void onFrame(PeerLink& link, const PeerFrame& frame)
     {
         const auto now = bootTime();
@@ -318,6 +340,7 @@
             m_mirror.apply(update.table, update.rows, now - update.age, now);
             changed = changed || before < m_mirror.version(update.table);
         }
+        takeUsage(frame, link);
         const auto crashesBefore = m_crashes.version();
         for (const auto& record : frame.crashes)
             m_crashes.merge(record);
--- a/Source/Serving/UsageBounds.h
+++ b/Source/Serving/UsageBounds.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "Core/MonotonicTime.h"
+#include "Serving/UsageWindow.h"
+#include "Serving/WallTime.h"
 
 namespace almondscale {
 
@@ -10,6 +12,9 @@
     Nanoseconds window = std::chrono::seconds(5);
     // Time from the end of a window within which its report is due.
     Nanoseconds due = std::chrono::seconds(10);
+
+    UsageWindow windowAt(WallTime time) const { return UsageWindow(time.time_since_epoch() / window); }
+    WallTime endOf(UsageWindow k) const { return WallTime((k.count() + 1) * window); }
 };
 
 } // namespace almondscale
--- /dev/null
+++ b/Source/Serving/UsageReporter.cpp
@@ -0,0 +1,332 @@
+#include "Serving/UsageReporter.h"
+
+#include "Serving/UsageSchedule.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondscale {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr Nanoseconds minStoreRetryDelay = milliseconds(200);
+    constexpr Nanoseconds maxStoreRetryDelay = milliseconds(1000);
+    constexpr Nanoseconds minSendRetryDelay = milliseconds(200);
+    constexpr Nanoseconds maxSendRetryDelay = milliseconds(2000);
+    // After the store has failed for longer than the first, readers get the second to write what they kept.
+    constexpr Nanoseconds longStoreFailure = milliseconds(400);
+    constexpr Nanoseconds settleTime = milliseconds(1800);
+    // A report that the platform refuses this often is skipped, so that later ones are not held up.
+    constexpr int maxRefusals = 3;
+    // Records that arrived after the body of their window was fixed are found up to so many windows later.
+    constexpr UsageWindow leftoverWindows { 2 };
+    // Bodies that are kept in memory while the platform does not acknowledge any.
+    constexpr std::size_t maxWaitingBodies = 300;
+
+    constexpr int statusOk = 200;
+    constexpr int statusTooManyRequests = 429;
+    constexpr int firstServerError = 500;
+
+    Nanoseconds backoff(Nanoseconds least, Nanoseconds most, int failures)
+    {
+        return std::min(least * (1 << std::min(failures, 8)), most);
+    }
+
+} // namespace
+
+UsageReporter::UsageReporter(UsageBounds bounds, UsageWindow first, Hooks hooks)
+    : m_bounds(bounds)
+    , m_first(first)
+    , m_hooks(std::move(hooks))
+{
+}
+
+void UsageReporter::begin()
+{
+    m_mustReadAll = true;
+    m_started = false;
+    m_storeCallInFlight = false;
+    m_write.clear();
+    m_removals.clear();
+    m_bodies.clear();
+    m_progressVersion = RowVersion(0);
+    m_storeRetryAt = Deadline();
+    m_storeFailures = 0;
+    m_sending = false;
+    m_sendRetryAt = Deadline();
+    m_sendFailures = 0;
+    m_refusals = 0;
+    m_lastStatus = 0;
+}
+
+void UsageReporter::onStoreRestored()
+{
+    m_mustReadAll = true;
+    m_write.clear();
+    m_removals.clear();
+}
+
+void UsageReporter::onStoreAnswered(MonotonicTime now)
+{
+    if (m_failingSince && now - *m_failingSince > longStoreFailure)
+        m_settledAt = Deadline::after(now, settleTime);
+    m_failingSince.reset();
+}
+
+void UsageReporter::onStoreFailed(MonotonicTime now)
+{
+    if (!m_failingSince)
+        m_failingSince = now;
+}
+
+std::optional<UsageReporter::StoreCall> UsageReporter::nextStoreCall(MonotonicTime now, WallTime time)
+{
+    if (m_storeCallInFlight || !m_storeRetryAt.passed(now))
+        return std::nullopt;
+    StoreCall call;
+    if (!m_write.empty()) {
+        call.write = m_write;
+        m_storeCallInFlight = true;
+        return call;
+    }
+    const auto before = m_bounds.windowAt(time - UsageSchedule::read);
+    auto fixNext = m_next;
+    while (m_bodies.count(fixNext) > 0)
+        fixNext += UsageWindow(1);
+    if (!m_mustReadAll && (fixNext >= before || m_bodies.size() >= maxWaitingBodies))
+        return std::nullopt;
+    if (!m_mustReadAll)
+        call.from = fixNext - leftoverWindows;
+    call.before = before;
+    m_readBefore = before;
+    m_storeCallInFlight = true;
+    return call;
+}
+
+void UsageReporter::onRead(MonotonicTime now, const std::optional<std::vector<UsageRow>>& rows)
+{
+    m_storeCallInFlight = false;
+    if (!rows) {
+        delayStoreCalls(now);
+        return;
+    }
+    onStoreAnswered(now);
+    m_storeFailures = 0;
+    adoptRows(*rows);
+    if (m_settledAt.passed(now))
+        prepareWrite(*rows);
+    else
+        m_storeRetryAt = m_settledAt;
+}
+
+void UsageReporter::adoptProgress(const std::vector<UsageRow>& rows)
+{
+    m_progressVersion = RowVersion(0);
+    auto first = m_first;
+    std::optional<UsageWindow> stored;
+    for (const auto& row : rows) {
+        first = std::min(first, row.id.window);
+        if (row.kind != UsageRow::Kind::Progress)
+            continue;
+        m_progressVersion = row.version;
+        stored = row.id.window;
+    }
+    m_next = std::max(m_next, stored.value_or(first));
+    m_lateNext = std::max(m_lateNext, m_next);
+}
+
+// Takes over what earlier holders, or this one, have stored.
+void UsageReporter::adoptRows(const std::vector<UsageRow>& rows)
+{
+    const bool all = std::exchange(m_mustReadAll, false);
+    if (all) {
+        adoptProgress(rows);
+        for (auto& entry : m_bodies)
+            entry.second.version.reset();
+    }
+    for (const auto& row : rows) {
+        if (row.kind != UsageRow::Kind::Body)
+            continue;
+        auto& body = m_bodies[row.id.window];
+        body.version = row.version;
+        // A body that this host may have sent stays as it is.
+        if (!std::exchange(body.wasStored, true))
+            body.text = row.body;
+    }
+    for (auto body = m_bodies.begin(); body != m_bodies.end();) {
+        const bool removed = isDone(body->first) && !body->second.version;
+        body = removed ? m_bodies.erase(body) : std::next(body);
+    }
+    m_started = true;
+}
+
+// Fixes the bodies of the windows that were read, and removes the rows that are no longer needed.
+void UsageReporter::prepareWrite(const std::vector<UsageRow>& rows)
+{
+    writeBodies(rows);
+    if (m_write.empty())
+        return;
+    m_write.push_back({ UsageRow::Kind::Progress, { {}, {}, m_next }, {}, {}, m_progressVersion, false });
+    m_removals.clear();
+    for (const auto& [window, body] : m_bodies) {
+        if (isDone(window) && body.version)
+            m_removals.push_back({ UsageRow::Kind::Body, { {}, {}, window }, {}, {}, *body.version, true });
+    }
+    for (const auto& row : rows) {
+        if (row.kind != UsageRow::Kind::Record
+            || (!isDone(row.id.window) && m_bodies.count(row.id.window) == 0))
+            continue;
+        m_removals.push_back({ row.kind, row.id, {}, {}, row.version, true });
+    }
+    takeRemovals();
+}
+
+void UsageReporter::writeBodies(const std::vector<UsageRow>& rows)
+{
+    struct Sum {
+        UsageCounts counts;
+        std::set<HostId> hosts;
+    };
+    std::map<UsageWindow, Sum> sums;
+    for (const auto& row : rows) {
+        if (row.kind != UsageRow::Kind::Record)
+            continue;
+        auto& sum = sums[row.id.window];
+        sum.hosts.insert(row.id.host);
+        for (const auto& [organisation, requests] : row.counts)
+            sum.counts[organisation] += requests;
+    }
+    std::size_t bytes = 0;
+    // One row is left for progress.
+    for (auto window = m_next;
+         window < m_readBefore && m_write.size() + 1 < maxUsageRowsPerWrite && bytes < maxUsageBytesPerWrite;
+         window += UsageWindow(1)) {
+        auto& body = m_bodies[window];
+        if (body.version)
+            continue;
+        if (!body.wasStored) {
+            const auto& sum = sums[window];
+            body.text = m_hooks.encodeBody(window, sum.counts);
+            Summary summary { 0, sum.counts.size(), sum.hosts.size() };
+            for (const auto& entry : sum.counts)
+                summary.requests += entry.second;
+            body.summary = summary;
+        }
+        bytes += body.text.size();
+        m_write.push_back({ UsageRow::Kind::Body, { {}, {}, window }, {}, body.text, RowVersion(0), false });
+    }
+}
+
+void UsageReporter::takeRemovals()
+{
+    while (!m_removals.empty() && m_write.size() < maxUsageRowsPerWrite) {
+        m_write.push_back(std::move(m_removals.back()));
+        m_removals.pop_back();
+    }
+}
+
+void UsageReporter::onWritten(MonotonicTime now, const UsageRowsWritten& written)
+{
+    m_storeCallInFlight = false;
+    if (written.outcome == WriteOutcome::NotApplied) {
+        delayStoreCalls(now);
+        return;
+    }
+    const auto rows = std::exchange(m_write, {});
+    if (written.outcome != WriteOutcome::Applied) {
+        // Another holder or a reader has changed a row, or the result is unknown: the rows tell.
+        for (const auto& row : rows) {
+            const auto body = m_bodies.find(row.id.window);
+            if (row.kind == UsageRow::Kind::Body && body != m_bodies.end() && !body->second.wasStored)
+                m_bodies.erase(body);
+        }
+        m_mustReadAll = true;
+        m_storeRetryAt = Deadline::after(now, minStoreRetryDelay);
+        return;
+    }
+    onStoreAnswered(now);
+    m_storeFailures = 0;
+    for (const auto& row : rows) {
+        if (row.kind == UsageRow::Kind::Progress)
+            m_progressVersion = written.version;
+        if (row.kind != UsageRow::Kind::Body)
+            continue;
+        if (row.removed) {
+            m_bodies.erase(row.id.window);
+            continue;
+        }
+        auto& body = m_bodies[row.id.window];
+        body.version = written.version;
+        body.wasStored = true;
+        if (m_hooks.onFixed)
+            m_hooks.onFixed(row.id.window, body.summary.value_or(Summary()));
+    }
+    takeRemovals();
+}
+
+void UsageReporter::delayStoreCalls(MonotonicTime now)
+{
+    onStoreFailed(now);
+    m_storeRetryAt = Deadline::after(now, backoff(minStoreRetryDelay, maxStoreRetryDelay, m_storeFailures));
+    ++m_storeFailures;
+}
+
+std::optional<UsageReporter::Report> UsageReporter::nextReport(MonotonicTime now)
+{
+    if (!m_started || m_sending || !m_sendRetryAt.passed(now))
+        return std::nullopt;
+    const auto body = m_bodies.find(m_next);
+    if (body == m_bodies.end() || !body->second.version)
+        return std::nullopt;
+    m_sending = true;
+    return Report { m_next, body->second.text };
+}
+
+void UsageReporter::onAnswer(MonotonicTime now, WallTime time, UsageWindow window, int status)
+{
+    m_sending = false;
+    // An earlier report of this host, from before another host was the holder.
+    if (window != m_next)
+        return;
+    m_lastStatus = status;
+    const bool accepted = status == statusOk;
+    const bool refused
+        = !accepted && status != 0 && status != statusTooManyRequests && status < firstServerError;
+    if (refused)
+        ++m_refusals;
+    if (!accepted && m_refusals < maxRefusals) {
+        m_sendRetryAt = Deadline::after(now, backoff(minSendRetryDelay, maxSendRetryDelay, m_sendFailures));
+        ++m_sendFailures;
+        return;
+    }
+    const auto body = m_bodies.find(m_next);
+    const auto summary = body == m_bodies.end() ? std::nullopt : body->second.summary;
+    if (m_hooks.onDone)
+        m_hooks.onDone(m_next, summary, status, time > m_bounds.endOf(m_next) + m_bounds.due);
+    m_next += UsageWindow(1);
+    m_sendRetryAt = Deadline();
+    m_sendFailures = 0;
+    m_refusals = 0;
+}
+
+void UsageReporter::checkLate(WallTime time)
+{
+    if (!m_started)
+        return;
+    for (m_lateNext = std::max(m_lateNext, m_next); time > m_bounds.endOf(m_lateNext) + m_bounds.due;
+         m_lateNext += UsageWindow(1)) {
+        const auto body = m_bodies.find(m_lateNext);
+        const bool fixed = body != m_bodies.end() && body->second.version;
+        if (m_hooks.onLate)
+            m_hooks.onLate(m_lateNext, fixed ? LateReason::Platform : LateReason::Store, m_lastStatus);
+    }
+}
+
+std::int64_t UsageReporter::backlog(WallTime time) const
+{
+    return m_started ? std::max<std::int64_t>(0, (m_bounds.windowAt(time) - m_next).count()) : 0;
+}
+
+} // namespace almondscale
--- /dev/null
+++ b/Source/Serving/UsageReporter.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "Core/Deadline.h"
+#include "Serving/UsageBounds.h"
+#include "Serving/UsageRow.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace almondscale {
+
+// What the holder of the duty does to report usage: reads the records of each window, fixes the body of its
+// report in the store, and sends it until the platform acknowledges it, in the order of the windows. States
+// which call is due and takes the results; performs no I/O. A body is sent only once it is known to be
+// stored, so that every holder sends the same bytes.
+class UsageReporter {
+public:
+    // Either a read of the rows of the windows [from, before), or of all rows before that window if `from` is
+    // unset; or a write.
+    struct StoreCall {
+        std::optional<UsageWindow> from;
+        UsageWindow before;
+        std::vector<UsageRow> write;
+    };
+    struct Report {
+        UsageWindow window;
+        std::string body;
+    };
+    // What is logged of a report.
+    struct Summary {
+        std::uint64_t requests = 0;
+        std::size_t organisations = 0;
+        std::size_t hosts = 0;
+    };
+    enum class LateReason {
+        // No body is fixed, since the store did not answer.
+        Store,
+        // The platform did not acknowledge this report or an earlier one.
+        Platform,
+    };
+    struct Hooks {
+        std::function<std::string(UsageWindow, const UsageCounts&)> encodeBody;
+        std::function<void(UsageWindow, const Summary&)> onFixed = {};
+        // The platform acknowledged the report, or refused it so often that it is skipped. The summary is
+        // unset if an earlier holder fixed the body.
+        std::function<void(UsageWindow, const std::optional<Summary>&, int status, bool late)> onDone = {};
+        // The report of the window is due and not acknowledged.
+        std::function<void(UsageWindow, LateReason, int lastStatus)> onLate = {};
+    };
+
+    // `first` is the window in which this process was started, from which a new system is reported.
+    UsageReporter(UsageBounds, UsageWindow first, Hooks);
+
+    // This host has become the holder: what an earlier holder did is read first.
+    void begin();
+    // The store came back from an older copy.
+    void onStoreRestored();
+    // A call of this host to the store, of any kind, has succeeded or failed, also while it is not the
+    // holder. After a failure for some time, readers get the time to write the records that they kept.
+    void onStoreAnswered(MonotonicTime now);
+    void onStoreFailed(MonotonicTime now);
+
+    // The call to the store that is due; none while one is in flight.
+    std::optional<StoreCall> nextStoreCall(MonotonicTime now, WallTime);
+    // Takes the result of a read; unset if it failed.
+    void onRead(MonotonicTime now, const std::optional<std::vector<UsageRow>>&);
+    void onWritten(MonotonicTime now, const UsageRowsWritten&);
+
+    // The report to send now; none while one is in flight.
+    std::optional<Report> nextReport(MonotonicTime now);
+    // Takes the HTTP status of the response to the report of the window; 0 if there was none, or the report
+    // was not sent.
+    void onAnswer(MonotonicTime now, WallTime, UsageWindow, int status);
+
+    // Calls onLate for each window whose report has become late.
+    void checkLate(WallTime);
+    // Windows that have ended and are not reported.
+    std::int64_t backlog(WallTime) const;
+
+private:
+    struct Body {
+        std::string text;
+        // Unset while the row is not known to be stored.
+        std::optional<RowVersion> version;
+        // The row was known to be stored at some time, so that the body may have been sent.
+        bool wasStored = false;
+        std::optional<Summary> summary;
+    };
+
+    void adoptProgress(const std::vector<UsageRow>&);
+    void adoptRows(const std::vector<UsageRow>&);
+    void writeBodies(const std::vector<UsageRow>&);
+    void prepareWrite(const std::vector<UsageRow>&);
+    void takeRemovals();
+    void delayStoreCalls(MonotonicTime now);
+    bool isDone(UsageWindow window) const { return window < m_next; }
+
+    UsageBounds m_bounds;
+    UsageWindow m_first;
+    Hooks m_hooks;
+
+    // All rows must be read before anything else: at the start, and after a write with an unclear result.
+    bool m_mustReadAll = true;
+    // Progress is known, so that reports may be sent.
+    bool m_started = false;
+    bool m_storeCallInFlight = false;
+    // The windows of the last read end before this one.
+    UsageWindow m_readBefore;
+    std::vector<UsageRow> m_write;
+    // Rows to remove once m_write is done, as one write takes a limited number.
+    std::vector<UsageRow> m_removals;
+    Deadline m_storeRetryAt;
+    int m_storeFailures = 0;
+    // The first failure since the last success, and until when no body is fixed after a time of failures.
+    std::optional<MonotonicTime> m_failingSince;
+    Deadline m_settledAt;
+
+    // The first window that is not acknowledged, and the version of the row that states it.
+    UsageWindow m_next;
+    RowVersion m_progressVersion;
+    std::map<UsageWindow, Body> m_bodies;
+
+    bool m_sending = false;
+    Deadline m_sendRetryAt;
+    int m_sendFailures = 0;
+    int m_refusals = 0;
+    int m_lastStatus = 0;
+    // The first window that is not yet known to be late.
+    UsageWindow m_lateNext;
+};
+
+} // namespace almondscale
--- a/Tests/Soak/fakes.py
+++ b/Tests/Soak/fakes.py
@@ -98,6 +98,8 @@
         self.changed = asyncio.Event()
         self.mode = "sound"
         self.disturbed_at = -1e9
+        # Number of calls, by kind and table.
+        self.calls = collections.Counter()
         # The value that is stored for a row that is written.
         self.stored_value = lambda table, key, value: value
 
@@ -156,11 +158,14 @@
         target = urllib.parse.urlsplit(line.split()[1])
         query = {key: value[0] for key, value in urllib.parse.parse_qs(target.query).items()}
         if target.path.endswith("rows-tx"):
-            status, answer = self.transact(json.loads(body))
+            call = json.loads(body)
+            self.calls[("write", call["expected"][0]["table"])] += 1
+            status, answer = self.transact(call)
             if self.mode == "lossy" and random.random() < 0.4:
                 return False
             return self.respond(writer, status, answer)
         table = query["table"]
+        self.calls[("read", table)] += 1
         after = int(query.get("after", 0))
         if target.path.endswith("rows-feed") and after > self.version:
             return self.respond(writer, 410)
@@ -173,7 +178,9 @@
                     break
         rows = self.rows(table, after)
         if target.path.endswith("rows-get"):
-            rows = [row for row in rows if not row.get("deleted")]
+            first, end = query.get("from", ""), query.get("target")
+            rows = [row for row in rows
+                    if not row.get("deleted") and row["key"] >= first and (end is None or row["key"] < end)]
         return self.respond(writer, 200, {"rows": rows, "hasMore": False, "rowVersion": self.version})
 
     def transact(self, call):
@@ -283,6 +290,7 @@
                       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
         for event in range(int(fields.get("last-event-id") or 0) + 1, 7):
             text = f"id: {event}\ndata: {request}-{event}\n\n".encode()
+            self.world.on_event(request)
             if self.mode == "lose" and random.random() < 0.1:
                 writer.write(b"%x\r\n" % len(text) + text[:9])
                 return False
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -93,7 +93,7 @@
                        f"seedNodes={self.world.net}.1.1:8144,{self.world.net}.1.2:8144\n"
                        f"platform.address={self.world.store_proxies[self.number].address}\nbounds.graceS=6\n"
                        f"limits.cpuShare=0.25\nlimits.linkMbps={100 + self.number}\n"
-                       "bounds.retryBudgetMin=56\nbounds.leaseMs=3000\n")
+                       "bounds.retryBudgetMin=56\nbounds.leaseMs=3000\n" + self.world.further_settings)
         self.ended_by_us, self.stopping_since = False, None
         with open(self.settings + ".log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -136,6 +136,8 @@
         self.net, self.guard = reserve_network(seed)
         self.store = Store(f"{self.net}.0.1:7000")
         self.failures = []
+        # Lines that are added to the settings of each host.
+        self.further_settings = ""
         self.over = False
         self.unplanned_until = 0.0
         self.runs = {}
@@ -194,6 +196,9 @@
         """Whether the request crashes the servers that run it, so that hosts may refuse it."""
         return False
 
+    def on_event(self, request):
+        """An engine sends an event of the request's stream."""
+
     def on_leaving_answer(self, backend, request):
         host, _ = self.asked[request]
         self.left.setdefault((backend.identity, host.process), time.monotonic())
