--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -169,6 +169,8 @@
     std::uint64_t m_lastProbe = 0;
     // The times of the last stamps, oldest first.
     std::deque<std::pair<std::uint64_t, MonotonicTime>> m_probes;
+    std::uint64_t m_sentUsageVersion = 0;
+    std::uint64_t m_sentStoredUsagePosition = 0;
     std::weak_ptr<Impl> m_self;
 };
 
@@ -213,6 +215,9 @@
 std::uint64_t& PeerLink::sentCrashVersion() { return m_impl->m_sentCrashVersion; }
 std::size_t& PeerLink::sentLeavingPosition() { return m_impl->m_sentLeavingPosition; }
 
+std::uint64_t& PeerLink::sentUsageVersion() { return m_impl->m_sentUsageVersion; }
+std::uint64_t& PeerLink::sentStoredUsagePosition() { return m_impl->m_sentStoredUsagePosition; }
+
 std::uint64_t& PeerLink::sentLimitVersion() { return m_impl->m_sentLimitVersion; }
 
 std::size_t& PeerLink::sentRoleTransitionPosition() { return m_impl->m_sentRoleTransitionPosition; }
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -52,6 +52,10 @@
     std::uint64_t& sentLimitVersion();
     // The same for the log of role transitions.
     std::size_t& sentRoleTransitionPosition();
+    // The version of this host's usage up to which it was sent over this link, and the position in the log of
+    // stored records.
+    std::uint64_t& sentUsageVersion();
+    std::uint64_t& sentStoredUsagePosition();
 
     // A stamp of this moment, to be sent with the next frame.
     std::uint64_t makeProbe();
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -305,6 +305,7 @@
             frame.limits = m_hooks.limitsSince(link.sentLimitVersion(), maxLimitsPerFrame);
         if (exchangesProofs() && (whole || hasManifestRows(frame)))
             addProof(link, frame, now);
+        addUsage(frame, link);
         return frame;
     }
 
@@ -339,6 +340,27 @@
             m_hooks.onManifestProof({ *sentAt - *frame.manifestProvenAge, frame.manifestProvenVersion });
     }
 
+    // Usage passes between a host and its reader only, so that each record has one writer.
+    void addUsage(PeerFrame& frame, PeerLink& link)
+    {
+        if (frame.whole && &link == m_readerLink.get() && m_hooks.usageSince)
+            frame.usage = m_hooks.usageSince(link.sentUsageVersion());
+        if (isFollower(link) && m_hooks.storedUsageSince)
+            frame.storedUsage = m_hooks.storedUsageSince(link.host(), link.sentStoredUsagePosition());
+    }
+
+    void takeUsage(const PeerFrame& frame, const PeerLink& link)
+    {
+        for (const auto& record : frame.usage) {
+            if (isFollower(link) && m_hooks.onUsage)
+                m_hooks.onUsage(record);
+        }
+        for (const auto& id : frame.storedUsage) {
+            if (m_hooks.onStoredUsage)
+                m_hooks.onStoredUsage(id);
+        }
+    }
+
     void onFrame(PeerLink& link, const PeerFrame& frame)
     {
         const auto now = bootTime();
@@ -352,6 +374,7 @@
             changed = changed || before < m_mirror.version(update.table);
         }
         applyProof(link, frame);
+        takeUsage(frame, link);
         const auto crashesBefore = m_crashes.version();
         for (const auto& record : frame.crashes)
             m_crashes.merge(record);
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -140,6 +140,7 @@
         self.net, self.guard = reserve_network(seed)
         self.store = Store(f"{self.net}.0.1:7000")
         self.failures = []
+        # Lines that are added to the settings of each host.
         self.over = False
         self.unplanned_until = 0.0
         self.runs = {}
@@ -198,6 +199,9 @@
         """Whether the request crashes the servers that run it, so that hosts may refuse it."""
         return False
 
+    def on_event(self, request):
+        """An engine sends an event of the request's stream."""
+
     def on_leaving_answer(self, backend, request):
         host, _ = self.asked[request]
         self.left.setdefault((backend.identity, host.process), time.monotonic())
