Pools of servers are sized by orders to the platform

PoolSizer decides how many reserved and spot servers each data centre is to have from the demand of all hosts, PoolController sends the orders while this host holds the lease, and RoleSplit leaves out servers that are about to be released.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -9,6 +9,7 @@
 #include "Forwarding/Spawn.h"
 #include "HostMetrics.h"
 #include "Peers/PeerNetwork.h"
+#include "PoolController.h"
 #include "RoleController.h"
 #include "Serving/BackendDirectory.h"
 #include "Serving/ManifestCheck.h"
@@ -85,7 +86,11 @@
                       if (m_backends.noteRoleTransition(turn, bootTime()))
                           m_network.publish();
                   },
-                  [this](const BackendId& engine) { onEngineLeaving(engine); } })
+                  [this](const BackendId& engine) { onEngineLeaving(engine); },
+                  [this](const ServiceName& service) {
+                      return m_poolController ? m_poolController->outlook(service) : std::nullopt;
+                  },
+                  [this](const ServiceName& service) { return m_speeds.speedOf(service).requestMs; } })
         , m_suspectCoordinator(m_store, m_crashes, m_settings.host)
         , m_pages(m_self, m_routes, m_backends, m_mirror, m_dutyLease.lease(), m_crashes)
         , m_context { m_loop.get_executor(), m_wire, m_routes, m_backends, m_placement, m_retries, m_demand,
@@ -120,6 +125,10 @@
         m_context.onServerBarred = [this](const BackendLifetime&) { m_metrics.onServerNotice("barred"); };
         m_context.onLimitChanged = [this] { m_network.publish(); };
         m_context.onLimitedSend = [this] { m_metrics.onLimitedSend(); };
+        if (m_settings.duties && m_settings.duties->poolOrders)
+            m_poolController = std::make_unique<PoolController>(m_loop.get_executor(),
+                m_dutyCalls.emplace(m_controlPool, m_dutyLease, *m_settings.duties), m_dutyLease, m_routes,
+                m_backends, m_settings.dataCentres, poolHooks());
         m_backends.limits().setHostCount(assumedHosts);
         m_backends.limits().onEvent
             = [this](LimitEvent event, const BackendLifetime& server, RequestRate rate) {
@@ -155,6 +164,8 @@
         start(m_network.run());
         start(m_dutyLease.run());
         start(m_roleController.run());
+        if (m_poolController)
+            start(m_poolController->run());
         start(m_suspectCoordinator.run());
         start(sweep());
         start(probeMissingServers());
@@ -373,6 +384,15 @@
         return work.demand;
     }
 
+    PoolController::Hooks poolHooks()
+    {
+        return { [this] { return totalDemand(); },
+            [this](const ServiceName& service) { return m_speeds.speedOf(service).requestMs; },
+            [this] { return m_directory.hasSnapshot(); },
+            [this](const PoolOrder& wanted, int registered) { m_metrics.setPool(wanted, registered); },
+            [this] { m_metrics.clearPools(); } };
+    }
+
     Address statusAddress() const { return Address { m_settings.ready.ip, hostStatusPort }; }
 
     StatusServer::Hooks statusHooks()
@@ -514,6 +534,9 @@
     TableSynchronizer m_tableSynchronizer;
     DutyLease m_dutyLease;
     RoleController m_roleController;
+    // Unset unless the settings allow pool orders.
+    std::optional<DutyCalls> m_dutyCalls;
+    std::unique_ptr<PoolController> m_poolController;
     SuspectCoordinator m_suspectCoordinator;
     HostMetrics m_metrics;
     StatusPages m_pages;
--- a/Programs/almondscale-host/HostMetrics.cpp
+++ b/Programs/almondscale-host/HostMetrics.cpp
@@ -6,6 +6,8 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <set>
+
 namespace almondscale {
 
 namespace {
@@ -66,6 +68,11 @@
         = gauge("almondscale_limited_servers", "Backend servers that have a limit.");
     prometheus::Family<prometheus::Counter>& storeReadings = family(prometheus::BuildCounter(), registry,
         "almondscale_store_readings_total", "Readings of the store, by table and whether it answered.");
+    prometheus::Family<prometheus::Gauge>& poolServers = family(prometheus::BuildGauge(), registry,
+        "almondscale_pool_servers",
+        "Servers of a service by data centre, kind, and whether they are wanted or registered; set by the "
+        "host that orders them.");
+    std::set<prometheus::Gauge*> poolGauges;
     prometheus::Gauge& openRequests = gauge("almondscale_open_requests", "Requests that are being served.");
     prometheus::Gauge& manifest = gauge("almondscale_manifest_version", "The manifest in force.");
     prometheus::Gauge& hosts = gauge("almondscale_hosts", "Entry hosts that are known, this one included.");
@@ -148,6 +155,24 @@
 
 void HostMetrics::setBackends(std::size_t count) { m_impl->backends.Set(static_cast<double>(count)); }
 
+void HostMetrics::setPool(const PoolOrder& wanted, int registered)
+{
+    for (const bool isWanted : { true, false }) {
+        auto& gauge = m_impl->poolServers.Add({ { "service", wanted.service.text() },
+            { "data_centre", wanted.dataCentre.text() }, { "kind", wanted.spot ? "spot" : "reserved" },
+            { "state", isWanted ? "wanted" : "registered" } });
+        gauge.Set(isWanted ? wanted.servers : registered);
+        m_impl->poolGauges.insert(&gauge);
+    }
+}
+
+void HostMetrics::clearPools()
+{
+    for (auto* gauge : m_impl->poolGauges)
+        m_impl->poolServers.Remove(gauge);
+    m_impl->poolGauges.clear();
+}
+
 std::string HostMetrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_impl->registry.Collect());
--- a/Programs/almondscale-host/HostMetrics.h
+++ b/Programs/almondscale-host/HostMetrics.h
@@ -4,6 +4,7 @@
 #include "Forwarding/RequestSummary.h"
 #include "Serving/BadParts.h"
 #include "Serving/CrashSubject.h"
+#include "Serving/PoolOrder.h"
 
 #include <memory>
 #include <string>
@@ -34,6 +35,10 @@
     void setHosts(int count, bool reader);
     void setBackends(std::size_t count);
     void setLimitedServers(std::size_t count);
+    // Servers of one kind in a data centre. Set only by the host that orders them.
+    void setPool(const PoolOrder& wanted, int registered);
+    // This host no longer orders servers.
+    void clearPools();
 
     // All metrics in the Prometheus text format.
     std::string text() const;
--- a/Programs/almondscale-host/RoleController.cpp
+++ b/Programs/almondscale-host/RoleController.cpp
@@ -51,8 +51,8 @@
         if (!entry.second.engine)
             continue;
         const auto found = demand.find(entry.first);
-        const auto assignments
-            = m_split.decide(entry.first, found == demand.end() ? EngineDemand() : found->second, bootTime());
+        const auto assignments = m_split.decide(entry.first,
+            splitDemand(entry.first, found == demand.end() ? EngineDemand() : found->second), bootTime());
         if (assignments.empty())
             continue;
         for (const auto& assignment : assignments)
@@ -64,6 +64,14 @@
     }
 }
 
+EngineDemand RoleController::splitDemand(const ServiceName& service, const EngineDemand& demand)
+{
+    const auto outlook = m_hooks.poolOutlook(service);
+    m_split.setOutlook(service, outlook.value_or(PoolOutlook()));
+    // The same demand that the pool is sized for, so that both decisions agree on what each role needs.
+    return outlook ? demandWithRequestTime(demand, m_hooks.requestMs(service)) : demand;
+}
+
 void RoleController::announceRoleChange(const RoleAssignment& assignment, Nanoseconds roleChange)
 {
     const auto* engine = m_backends.find(assignment.engine);
--- a/Programs/almondscale-host/RoleController.h
+++ b/Programs/almondscale-host/RoleController.h
@@ -20,6 +20,10 @@
         std::function<void(const RoleTransition&)> onTurn;
         // An engine announced in a response that it is leaving.
         std::function<void(const BackendId&)> onLeaving;
+        // The changes to be expected in the pool of the service; unset if its servers are not ordered.
+        std::function<std::optional<PoolOutlook>(const ServiceName&)> poolOutlook;
+        // Learned fixed time of one prefill in milliseconds.
+        std::function<double(const ServiceName&)> requestMs;
     };
 
     RoleController(ConnectionPool&, const DutyLease&, const RouteTable&, const BackendTable&, Hooks);
@@ -29,6 +33,8 @@
 
 private:
     awaitable<void> reassignRoles();
+    // The demand that the split is decided for.
+    EngineDemand splitDemand(const ServiceName&, const EngineDemand&);
     void announceRoleChange(const RoleAssignment&, Nanoseconds roleChange);
     awaitable<void> sendOrder(RoleAssignment);
 
--- a/Source/Serving/EngineDemand.h
+++ b/Source/Serving/EngineDemand.h
@@ -36,4 +36,11 @@
     }
 };
 
+// The demand with the fixed time of each prefill counted as work of the engine.
+inline EngineDemand demandWithRequestTime(EngineDemand demand, double requestMs)
+{
+    demand.prefillMs += demand.requests * requestMs;
+    return demand;
+}
+
 } // namespace almondscale
--- a/Source/Serving/RoleSplit.cpp
+++ b/Source/Serving/RoleSplit.cpp
@@ -128,6 +128,33 @@
     return std::max(1, static_cast<int>(engines * m_options.maxConcurrentShare));
 }
 
+void RoleSplit::setOutlook(const ServiceName& service, PoolOutlook outlook)
+{
+    m_outlooks[service] = std::move(outlook);
+}
+
+bool RoleSplit::stays(const Backend& backend) const
+{
+    const auto outlook = m_outlooks.find(backend.record.service);
+    return outlook == m_outlooks.end()
+        || outlook->second.leaving.count({ backend.record.dataCentre, backend.record.spot }) == 0;
+}
+
+bool RoleSplit::awaitsEngines(
+    const ServiceName& service, const EngineDemand& demand, int prefilling, int decoding, double slots) const
+{
+    const auto outlook = m_outlooks.find(service);
+    if (outlook == m_outlooks.end() || outlook->second.starting == 0)
+        return false;
+    // Without traffic, or with most servers about to be replaced, the roles are shared when all are there.
+    if (demand.requests <= minRequestRate || !outlook->second.leaving.empty())
+        return true;
+    const double prefillEngines = demand.prefillMs / msPerSecond;
+    const double decodeEngines = demand.decodeMs / msPerSecond / std::max(1.0, slots);
+    return prefillEngines < m_options.startingUtilisation * prefilling
+        && decodeEngines < m_options.startingUtilisation * decoding;
+}
+
 std::vector<RoleAssignment> RoleSplit::decide(
     const ServiceName& service, const EngineDemand& demand, MonotonicTime now)
 {
@@ -135,7 +162,7 @@
     std::vector<const Backend*> decode;
     for (const auto& entry : m_backends.all()) {
         const auto& backend = entry.second;
-        if (!isEngineOf(backend, service) || m_backends.isLeaving(backend))
+        if (!isEngineOf(backend, service) || m_backends.isLeaving(backend) || !stays(backend))
             continue;
         auto role = *backend.record.role;
         const auto order = m_orders.find(entry.first);
@@ -154,6 +181,9 @@
             slots += static_cast<double>(engine->record.slots) / engines;
     }
     const auto average = averageDemand(service, demand, now);
+    if (awaitsEngines(
+            service, average, static_cast<int>(prefill.size()), static_cast<int>(decode.size()), slots))
+        return {};
     const LimitedCapacity missing { missingCapacity(prefill, EngineRole::Prefill, average, slots),
         missingCapacity(decode, EngineRole::Decode, average, slots) };
     int shortage
--- a/Source/Serving/RoleSplit.h
+++ b/Source/Serving/RoleSplit.h
@@ -3,6 +3,7 @@
 #include "Core/EngineRole.h"
 #include "Serving/BackendTable.h"
 #include "Serving/EngineDemand.h"
+#include "Serving/PoolOutlook.h"
 
 #include <map>
 #include <optional>
@@ -49,6 +50,8 @@
     // is reduced one by one, because hosts go on sending to a decode engine until they learn of its role
     // change.
     int largeShortage = 3;
+    // While ordered engines are starting, roles change only above this utilisation.
+    double startingUtilisation = 0.9;
     // An order without effect is abandoned after this time.
     Nanoseconds orderTimeout = std::chrono::seconds(9);
 };
@@ -79,6 +82,11 @@
     // The engine refused the order.
     void onRefused(const BackendId&);
 
+    // What is about to change in the pool of the service; without it, all registered engines stay. Roles are
+    // shared between the engines that stay, and do not change while ordered engines are starting, unless the
+    // engines of a role are nearly all busy.
+    void setOutlook(const ServiceName&, PoolOutlook);
+
     // The target number of decode engines, given the number of engines, the slots of each and the number that
     // decode now.
     int decodeTarget(int engines, double slots, const EngineDemand&, int decoding,
@@ -114,6 +122,11 @@
     double missingCapacity(
         const std::vector<const Backend*>&, EngineRole, const EngineDemand&, double slots) const;
     bool isPrefillIdle(int prefilling, const EngineDemand&) const;
+    // Whether the engine stays, as far as the pool's outlook tells.
+    bool stays(const Backend&) const;
+    // Whether role changes wait for engines that are starting.
+    bool awaitsEngines(
+        const ServiceName&, const EngineDemand&, int prefilling, int decoding, double slots) const;
     // The number of engines that may change their role concurrently under traffic.
     int maxConcurrentChanges(int engines, int prefilling) const;
 
@@ -122,6 +135,7 @@
     std::map<BackendId, Order> m_orders;
     std::map<ServiceName, Peak> m_peaks;
     std::map<ServiceName, Average> m_averages;
+    std::map<ServiceName, PoolOutlook> m_outlooks;
     // Since when each service has had a shortage or a surplus of decode engines.
     std::map<ServiceName, MonotonicTime> m_shortageSince;
     std::map<ServiceName, MonotonicTime> m_surplusSince;
