--- a/Source/Serving/UsageReporter.cpp
+++ b/Source/Serving/UsageReporter.cpp
@@ -215,7 +215,10 @@
             body.summary = summary;
         }
         bytes += body.text.size();
-        m_write.push_back({ UsageRow::Kind::Body, { {}, {}, window }, {}, body.text, RowVersion(0), false });
+        auto& row = m_write.emplace_back();
+        row.kind = UsageRow::Kind::Body;
+        row.id.window = window;
+        row.body = body.text;
     }
 }
 
