Usage: a write of the store stays within 100 entries

The write that fixes a body named each row to remove twice, as expected and as removed, 168 entries and more, and the store refused it each time. Rows that nobody needs any more are removed without a condition, and writes of records take 50 rows.

--- a/Source/Serving/RowWrite.h
+++ b/Source/Serving/RowWrite.h
@@ -17,6 +17,8 @@
     std::optional<std::string> value;
     // The version that the row must have; 0 if it must not exist.
     RowVersion expected;
+    // Unset if the row is written whatever its version is.
+    bool conditional = true;
 };
 
 // The result of an atomic write.
--- a/Source/Serving/UsageReporter.cpp
+++ b/Source/Serving/UsageReporter.cpp
@@ -224,7 +224,8 @@
 
 void UsageReporter::takeRemovals()
 {
-    while (!m_removals.empty() && m_write.size() < maxUsageRowsPerWrite) {
+    for (auto entries = 2 * m_write.size(); !m_removals.empty() && entries < maxUsageEntriesPerWrite;
+         ++entries) {
         m_write.push_back(std::move(m_removals.back()));
         m_removals.pop_back();
     }
--- a/Source/Serving/UsageRow.h
+++ b/Source/Serving/UsageRow.h
@@ -26,7 +26,7 @@
     std::string body;
     // The version read, or for a write the one that the row must have; 0 if it must not exist.
     RowVersion version;
-    // For a write: the row is removed.
+    // For a write: the row is removed, whatever its version is, since nobody needs it any more.
     bool removed = false;
 };
 
@@ -38,8 +38,10 @@
     std::vector<UsageRow> current;
 };
 
-// One write of the store takes at most so many rows and bytes; the latter leaves room for their encoding.
-inline constexpr std::size_t maxUsageRowsPerWrite = 100;
+// One write of the store takes at most 100 entries, two for a row that is put on a condition and one for a
+// row that is removed. The limit of bytes leaves room for their encoding.
+inline constexpr std::size_t maxUsageRowsPerWrite = 50;
+inline constexpr std::size_t maxUsageEntriesPerWrite = 100;
 inline constexpr std::size_t maxUsageBytesPerWrite = 600'000;
 
 // Estimated size of the counts when encoded.
