Reports of usage wait for hosts whose records are missing

A window was fixed without the records of readers that could not reach the store, or whose clock was two seconds behind. The holder now waits 1.8 s after a time in which the store failed, and reads again, until 5.8 s after the end of the window, while hosts with more than 2 % of the last window's requests have no record.

--- a/Source/Serving/UsageReporter.cpp
+++ b/Source/Serving/UsageReporter.cpp
@@ -18,6 +18,13 @@
     // After the store has failed for longer than the first, readers get the second to write what they kept.
     constexpr Nanoseconds longStoreFailure = milliseconds(400);
     constexpr Nanoseconds settleTime = milliseconds(1800);
+    // A host that counted so many requests in a window rarely has none in the next.
+    constexpr std::uint64_t steadyRequests = 8;
+    // If hosts with more than this share of the requests lack a record, as after a failure of a reader or
+    // with a clock that is wrong, the rows are read again until this long after the end of the window.
+    constexpr double maxLackingShare = 0.02;
+    constexpr Nanoseconds lackingRetryDelay = milliseconds(1000);
+    constexpr Nanoseconds lastFix = milliseconds(5800);
     // A report that the platform refuses this often is skipped, so that later ones are not held up.
     constexpr int maxRefusals = 3;
     // Records that arrived after the body of their window was fixed are found up to so many windows later.
@@ -53,12 +60,14 @@
     m_bodies.clear();
     m_progressVersion = RowVersion(0);
     m_storeRetryAt = Deadline();
+    m_nextReadAt = Deadline();
     m_storeFailures = 0;
     m_sending = false;
     m_sendRetryAt = Deadline();
     m_sendFailures = 0;
     m_refusals = 0;
     m_lastStatus = 0;
+    m_lastHosts.clear();
 }
 
 void UsageReporter::onStoreRestored()
@@ -95,12 +104,14 @@
     auto fixNext = m_next;
     while (m_bodies.count(fixNext) > 0)
         fixNext += UsageWindow(1);
-    if (!m_mustReadAll && (fixNext >= before || m_bodies.size() >= maxWaitingBodies))
+    const bool nothingToFix = fixNext >= before || m_bodies.size() >= maxWaitingBodies;
+    if (!m_mustReadAll && (nothingToFix || !m_nextReadAt.passed(now)))
         return std::nullopt;
     if (!m_mustReadAll)
         call.from = fixNext - leftoverWindows;
     call.before = before;
     m_readBefore = before;
+    m_readAt = time;
     m_storeCallInFlight = true;
     return call;
 }
@@ -116,9 +127,9 @@
     m_storeFailures = 0;
     adoptRows(*rows);
     if (m_settledAt.passed(now))
-        prepareWrite(*rows);
+        prepareWrite(now, *rows);
     else
-        m_storeRetryAt = m_settledAt;
+        m_nextReadAt = m_settledAt;
 }
 
 void UsageReporter::adoptProgress(const std::vector<UsageRow>& rows)
@@ -152,20 +163,24 @@
         auto& body = m_bodies[row.id.window];
         body.version = row.version;
         // A body that this host may have sent stays as it is.
-        if (!std::exchange(body.wasStored, true))
-            body.text = row.body;
+        if (std::exchange(body.wasStored, true))
+            continue;
+        if (body.text != row.body)
+            body = { row.body, row.version, true, std::nullopt };
+        else if (body.summary && m_hooks.onFixed)
+            m_hooks.onFixed(row.id.window, *body.summary);
     }
     for (auto body = m_bodies.begin(); body != m_bodies.end();) {
-        const bool removed = isDone(body->first) && !body->second.version;
-        body = removed ? m_bodies.erase(body) : std::next(body);
+        const bool stays = body->second.version || (body->second.wasStored && !isDone(body->first));
+        body = stays ? std::next(body) : m_bodies.erase(body);
     }
     m_started = true;
 }
 
 // Fixes the bodies of the windows that were read, and removes the rows that are no longer needed.
-void UsageReporter::prepareWrite(const std::vector<UsageRow>& rows)
+void UsageReporter::prepareWrite(MonotonicTime now, const std::vector<UsageRow>& rows)
 {
-    writeBodies(rows);
+    writeBodies(now, rows);
     if (m_write.empty())
         return;
     m_write.push_back({ UsageRow::Kind::Progress, { {}, {}, m_next }, {}, {}, m_progressVersion, false });
@@ -183,37 +198,63 @@
     takeRemovals();
 }
 
-void UsageReporter::writeBodies(const std::vector<UsageRow>& rows)
+std::map<UsageWindow, UsageReporter::Sum> UsageReporter::sumUp(const std::vector<UsageRow>& rows)
 {
-    struct Sum {
-        UsageCounts counts;
-        std::set<HostId> hosts;
-    };
     std::map<UsageWindow, Sum> sums;
     for (const auto& row : rows) {
         if (row.kind != UsageRow::Kind::Record)
             continue;
         auto& sum = sums[row.id.window];
-        sum.hosts.insert(row.id.host);
-        for (const auto& [organisation, requests] : row.counts)
+        auto& ofHost = sum.hosts[row.id.host];
+        for (const auto& [organisation, requests] : row.counts) {
             sum.counts[organisation] += requests;
+            sum.requests += requests;
+            ofHost += requests;
+        }
+    }
+    return sums;
+}
+
+bool UsageReporter::lacksHosts(const Sum& sum) const
+{
+    std::uint64_t all = 0;
+    std::uint64_t lacking = 0;
+    for (const auto& [host, requests] : m_lastHosts) {
+        all += requests;
+        if (requests >= steadyRequests && sum.hosts.count(host) == 0)
+            lacking += requests;
+    }
+    return static_cast<double>(lacking) > maxLackingShare * static_cast<double>(all);
+}
+
+void UsageReporter::writeBodies(MonotonicTime now, const std::vector<UsageRow>& rows)
+{
+    auto sums = sumUp(rows);
+    // Hosts whose records came too late for their window must be waited for in this one.
+    for (const auto& [window, sum] : sums) {
+        if (isDone(window) || m_bodies.count(window) > 0)
+            m_lastHosts.insert(sum.hosts.begin(), sum.hosts.end());
     }
     std::size_t bytes = 0;
     // One row is left for progress.
     for (auto window = m_next;
          window < m_readBefore && m_write.size() + 1 < maxUsageRowsPerWrite && bytes < maxUsageBytesPerWrite;
          window += UsageWindow(1)) {
-        auto& body = m_bodies[window];
-        if (body.version)
+        auto known = m_bodies.find(window);
+        if (known != m_bodies.end() && known->second.version)
             continue;
-        if (!body.wasStored) {
+        if (known == m_bodies.end()) {
             const auto& sum = sums[window];
-            body.text = m_hooks.encodeBody(window, sum.counts);
-            Summary summary { 0, sum.counts.size(), sum.hosts.size() };
-            for (const auto& entry : sum.counts)
-                summary.requests += entry.second;
-            body.summary = summary;
+            if (lacksHosts(sum) && m_readAt < m_bounds.endOf(window) + lastFix) {
+                m_nextReadAt = Deadline::after(now, lackingRetryDelay);
+                return;
+            }
+            m_lastHosts = sum.hosts;
+            known = m_bodies.emplace(window, Body {}).first;
+            known->second.text = m_hooks.encodeBody(window, sum.counts);
+            known->second.summary = Summary { sum.requests, sum.counts.size(), sum.hosts.size() };
         }
+        const auto& body = known->second;
         bytes += body.text.size();
         m_write.push_back({ UsageRow::Kind::Body, { {}, {}, window }, {}, body.text, RowVersion(0), false });
     }
@@ -237,11 +278,6 @@
     const auto rows = std::exchange(m_write, {});
     if (written.outcome != WriteOutcome::Applied) {
         // Another holder or a reader has changed a row, or the result is unknown: the rows tell.
-        for (const auto& row : rows) {
-            const auto body = m_bodies.find(row.id.window);
-            if (row.kind == UsageRow::Kind::Body && body != m_bodies.end() && !body->second.wasStored)
-                m_bodies.erase(body);
-        }
         m_mustReadAll = true;
         m_storeRetryAt = Deadline::after(now, minStoreRetryDelay);
         return;
--- a/Source/Serving/UsageReporter.h
+++ b/Source/Serving/UsageReporter.h
@@ -91,10 +91,20 @@
         std::optional<Summary> summary;
     };
 
+    // What the records of one window add up to.
+    struct Sum {
+        UsageCounts counts;
+        std::map<HostId, std::uint64_t> hosts;
+        std::uint64_t requests = 0;
+    };
+
+    static std::map<UsageWindow, Sum> sumUp(const std::vector<UsageRow>&);
+    // Whether hosts that counted in the last window have no record in this one, which they may still write.
+    bool lacksHosts(const Sum&) const;
     void adoptProgress(const std::vector<UsageRow>&);
     void adoptRows(const std::vector<UsageRow>&);
-    void writeBodies(const std::vector<UsageRow>&);
-    void prepareWrite(const std::vector<UsageRow>&);
+    void writeBodies(MonotonicTime now, const std::vector<UsageRow>&);
+    void prepareWrite(MonotonicTime now, const std::vector<UsageRow>&);
     void takeRemovals();
     void delayStoreCalls(MonotonicTime now);
     bool isDone(UsageWindow window) const { return window < m_next; }
@@ -110,10 +120,15 @@
     bool m_storeCallInFlight = false;
     // The windows of the last read end before this one.
     UsageWindow m_readBefore;
+    // The true time of that read.
+    WallTime m_readAt {};
+    // Requests by host in the last window that this host fixed.
+    std::map<HostId, std::uint64_t> m_lastHosts;
     std::vector<UsageRow> m_write;
     // Rows to remove once m_write is done, as one write takes a limited number.
     std::vector<UsageRow> m_removals;
     Deadline m_storeRetryAt;
+    Deadline m_nextReadAt;
     int m_storeFailures = 0;
     // The first failure since the last success, and until when no body is fixed after a time of failures.
     std::optional<MonotonicTime> m_failingSince;
--- a/Source/Serving/UsageSchedule.h
+++ b/Source/Serving/UsageSchedule.h
@@ -13,11 +13,11 @@
     static constexpr Nanoseconds write = std::chrono::milliseconds(1600);
     static constexpr Nanoseconds rewriteInterval = std::chrono::milliseconds(650);
     // A host counts requests into a closed window until then, and later ones into the next window.
-    static constexpr Nanoseconds lastCount = std::chrono::milliseconds(2100);
+    static constexpr Nanoseconds lastCount = std::chrono::milliseconds(1950);
     // A host whose reader has not confirmed its record writes it itself.
     static constexpr Nanoseconds ownWrite = std::chrono::milliseconds(2200);
     // The holder of the duty reads the records.
-    static constexpr Nanoseconds read = std::chrono::milliseconds(2800);
+    static constexpr Nanoseconds read = std::chrono::milliseconds(2600);
 };
 
 // Windows for which records are kept while the store is unavailable.
