--- a/Tests/Peers/PeerNetworkTest.cpp
+++ b/Tests/Peers/PeerNetworkTest.cpp
@@ -2,6 +2,8 @@
 
 #include "Forwarding/BootClock.h"
 #include "Forwarding/Spawn.h"
+#include "Serving/UsageCollector.h"
+#include "Serving/UsageMeter.h"
 #include "Support/LoopbackServer.h"
 
 #include <boost/asio/io_context.hpp>
@@ -22,8 +24,7 @@
     TestHost(const std::string& id, const std::string& dataCentre, double strength,
         std::vector<Address> seeds = {})
         : record { HostId(id), DataCentre(dataCentre), freeLoopbackAddress(), strength }
-        , network(loop.get_executor(), record, std::move(seeds), mirror, crashes,
-              { [this] { return work; }, [this](const PeerWork& reported) { remoteWork = reported; } })
+        , network(loop.get_executor(), record, std::move(seeds), mirror, crashes, hooks())
     {
         work.loads[engine] = BackendLoad { 0, 1, 0 };
         mirror.onUpdate = [this](SharedTable table, const StoredRows& rows, MonotonicTime) {
@@ -34,6 +35,31 @@
         spawn(loop.get_executor(), network.run());
     }
 
+    PeerNetwork::Hooks hooks()
+    {
+        PeerNetwork::Hooks hooks;
+        hooks.localWork = [this] { return work; };
+        hooks.onRemoteWork = [this](const PeerWork& reported) { remoteWork = reported; };
+        hooks.usageSince = [this](std::uint64_t& version) { return meter.changesSince(version); };
+        hooks.onUsage = [this](const UsageRecord& record) {
+            ++usageRecords;
+            collector.add(record);
+        };
+        hooks.storedUsageSince = [this](const HostId& host, std::uint64_t& position) {
+            return collector.storedSince(host, position);
+        };
+        hooks.onStoredUsage = [this](const UsageRecordId& id) { confirmed.push_back(id); };
+        return hooks;
+    }
+
+    // Writes all records to a store that takes every write.
+    std::vector<UsageRow> store(WallTime time)
+    {
+        auto rows = collector.nextWrite(bootTime(), time, true);
+        collector.onWritten(bootTime(), { WriteOutcome::Applied, RowVersion(1), {} });
+        return rows;
+    }
+
     int remoteRequests() const
     {
         const auto found = remoteWork.loads.find(engine);
@@ -46,6 +72,10 @@
     CrashRecords crashes;
     PeerWork work;
     PeerWork remoteWork;
+    UsageMeter meter { record.id, Incarnation(1), UsageBounds() };
+    UsageCollector collector { record.id, UsageBounds() };
+    int usageRecords = 0;
+    std::vector<UsageRecordId> confirmed;
     PeerNetwork network;
 };
 
@@ -232,3 +262,37 @@
     sendBareVersion(12);
     CHECK(mirror.version(SharedTable::Manifest) == StoreVersion { StoreEra(2), RowVersion(6) });
 }
+
+// Guards against counts that are lost with a reader, sent again and again, or sent to hosts that don't write
+// them.
+TEST_CASE_METHOD(
+    PeerNetworkFixture, "Usage reaches the reader once, and the next one if the first has not stored it")
+{
+    const Organisation organisation("o");
+    const WallTime began(100s);
+    const auto count = [&](std::size_t host) { hosts[host]->meter.onRunBegan(organisation, began, began); };
+    runFor(1500ms);
+    count(1);
+    count(2);
+    runFor(500ms);
+    count(2);
+    runFor(700ms);
+    CHECK(hosts[0]->usageRecords == 3);
+    hosts[2]->meter.advance(began + 7s);
+    runFor(500ms);
+    const auto rows = hosts[0]->store(began + 7s);
+    REQUIRE(rows.size() == 2);
+    CHECK(rows[1].counts.at(organisation) == 2);
+    runFor(500ms);
+    // The second host has not closed its window.
+    CHECK(hosts[1]->confirmed.empty());
+    REQUIRE(hosts[2]->confirmed.size() == 1);
+    hosts[2]->meter.noteStored(hosts[2]->confirmed.front());
+    hosts[2]->meter.onRunBegan(organisation, began + 5s, began + 5s);
+    runFor(300ms);
+    hosts[0].reset();
+    runFor(3000ms);
+    CHECK(hosts[1]->usageRecords == 1);
+    CHECK(hosts[1]->store(began + 12s).size() == 1);
+    CHECK(hosts[3]->usageRecords + hosts[4]->usageRecords == 0);
+}
