--- a/Programs/almondscale-host/DutyCalls.cpp
+++ b/Programs/almondscale-host/DutyCalls.cpp
@@ -66,14 +66,14 @@
     if (!error) {
         // A slow platform may respond after the lease was renewed.
         const auto reply = co_await connection->readHead(false, deadline);
-        if (reply)
+        if (reply) {
             status = reply.value().status;
-        const auto body = co_await connection->readWholeBody(maxResponseBytes, deadline);
-        *watched = nullptr;
-        if (body)
-            m_pool.release(std::move(connection));
+            co_await connection->readWholeBody(maxResponseBytes, deadline);
+        }
     }
     *watched = nullptr;
+    // Closes a connection whose response was not read completely.
+    m_pool.release(std::move(connection));
     co_return status;
 }
 
--- a/Source/Serving/UsageReporter.cpp
+++ b/Source/Serving/UsageReporter.cpp
@@ -14,7 +14,7 @@
     constexpr Nanoseconds minStoreRetryDelay = milliseconds(200);
     constexpr Nanoseconds maxStoreRetryDelay = milliseconds(1000);
     constexpr Nanoseconds minSendRetryDelay = milliseconds(200);
-    constexpr Nanoseconds maxSendRetryDelay = milliseconds(2000);
+    constexpr Nanoseconds maxSendRetryDelay = milliseconds(1000);
     // After the store has failed for longer than the first, readers get the second to write what they kept.
     constexpr Nanoseconds longStoreFailure = milliseconds(400);
     constexpr Nanoseconds settleTime = milliseconds(1800);
--- a/Tests/Soak/usage.py
+++ b/Tests/Soak/usage.py
@@ -134,10 +134,17 @@
         """The faults of the play, from a random time on."""
         await asyncio.sleep(random.uniform(8, 13))
         holder = self.holder()
-        if self.play_name == "kill" and holder:
-            await holder.end(signal.SIGKILL)
+        if self.play_name in ("kill", "term") and holder:
+            holder.paused_until = time.monotonic() + 13
+            await holder.end(signal.SIGKILL if self.play_name == "kill" else signal.SIGTERM)
             await asyncio.sleep(4)
             await holder.start()
+        elif self.play_name == "roll":
+            for host in self.hosts:
+                host.paused_until = time.monotonic() + 9
+                await host.end(signal.SIGTERM)
+                await host.start()
+                await asyncio.sleep(2)
         elif self.play_name == "pause" and holder:
             holder.paused_until = time.monotonic() + 6
             holder.signal(signal.SIGSTOP)
