Pools: releases wait for roles, and roles follow the surplus of a pool

A simulated pool showed three faults. Decode engines of a pool that was replaced all ended in one data centre, and one reclaim took them: roles are now spread over data centres, with decode engines on reserved servers first. Reserved engines were released before the new ones had their roles. Surplus engines of the wrong role held releases back: RoleSplit now turns surplus engines at once, and lets each keep its role for 10 s.

--- a/Programs/almondscale-host/PoolController.cpp
+++ b/Programs/almondscale-host/PoolController.cpp
@@ -81,9 +81,16 @@
 std::optional<PoolOutlook> PoolController::outlook(const ServiceName& service) const
 {
     const auto sizer = m_sizers.find(service);
-    if (sizer == m_sizers.end())
+    if (sizer != m_sizers.end())
+        return sizer->second.outlook();
+    const auto manifest = m_routes.manifest();
+    const auto spec = manifest->services.find(service);
+    if (spec == manifest->services.end() || !spec->second.pool)
         return std::nullopt;
-    return sizer->second.outlook();
+    // The first decision about the pool is yet to come; it precedes changes of roles.
+    PoolOutlook unknown;
+    unknown.starting = 1;
+    return unknown;
 }
 
 void PoolController::sizePools()
--- a/Programs/almondscale-host/RoleController.cpp
+++ b/Programs/almondscale-host/RoleController.cpp
@@ -67,7 +67,7 @@
 EngineDemand RoleController::splitDemand(const ServiceName& service, const EngineDemand& demand)
 {
     const auto outlook = m_hooks.poolOutlook(service);
-    m_split.setOutlook(service, outlook.value_or(PoolOutlook()));
+    m_split.setOutlook(service, outlook);
     // The same demand that the pool is sized for, so that both decisions agree on what each role needs.
     return outlook ? demandWithRequestTime(demand, m_hooks.requestMs(service)) : demand;
 }
--- a/Source/Serving/PoolMix.cpp
+++ b/Source/Serving/PoolMix.cpp
@@ -7,25 +7,96 @@
 
 namespace {
 
-    struct Kind {
+    // The pool as a list, since the search for the cheapest pool looks at it many times.
+    struct Entry {
         DataCentre dataCentre;
+        PoolCount count;
+        int least = 0;
+    };
+
+    using Entries = std::vector<Entry>;
+
+    struct Kind {
+        std::size_t entry = 0;
         bool spot = false;
         double price = 0;
     };
 
+    Entries entriesOf(const PoolMix& mix, const PoolNeeds& needs)
+    {
+        Entries entries;
+        for (const auto& [dataCentre, count] : mix) {
+            const auto least = needs.perDataCentre.find(dataCentre);
+            entries.push_back({ dataCentre, count, least == needs.perDataCentre.end() ? 0 : least->second });
+        }
+        return entries;
+    }
+
+    PoolMix mixOf(const Entries& entries)
+    {
+        PoolMix mix;
+        for (const auto& entry : entries)
+            mix[entry.dataCentre] = entry.count;
+        return mix;
+    }
+
     // In ascending order of price.
-    std::vector<Kind> kindsByPrice(const PoolMix& mix, const PoolSpec& spec)
+    std::vector<Kind> kindsByPrice(const Entries& entries, const PoolSpec& spec)
     {
         std::vector<Kind> kinds;
-        for (const auto& entry : mix) {
+        for (std::size_t i = 0; i < entries.size(); ++i) {
             for (const bool spot : { false, true })
-                kinds.push_back({ entry.first, spot, serverPricePerSecond(spec, entry.first, spot) });
+                kinds.push_back({ i, spot, serverPricePerSecond(spec, entries[i].dataCentre, spot) });
         }
         std::stable_sort(
             kinds.begin(), kinds.end(), [](const Kind& a, const Kind& b) { return a.price < b.price; });
         return kinds;
     }
 
+    int shortfallOf(const Entries& entries, const PoolNeeds& needs)
+    {
+        int total = 0;
+        int reserved = 0;
+        int shortfall = 0;
+        const int maxCounted = entries.size() > 1 ? (needs.reserved + 1) / 2 : needs.reserved;
+        for (const auto& entry : entries) {
+            total += entry.count.total();
+            reserved += std::min(entry.count.reserved, maxCounted);
+            shortfall += std::max(0, entry.least - entry.count.total());
+        }
+        shortfall += std::max(0, needs.normal - total) + std::max(0, needs.reserved - reserved);
+        for (std::size_t first = 0; first < entries.size(); ++first) {
+            const int left = total - entries[first].count.spot;
+            shortfall += std::max(0, needs.oneLost - left);
+            for (std::size_t second = first + 1; second < entries.size(); ++second)
+                shortfall += std::max(0, needs.twoLost - (left - entries[second].count.spot));
+        }
+        return shortfall;
+    }
+
+    PoolCount boundOf(const PoolMix& bounds, const Entry& entry, const PoolCount& otherwise)
+    {
+        const auto bound = bounds.find(entry.dataCentre);
+        return bound == bounds.end() ? otherwise : bound->second;
+    }
+
+    void prune(Entries& entries, std::vector<Kind> kinds, const PoolNeeds& needs, const PoolMix& least)
+    {
+        std::reverse(kinds.begin(), kinds.end());
+        const int shortfall = shortfallOf(entries, needs);
+        for (const auto& kind : kinds) {
+            const int lowest = boundOf(least, entries[kind.entry], {}).of(kind.spot);
+            auto& count = entries[kind.entry].count.of(kind.spot);
+            while (count > lowest) {
+                --count;
+                if (shortfallOf(entries, needs) > shortfall) {
+                    ++count;
+                    break;
+                }
+            }
+        }
+    }
+
 } // namespace
 
 double serverPricePerSecond(const PoolSpec& spec, const DataCentre& dataCentre, bool spot)
@@ -46,45 +117,28 @@
 
 int poolShortfall(const PoolMix& mix, const PoolNeeds& needs)
 {
-    int total = 0;
-    int reserved = 0;
-    int shortfall = 0;
-    const int maxCounted = (needs.reserved + 1) / 2;
-    for (const auto& [dataCentre, count] : mix) {
-        total += count.total();
-        reserved += mix.size() > 1 ? std::min(count.reserved, maxCounted) : count.reserved;
-        const auto least = needs.perDataCentre.find(dataCentre);
-        if (least != needs.perDataCentre.end())
-            shortfall += std::max(0, least->second - count.total());
-    }
-    shortfall += std::max(0, needs.normal - total) + std::max(0, needs.reserved - reserved);
-    for (auto first = mix.begin(); first != mix.end(); ++first) {
-        const int left = total - first->second.spot;
-        shortfall += std::max(0, needs.oneLost - left);
-        for (auto second = std::next(first); second != mix.end(); ++second)
-            shortfall += std::max(0, needs.twoLost - (left - second->second.spot));
-    }
-    return shortfall;
+    return shortfallOf(entriesOf(mix, needs), needs);
 }
 
 PoolMix growPool(const PoolSpec& spec, const PoolNeeds& needs, const PoolMix& from, const PoolMix& most,
     int maxPerDataCentre)
 {
-    auto mix = from;
-    const auto kinds = kindsByPrice(mix, spec);
-    int shortfall = poolShortfall(mix, needs);
+    auto entries = entriesOf(from, needs);
+    const auto kinds = kindsByPrice(entries, spec);
+    std::vector<PoolCount> bounds;
+    for (const auto& entry : entries)
+        bounds.push_back(boundOf(most, entry, { maxPerDataCentre, maxPerDataCentre }));
+    int shortfall = shortfallOf(entries, needs);
     while (shortfall > 0) {
         const Kind* best = nullptr;
         double bestGain = 0;
         int bestSpot = 0;
         for (const auto& kind : kinds) {
-            auto& count = mix[kind.dataCentre];
-            const auto bound = most.find(kind.dataCentre);
-            if (count.total() >= maxPerDataCentre
-                || (bound != most.end() && count.of(kind.spot) >= bound->second.of(kind.spot)))
+            auto& count = entries[kind.entry].count;
+            if (count.total() >= maxPerDataCentre || count.of(kind.spot) >= bounds[kind.entry].of(kind.spot))
                 continue;
             ++count.of(kind.spot);
-            const double gain = (shortfall - poolShortfall(mix, needs)) / kind.price;
+            const double gain = (shortfall - shortfallOf(entries, needs)) / kind.price;
             --count.of(kind.spot);
             // Equal gains go to the data centre with the fewest spot servers, since a reclaim takes them all.
             if (gain > 0 && (gain > bestGain || (gain == bestGain && count.spot < bestSpot))) {
@@ -95,30 +149,18 @@
         }
         if (!best)
             break;
-        ++mix[best->dataCentre].of(best->spot);
-        shortfall = poolShortfall(mix, needs);
+        ++entries[best->entry].count.of(best->spot);
+        shortfall = shortfallOf(entries, needs);
     }
-    return prunePool(spec, needs, mix, from);
+    prune(entries, kinds, needs, from);
+    return mixOf(entries);
 }
 
-PoolMix prunePool(const PoolSpec& spec, const PoolNeeds& needs, PoolMix from, const PoolMix& least)
+PoolMix prunePool(const PoolSpec& spec, const PoolNeeds& needs, const PoolMix& from, const PoolMix& least)
 {
-    auto kinds = kindsByPrice(from, spec);
-    std::reverse(kinds.begin(), kinds.end());
-    int shortfall = poolShortfall(from, needs);
-    for (const auto& kind : kinds) {
-        const auto bound = least.find(kind.dataCentre);
-        const int lowest = bound == least.end() ? 0 : bound->second.of(kind.spot);
-        auto& count = from[kind.dataCentre].of(kind.spot);
-        while (count > lowest) {
-            --count;
-            if (poolShortfall(from, needs) > shortfall) {
-                ++count;
-                break;
-            }
-        }
-    }
-    return from;
+    auto entries = entriesOf(from, needs);
+    prune(entries, kindsByPrice(entries, spec), needs, least);
+    return mixOf(entries);
 }
 
 } // namespace almondscale
--- a/Source/Serving/PoolMix.h
+++ b/Source/Serving/PoolMix.h
@@ -46,6 +46,6 @@
 PoolMix growPool(
     const PoolSpec&, const PoolNeeds&, const PoolMix& from, const PoolMix& most, int maxPerDataCentre);
 // Removes servers that are not needed, the most expensive first, without falling below `least`.
-PoolMix prunePool(const PoolSpec&, const PoolNeeds&, PoolMix from, const PoolMix& least = {});
+PoolMix prunePool(const PoolSpec&, const PoolNeeds&, const PoolMix& from, const PoolMix& least = {});
 
 } // namespace almondscale
--- a/Source/Serving/PoolOutlook.h
+++ b/Source/Serving/PoolOutlook.h
@@ -11,6 +11,8 @@
 struct PoolOutlook {
     // Servers that were ordered and are not registered yet.
     int starting = 0;
+    // Ready servers beyond those that the demand needs.
+    int surplus = 0;
     // Data centres and kinds (spot or not) of which most servers are about to be released.
     std::set<std::pair<DataCentre, bool>> leaving;
 };
--- a/Source/Serving/PoolSizer.cpp
+++ b/Source/Serving/PoolSizer.cpp
@@ -184,9 +184,21 @@
     for (const auto& [dataCentre, count] : registered()) {
         const int fewer = std::min(count.reserved, count.spot);
         const int more = std::max(count.reserved, count.spot);
+        const bool ordered
+            = m_groups[{ dataCentre, false }].ordered || m_groups[{ dataCentre, true }].ordered;
         auto& found = m_found[dataCentre];
-        found = std::max(found, more + std::min(fewer, maxBasePerDataCentre));
+        found = std::max(found, more + (ordered ? 0 : std::min(fewer, maxBasePerDataCentre)));
     }
+    int prefilling = 0;
+    int ready = 0;
+    for (const auto& entry : m_groups) {
+        if (entry.second.ordered)
+            return;
+        prefilling += entry.second.prefilling;
+        ready += entry.second.ready;
+    }
+    m_foundPrefill = prefilling;
+    m_foundDecode = ready - prefilling;
 }
 
 PoolNeeds PoolSizer::needs(const PoolSpec& spec, const PoolDemand& demand, double utilisation, double margin,
@@ -264,6 +276,7 @@
     PoolOutlook outlook;
     for (const auto& entry : m_groups)
         outlook.starting += std::max(0, entry.second.current() - entry.second.ready);
+    outlook.surplus = m_surplus;
     outlook.leaving = m_leavingGroups;
     return outlook;
 }
@@ -314,13 +327,24 @@
     }
 }
 
+PoolMix PoolSizer::grown(
+    const PoolSpec& spec, const PoolNeeds& needs, const PoolMix& from, MonotonicTime now) const
+{
+    const auto most = orderable(spec, now);
+    const double share = std::max(
+        m_options.maxDataCentreShare, m_options.maxShareFactor / std::max<std::size_t>(1, from.size()));
+    const int bound = std::min(spec.max, ceilCount(share * needs.normal));
+    auto mix = growPool(spec, needs, from, most, bound);
+    return poolShortfall(mix, needs) == 0 ? mix : growPool(spec, needs, mix, most, spec.max);
+}
+
 PoolMix PoolSizer::replacement(const PoolSpec& spec, const PoolNeeds& needs, MonotonicTime now) const
 {
     auto before = wanted();
     PoolMix empty;
     for (const auto& entry : before)
         empty[entry.first] = {};
-    const auto best = growPool(spec, needs, empty, orderable(spec, now), spec.max);
+    const auto best = grown(spec, needs, empty, now);
     const auto kept = prunePool(spec, needs, before);
     if (poolShortfall(best, needs) > poolShortfall(kept, needs)
         || poolPricePerSecond(best, spec) > m_options.replacePriceShare * poolPricePerSecond(kept, spec))
@@ -336,7 +360,7 @@
     return raised;
 }
 
-bool PoolSizer::keepsRoles(const Group& group, int count, const PoolDemand& demand) const
+bool PoolSizer::keepsRoles(const Group& group, int count, const PoolDemand& demand, MonotonicTime now) const
 {
     int prefilling = 0;
     int ready = 0;
@@ -347,6 +371,11 @@
     const int decoding = ready - prefilling;
     const int prefillLeft = prefilling - std::min(count, group.prefilling);
     const int decodeLeft = decoding - std::min(count, group.ready - group.prefilling);
+    if (!m_trafficSince) {
+        return now - *m_superfluousSince > m_options.idleRoleWait
+            || (prefillLeft >= m_options.idleRoleShare * m_foundPrefill
+                && decodeLeft >= m_options.idleRoleShare * m_foundDecode);
+    }
     return prefillLeft >= std::max(1.0, demand.prefillEngines / m_options.roleUtilisation)
         && decodeLeft >= std::max(1.0, demand.decodeEngines / m_options.roleUtilisation);
 }
@@ -361,6 +390,10 @@
         present[key.first].of(key.second) = std::min(group.ready, group.current());
         releasing |= group.ready > group.current();
     }
+    int total = 0;
+    for (const auto& entry : present)
+        total += entry.second.total();
+    m_surplus = std::max(0, total - needs.normal);
     const auto kept = prunePool(spec, needs, present);
     if (kept == present) {
         m_superfluousSince.reset();
@@ -389,9 +422,9 @@
         if (m_trafficSince) {
             const bool replaced = m_leavingGroups.count(key) > 0;
             count = std::min(count, replaced ? m_options.replaceStep : m_options.releaseStep);
-            while (count > 0 && !keepsRoles(group, count, demand))
-                --count;
         }
+        while (count > 0 && !keepsRoles(group, count, demand, now))
+            --count;
         if (count == 0)
             continue;
         order(decisions, key, group.current() - count, PoolReason::Release, now);
@@ -436,8 +469,7 @@
     std::vector<PoolDecision> decisions;
     repeatOrders(decisions, now);
     if (poolShortfall(wanted(), least) > 0)
-        raise(
-            decisions, growPool(spec, wide, wanted(), orderable(spec, now), spec.max), PoolReason::Grow, now);
+        raise(decisions, grown(spec, wide, wanted(), now), PoolReason::Grow, now);
     raise(decisions, replacement(spec, wide, now), PoolReason::Replace, now);
     noteLeavingGroups(spec, wide);
     release(decisions, spec, wide, demand, now);
--- a/Source/Serving/PoolSizer.h
+++ b/Source/Serving/PoolSizer.h
@@ -22,7 +22,7 @@
     // The same without the spot servers of one data centre. New servers are ready a boot time later.
     double oneLostUtilisation = 0.75;
     // The same without those of two. Above 1: the service works, with a part of the requests refused.
-    double twoLostUtilisation = 1.33;
+    double twoLostUtilisation = 1.15;
     // Utilisation that a role may reach if a release takes engines of this role only.
     double roleUtilisation = 0.8;
     // Reserved servers, as a share of all and at least, for the time in which no spot servers are available.
@@ -32,9 +32,17 @@
     Nanoseconds peakTime = std::chrono::seconds(25);
     // Interval over which the trend is measured, and its highest effect as a factor.
     Nanoseconds trendTime = std::chrono::seconds(4);
-    double maxTrendFactor = 1.4;
+    double maxTrendFactor = 1.2;
+    // Share of the needed servers that one data centre gets as long as the others have room, because a data
+    // centre may be cut off. With few data centres, this multiple of an equal share.
+    double maxDataCentreShare = 0.4;
+    double maxShareFactor = 1.5;
     // Time from a decision until its order is sent, and until a new server's registration is known.
     Nanoseconds controlDelay = std::chrono::seconds(2);
+    // Before any traffic, servers are released only if this share of the engines of each role that were found
+    // stays, unless the role split did not provide them in this time.
+    double idleRoleShare = 0.6;
+    Nanoseconds idleRoleWait = std::chrono::seconds(15);
     // Servers are released only after demand has been observed for this long.
     Nanoseconds observationTime = std::chrono::seconds(10);
     // Servers are released only if they have been superfluous for this long, even for a demand that is higher
@@ -46,7 +54,7 @@
     Nanoseconds releaseInterval = std::chrono::seconds(4);
     // Servers released at once, under traffic, and if other servers have been ordered in their place.
     int releaseStep = 2;
-    int replaceStep = 5;
+    int replaceStep = 8;
     // Servers are replaced by cheaper ones if this lowers the price at least to this share.
     double replacePriceShare = 0.85;
     // Released servers finish their requests, and their registrations are read with a delay.
@@ -181,11 +189,13 @@
     bool isObserved(MonotonicTime now) const;
     // The highest numbers that may be ordered now.
     PoolMix orderable(const PoolSpec&, MonotonicTime now) const;
+    // The cheapest pool from the given one on.
+    PoolMix grown(const PoolSpec&, const PoolNeeds&, const PoolMix& from, MonotonicTime now) const;
     // The pool with servers added that are to take the place of more expensive ones.
     PoolMix replacement(const PoolSpec&, const PoolNeeds&, MonotonicTime now) const;
     void noteLeavingGroups(const PoolSpec&, const PoolNeeds&);
     // Whether enough engines of each role stay if the platform releases this many servers of the group.
-    bool keepsRoles(const Group&, int count, const PoolDemand&) const;
+    bool keepsRoles(const Group&, int count, const PoolDemand&, MonotonicTime now) const;
     void order(std::vector<PoolDecision>&, const Key&, int servers, PoolReason, MonotonicTime now);
     void repeatOrders(std::vector<PoolDecision>&, MonotonicTime now);
     // Orders the numbers that are higher than before.
@@ -201,8 +211,11 @@
     std::optional<MonotonicTime> m_trafficSince;
     MonotonicTime m_lastTrafficAt {};
     bool m_traffic = false;
-    // Servers found in each data centre before the demand was known.
+    // Servers found in each data centre, and of each role, before the demand was known.
     std::map<DataCentre, int> m_found;
+    int m_foundPrefill = 0;
+    int m_foundDecode = 0;
+    int m_surplus = 0;
     // The first decision was made without traffic, so that the servers found are all there were.
     bool m_startedIdle = false;
     bool m_first = true;
--- a/Source/Serving/RoleSplit.cpp
+++ b/Source/Serving/RoleSplit.cpp
@@ -128,9 +128,47 @@
     return std::max(1, static_cast<int>(engines * m_options.maxConcurrentShare));
 }
 
-void RoleSplit::setOutlook(const ServiceName& service, PoolOutlook outlook)
+void RoleSplit::setOutlook(const ServiceName& service, const std::optional<PoolOutlook>& outlook)
 {
-    m_outlooks[service] = std::move(outlook);
+    if (outlook)
+        m_outlooks[service] = *outlook;
+    else
+        m_outlooks.erase(service);
+}
+
+int RoleSplit::balancedTarget(int engines, double slots, const EngineDemand& demand, int decoding) const
+{
+    const double prefillEngines = demand.prefillMs / msPerSecond;
+    const double decodeEngines = demand.decodeMs / msPerSecond / std::max(1.0, slots);
+    const auto utilisation = [&](int decode) {
+        return std::max(prefillEngines / std::max(minCapacity, static_cast<double>(engines - decode)),
+            decodeEngines / std::max(minCapacity, static_cast<double>(decode)));
+    };
+    int best = std::min(minDecodeEngines(engines), engines - 1);
+    for (int decode = best; decode < engines; ++decode) {
+        if (utilisation(decode) < utilisation(best))
+            best = decode;
+    }
+    return utilisation(best) < (1 - m_options.minUtilisationGain) * utilisation(decoding) ? best : decoding;
+}
+
+const Backend* RoleSplit::takeFromPool(
+    std::vector<const Backend*>& from, std::map<DataCentre, int>& decoding, EngineRole role) const
+{
+    const bool toDecode = role == EngineRole::Decode;
+    const auto best = std::min_element(from.begin(), from.end(), [&](const Backend* a, const Backend* b) {
+        if (a->record.spot != b->record.spot)
+            return a->record.spot != toDecode;
+        const int aCount = decoding[a->record.dataCentre];
+        const int bCount = decoding[b->record.dataCentre];
+        if (aCount != bCount)
+            return toDecode ? aCount < bCount : aCount > bCount;
+        return a->load().requests + a->load().prefillMs < b->load().requests + b->load().prefillMs;
+    });
+    const auto* engine = *best;
+    from.erase(best);
+    decoding[engine->record.dataCentre] += toDecode ? 1 : -1;
+    return engine;
 }
 
 bool RoleSplit::stays(const Backend& backend) const
@@ -186,8 +224,13 @@
         return {};
     const LimitedCapacity missing { missingCapacity(prefill, EngineRole::Prefill, average, slots),
         missingCapacity(decode, EngineRole::Decode, average, slots) };
-    int shortage
-        = decodeShortage(service, average, engines, slots, static_cast<int>(decode.size()), missing, now);
+    const auto outlook = m_outlooks.find(service);
+    const bool traffic = demand.requests > minRequestRate;
+    const int surplus = traffic && outlook != m_outlooks.end() ? outlook->second.surplus : 0;
+    const int decoding = static_cast<int>(decode.size());
+    int shortage = surplus > 0 && engines > 1
+        ? balancedTarget(engines, slots, average, decoding) - decoding
+        : decodeShortage(service, average, engines, slots, decoding, missing, now);
     if (shortage < 0 && isPrefillIdle(static_cast<int>(prefill.size()), demand))
         shortage = 0;
     if (shortage <= 0)
@@ -196,11 +239,10 @@
         m_surplusSince.erase(service);
     if (engines < 2 || shortage == 0)
         return {};
-    const bool traffic = demand.requests > minRequestRate;
     const auto since = (shortage > 0 ? m_shortageSince : m_surplusSince).emplace(service, now).first->second;
     if (traffic && now - since < (shortage > 0 ? m_options.shortageDwell : m_options.surplusDwell))
         return {};
-    if (traffic && shortage < 0 && now - m_lastOrderAt < m_options.orderCooldown)
+    if (traffic && surplus == 0 && shortage < 0 && now - m_lastOrderAt < m_options.orderCooldown)
         return {};
 
     auto& from = shortage > 0 ? prefill : decode;
@@ -224,8 +266,27 @@
     int concurrent = traffic ? maxConcurrentChanges(engines, static_cast<int>(prefill.size())) : engines;
     if (demand.decodeMs > 0 && shortage >= m_options.largeShortage)
         concurrent = std::max(concurrent, shortage / 2);
+    concurrent = std::max(concurrent, surplus);
     const auto maxOrders = static_cast<std::size_t>(std::min(std::abs(shortage), concurrent));
     std::vector<RoleAssignment> orders;
+    if (outlook != m_outlooks.end()) {
+        for (auto entry = m_orderedAt.begin(); entry != m_orderedAt.end();)
+            entry
+                = now - entry->second > m_options.roleHoldTime ? m_orderedAt.erase(entry) : std::next(entry);
+        std::map<DataCentre, int> decodingPerDataCentre;
+        for (const auto* engine : decode)
+            ++decodingPerDataCentre[engine->record.dataCentre];
+        const auto role = shortage > 0 ? EngineRole::Decode : EngineRole::Prefill;
+        from.erase(std::remove_if(from.begin(), from.end(),
+                       [&](const Backend* engine) {
+                           return m_orders.count(engine->record.id) > 0
+                               || (surplus > 0 && m_orderedAt.count(engine->record.id) > 0);
+                       }),
+            from.end());
+        while (orders.size() < maxOrders && !from.empty())
+            orders.push_back({ takeFromPool(from, decodingPerDataCentre, role)->record.id, role });
+        return orders;
+    }
     for (const auto* engine : from) {
         if (orders.size() == maxOrders)
             break;
@@ -238,6 +299,8 @@
 void RoleSplit::onOrdered(const RoleAssignment& order, MonotonicTime now)
 {
     m_orders[order.engine] = Order { order.role, now };
+    if (!m_outlooks.empty())
+        m_orderedAt[order.engine] = now;
     m_lastOrderAt = now;
 }
 
--- a/Source/Serving/RoleSplit.h
+++ b/Source/Serving/RoleSplit.h
@@ -50,6 +50,8 @@
     // is reduced one by one, because hosts go on sending to a decode engine until they learn of its role
     // change.
     int largeShortage = 3;
+    // With surplus engines in an ordered pool, an engine keeps a new role at least for this long.
+    Nanoseconds roleHoldTime = std::chrono::seconds(10);
     // While ordered engines are starting, roles change only above this utilisation.
     double startingUtilisation = 0.9;
     // An order without effect is abandoned after this time.
@@ -84,8 +86,11 @@
 
     // What is about to change in the pool of the service; without it, all registered engines stay. Roles are
     // shared between the engines that stay, and do not change while ordered engines are starting, unless the
-    // engines of a role are nearly all busy.
-    void setOutlook(const ServiceName&, PoolOutlook);
+    // engines of a role are nearly all busy. Surplus engines change their role at once and without a
+    // shortage, so that the pool can shrink. Decode engines are spread over the data centres, reserved ones
+    // first, because a reclaim takes all spot servers of a data centre and a stream cannot move as easily as
+    // a prefill.
+    void setOutlook(const ServiceName&, const std::optional<PoolOutlook>&);
 
     // The target number of decode engines, given the number of engines, the slots of each and the number that
     // decode now.
@@ -122,6 +127,12 @@
     double missingCapacity(
         const std::vector<const Backend*>&, EngineRole, const EngineDemand&, double slots) const;
     bool isPrefillIdle(int prefilling, const EngineDemand&) const;
+    // The number of decode engines at which both roles are equally busy, or the present one if that is hardly
+    // worse.
+    int balancedTarget(int engines, double slots, const EngineDemand&, int decoding) const;
+    // The engine of an ordered pool to change to the role, and its removal from the list.
+    const Backend* takeFromPool(
+        std::vector<const Backend*>& from, std::map<DataCentre, int>& decoding, EngineRole) const;
     // Whether the engine stays, as far as the pool's outlook tells.
     bool stays(const Backend&) const;
     // Whether role changes wait for engines that are starting.
@@ -139,6 +150,8 @@
     // Since when each service has had a shortage or a surplus of decode engines.
     std::map<ServiceName, MonotonicTime> m_shortageSince;
     std::map<ServiceName, MonotonicTime> m_surplusSince;
+    // When engines were last ordered to change their role; kept for roleHoldTime.
+    std::map<BackendId, MonotonicTime> m_orderedAt;
     MonotonicTime m_lastOrderAt {};
 };
 
