--- a/Source/Serving/PoolSizer.cpp
+++ b/Source/Serving/PoolSizer.cpp
@@ -93,7 +93,8 @@
     }
     if (!group.missingSince)
         group.missingSince = now;
-    if (now - *group.missingSince > m_options.maxBootTimes * spec.bootTime) {
+    if (now - *group.missingSince
+        > std::max(m_options.minStartTime, m_options.maxBootTimes * spec.bootTime)) {
         group.ordered.reset();
         group.missingSince.reset();
         group.unavailableUntil = now + m_options.absenceTime;
@@ -332,7 +333,7 @@
 {
     const auto most = orderable(spec, now);
     const double share = std::max(
-        m_options.maxDataCentreShare, m_options.maxShareFactor / std::max<std::size_t>(1, from.size()));
+        m_options.maxDataCentreShare, m_options.maxShareFactor / std::max(1, static_cast<int>(from.size())));
     const int bound = std::min(spec.max, ceilCount(share * needs.normal));
     auto mix = growPool(spec, needs, from, most, bound);
     return poolShortfall(mix, needs) == 0 ? mix : growPool(spec, needs, mix, most, spec.max);
--- a/Source/Serving/PoolSizer.h
+++ b/Source/Serving/PoolSizer.h
@@ -62,8 +62,10 @@
     // A refused kind is not ordered again for this long; after a reclaim, none are available for about 10 s.
     Nanoseconds refusalTime = std::chrono::seconds(2);
     Nanoseconds reclaimTime = std::chrono::seconds(9);
-    // Servers that do not appear within this many boot times count as refused, for this long.
+    // Servers that do not appear within this many boot times count as refused, for this long. The lower bound
+    // covers the delay of registrations.
     int maxBootTimes = 3;
+    Nanoseconds minStartTime = std::chrono::seconds(6);
     Nanoseconds absenceTime = std::chrono::seconds(20);
     // An order without an answer is repeated after this time, doubled up to the highest.
     Nanoseconds repeatTime = std::chrono::milliseconds(500);
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -93,7 +93,7 @@
                        f"seedNodes={self.world.net}.1.1:8144,{self.world.net}.1.2:8144\n"
                        f"platform.address={self.world.store_proxies[self.number].address}\nbounds.graceS=6\n"
                        f"limits.cpuShare=0.25\nlimits.linkMbps={100 + self.number}\n"
-                       "bounds.retryBudgetMin=56\nbounds.leaseMs=3000\n")
+                       "bounds.retryBudgetMin=56\nbounds.leaseMs=3000\n" + self.world.extra_settings)
         self.ended_by_us, self.stopping_since = False, None
         with open(self.settings + ".log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -133,6 +133,8 @@
         self.row_random, self.clock_random = random.Random(f"rows {seed}"), random.Random(f"clocks {seed}")
         self.odd_random = random.Random(f"odd {seed}")
         self.manifest_version = 1
+        # Further lines of the hosts' settings, and further members of the services of the manifest, by name.
+        self.extra_settings, self.extra_members = "", {}
         self.net, self.guard = reserve_network(seed)
         self.store = Store(f"{self.net}.0.1:7000")
         self.failures = []
@@ -430,6 +432,8 @@
         manifest = json.loads(json.dumps({**MANIFEST, "version": self.manifest_version}))
         for entry in manifest["routes"] + [each["engine"] for each in manifest["services"] if "engine" in each]:
             entry.update({name: value for name, value in changes.items() if name in entry})
+        for service in manifest["services"]:
+            service.update(self.extra_members.get(service["name"], {}))
         self.store.put("op", "config", json.dumps(manifest))
         self.manifest_version += 1
 
