--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -137,6 +137,8 @@
         self.row_random, self.clock_random = random.Random(f"rows {seed}"), random.Random(f"clocks {seed}")
         self.odd_random = random.Random(f"odd {seed}")
         self.manifest_version = 1
+        # Further lines of the hosts' settings, and further members of the services of the manifest, by name.
+        self.extra_members = {}
         self.net, self.guard = reserve_network(seed)
         self.store = Store(f"{self.net}.0.1:7000")
         self.failures = []
@@ -438,6 +440,8 @@
         manifest = json.loads(json.dumps({**MANIFEST, "version": self.manifest_version}))
         for entry in manifest["routes"] + [each["engine"] for each in manifest["services"] if "engine" in each]:
             entry.update({name: value for name, value in changes.items() if name in entry})
+        for service in manifest["services"]:
+            service.update(self.extra_members.get(service["name"], {}))
         self.store.put("op", "config", json.dumps(manifest))
         self.manifest_version += 1
 
