--- a/Programs/almondscale-host/HostMetrics.h
+++ b/Programs/almondscale-host/HostMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/MonotonicTime.h"
+#include "Forwarding/MemoryBudget.h"
 #include "Forwarding/RequestSummary.h"
 #include "Serving/BadParts.h"
 #include "Serving/CrashSubject.h"
@@ -46,6 +47,10 @@
     void setPool(const PoolOrder& wanted, int registered);
     // This host no longer orders servers.
     void clearPools();
+    // What is held for callers and servers, and their connections.
+    void setMemory(const MemoryBudget&, std::size_t callers, std::size_t servers);
+    // A caller was turned away for lack of descriptors or memory.
+    void onCallerTurnedAway();
 
     // All metrics in the Prometheus text format.
     std::string text() const;
