--- a/Source/Serving/PoolSizer.cpp
+++ b/Source/Serving/PoolSizer.cpp
@@ -117,8 +117,10 @@
         demand.decodeMs / msPerSecond / std::max(1.0, view.slots) };
     sample.prefillEngines = std::max(0.0, sample.prefillEngines);
     sample.decodeEngines = std::max(0.0, sample.decodeEngines);
-    sample.plannedPrefill = sample.prefillEngines;
-    sample.plannedDecode = sample.decodeEngines;
+    const bool warmingUp = m_startedIdle && m_trafficSince && now - *m_trafficSince < m_options.warmUpTime;
+    const double share = warmingUp ? m_options.warmUpShare : 1;
+    sample.plannedPrefill = share * sample.prefillEngines;
+    sample.plannedDecode = share * sample.decodeEngines;
     m_samples.push_back(sample);
     while (m_samples.front().at < now - m_options.peakTime)
         m_samples.pop_front();
--- a/Source/Serving/PoolSizer.h
+++ b/Source/Serving/PoolSizer.h
@@ -43,6 +43,10 @@
     // stays, unless the role split did not provide them in this time.
     double idleRoleShare = 0.6;
     Nanoseconds idleRoleWait = std::chrono::seconds(15);
+    // When traffic begins at a new system, prompts are prefilled that are found cached some seconds later, so
+    // that only a share of the demand of this time is planned for.
+    Nanoseconds warmUpTime = std::chrono::seconds(8);
+    double warmUpShare = 0.5;
     // Servers are released only after demand has been observed for this long.
     Nanoseconds observationTime = std::chrono::seconds(10);
     // Servers are released only if they have been superfluous for this long, even for a demand that is higher
