--- a/Tests/Peers/PeerFrameTest.cpp
+++ b/Tests/Peers/PeerFrameTest.cpp
@@ -154,6 +154,7 @@
     frame.probe = 5;
     frame.echoedProbe = 4;
     frame.manifestProvenAge = 1200us;
+    frame.manifestProvenVersion = { StoreEra(2), RowVersion(8) };
     UsageRecord record { { HostId("n1"), Incarnation(9), UsageWindow(77) }, { { Organisation("o"), 3 } },
         true };
     frame.usage = { record };
@@ -167,6 +168,7 @@
     CHECK(decoded->echoedProbe == 4);
     // An age is rounded up, since it proves how old something is at most.
     CHECK(decoded->manifestProvenAge == Nanoseconds(2ms));
+    CHECK(decoded->manifestProvenVersion == frame.manifestProvenVersion);
     REQUIRE(decoded->usage.size() == 1);
     CHECK(decoded->usage[0].counts.at(Organisation("o")) == 3);
     CHECK(decoded->usage[0].closed);
--- a/Tests/Peers/PeerNetworkTest.cpp
+++ b/Tests/Peers/PeerNetworkTest.cpp
@@ -23,7 +23,13 @@
         std::vector<Address> seeds = {})
         : record { HostId(id), DataCentre(dataCentre), freeLoopbackAddress(), strength }
         , network(loop.get_executor(), record, std::move(seeds), mirror, crashes,
-              { [this] { return work; }, [this](const PeerWork& reported) { remoteWork = reported; } })
+              { [this] { return work; }, [this](const PeerWork& reported) { remoteWork = reported; }, {}, {},
+                  {}, {}, {}, {}, [this] { return exchangesProofs; }, [this] { return proof; },
+                  [this](const ManifestProof& given) {
+                      ++proofsGiven;
+                      if (!proof || proof->provenAt < given.provenAt)
+                          proof = given;
+                  } })
     {
         work.loads[engine] = BackendLoad { 0, 1, 0 };
         mirror.onUpdate = [this](SharedTable table, const StoredRows& rows, MonotonicTime) {
@@ -46,6 +52,9 @@
     CrashRecords crashes;
     PeerWork work;
     PeerWork remoteWork;
+    bool exchangesProofs = false;
+    std::optional<ManifestProof> proof;
+    int proofsGiven = 0;
     PeerNetwork network;
 };
 
@@ -232,3 +241,45 @@
     sendBareVersion(12);
     CHECK(mirror.version(SharedTable::Manifest) == StoreVersion { StoreEra(2), RowVersion(6) });
 }
+
+// A follower never asks the store, so that its keys depend on what the reader proves.
+TEST_CASE_METHOD(
+    PeerNetworkFixture, "Proof of a reader reaches its followers, and never appears younger than it is")
+{
+    for (const auto& host : hosts)
+        host->exchangesProofs = true;
+    const auto provenAt = bootTime();
+    hosts[0]->proof = ManifestProof { provenAt, { StoreEra(1), RowVersion(3) } };
+    runFor(1500ms);
+    for (const auto& host : hosts) {
+        REQUIRE(host->proof);
+        CHECK(host->proof->version == StoreVersion { StoreEra(1), RowVersion(3) });
+        CHECK(host->proof->provenAt <= provenAt);
+    }
+    CHECK(hosts[1]->proof->provenAt > provenAt - 600ms);
+}
+
+TEST_CASE_METHOD(PeerNetworkFixture, "Hosts without strict revocation send and take no proofs")
+{
+    hosts[0]->proof = ManifestProof { bootTime(), {} };
+    hosts[1]->exchangesProofs = true;
+    runFor(1000ms);
+    CHECK_FALSE(hosts[1]->proof);
+    CHECK_FALSE(hosts[2]->proof);
+}
+
+TEST_CASE_METHOD(PeerNetworkFixture, "Proof in a frame that echoes no stamp of the receiver does not count")
+{
+    hosts.clear();
+    add("a1", "a", 3);
+    hosts[0]->exchangesProofs = true;
+    PeerFrame frame;
+    frame.whole = true;
+    frame.host = HostId("a2");
+    frame.dataCentre = DataCentre("a");
+    frame.manifestProvenAge = 1ms;
+    frame.echoedProbe = GENERATE(0, 1000);
+    const auto socket = connectAndSend(frame);
+    runFor(50ms);
+    CHECK(hosts[0]->proofsGiven == 0);
+}
--- a/Tests/PlatformAdapter/RequestWireTest.cpp
+++ b/Tests/PlatformAdapter/RequestWireTest.cpp
@@ -172,3 +172,53 @@
     CHECK(parts[1] != parts[4]);
     CHECK(parts[5] == PromptPartId(0xf));
 }
+
+TEST_CASE_METHOD(
+    RequestWireFixture, "Key of a caller is decoded, and neither it nor an organisation is forwarded")
+{
+    hasKeys = true;
+    const auto name = GENERATE("Authorization", "authorization");
+    const auto value = GENERATE("Bearer k1", "bearer k1", "BEARER   k1 ");
+    // Fields that are listed here are dropped before others are looked at.
+    head.fields.add("Connection", GENERATE("keep-alive", "Authorization, Tenant-Id"));
+    head.fields.add(name, value);
+    head.fields.add("tenant-id", "forged");
+    auto request = decoded();
+    CHECK(request.key == KeyDigest::of("k1"));
+    CHECK_FALSE(request.keyMalformed);
+    auto sent = wire.encodeCall(request, BackendCall(permit()));
+    CHECK_FALSE(sent.fields.has("Authorization"));
+    CHECK_FALSE(sent.fields.has("Tenant-Id"));
+    request.organisation = Organisation("north");
+    sent = wire.encodeCall(request, BackendCall(permit()));
+    CHECK(*sent.fields.find("Tenant-Id") == "north");
+}
+
+TEST_CASE_METHOD(RequestWireFixture, "Malformed or repeated key is no missing one")
+{
+    hasKeys = true;
+    CHECK_FALSE(decoded().keyMalformed);
+    SECTION("malformed")
+    {
+        head.fields.add("Authorization", GENERATE("", "Bearer", "Bearer ", "Basic k1", "k1", "Bearerk1"));
+    }
+    SECTION("repeated")
+    {
+        head.fields.add("Authorization", GENERATE("Bearer k1", "Basic k1"));
+        head.fields.add("authorization", GENERATE("Bearer k1", "Basic k1"));
+    }
+    CHECK(decoded().keyMalformed);
+    CHECK_FALSE(decoded().key);
+    CHECK_FALSE(decoded().head.fields.has("Authorization"));
+}
+
+TEST_CASE_METHOD(RequestWireFixture, "Without keys, the fields of keys are forwarded like any others")
+{
+    head.fields.add("Authorization", "Bearer k1");
+    head.fields.add("Tenant-Id", "mine");
+    const auto request = decoded();
+    CHECK_FALSE(request.key);
+    const auto sent = wire.encodeCall(request, BackendCall(permit()));
+    CHECK(*sent.fields.find("Authorization") == "Bearer k1");
+    CHECK(*sent.fields.find("Tenant-Id") == "mine");
+}
