--- a/Tests/Peers/PeerNetworkTest.cpp
+++ b/Tests/Peers/PeerNetworkTest.cpp
@@ -49,6 +49,13 @@
             return collector.storedSince(host, position);
         };
         hooks.onStoredUsage = [this](const UsageRecordId& id) { confirmed.push_back(id); };
+        hooks.exchangesProofs = [this] { return exchangesProofs; };
+        hooks.manifestProof = [this] { return proof; };
+        hooks.onManifestProof = [this](const ManifestProof& given) {
+            ++proofsGiven;
+            if (!proof || proof->provenAt < given.provenAt)
+                proof = given;
+        };
         return hooks;
     }
 
@@ -76,6 +83,9 @@
     UsageCollector collector { record.id, UsageBounds() };
     int usageRecords = 0;
     std::vector<UsageRecordId> confirmed;
+    bool exchangesProofs = false;
+    std::optional<ManifestProof> proof;
+    int proofsGiven = 0;
     PeerNetwork network;
 };
 
@@ -296,3 +306,45 @@
     CHECK(hosts[1]->store(began + 12s).size() == 1);
     CHECK(hosts[3]->usageRecords + hosts[4]->usageRecords == 0);
 }
+
+// A follower never asks the store, so that its keys depend on what the reader proves.
+TEST_CASE_METHOD(
+    PeerNetworkFixture, "Proof of a reader reaches its followers, and never appears younger than it is")
+{
+    for (const auto& host : hosts)
+        host->exchangesProofs = true;
+    const auto provenAt = bootTime();
+    hosts[0]->proof = ManifestProof { provenAt, { StoreEra(1), RowVersion(3) } };
+    runFor(1500ms);
+    for (const auto& host : hosts) {
+        REQUIRE(host->proof);
+        CHECK(host->proof->version == StoreVersion { StoreEra(1), RowVersion(3) });
+        CHECK(host->proof->provenAt <= provenAt);
+    }
+    CHECK(hosts[1]->proof->provenAt > provenAt - 600ms);
+}
+
+TEST_CASE_METHOD(PeerNetworkFixture, "Hosts without strict revocation send and take no proofs")
+{
+    hosts[0]->proof = ManifestProof { bootTime(), {} };
+    hosts[1]->exchangesProofs = true;
+    runFor(1000ms);
+    CHECK_FALSE(hosts[1]->proof);
+    CHECK_FALSE(hosts[2]->proof);
+}
+
+TEST_CASE_METHOD(PeerNetworkFixture, "Proof in a frame that echoes no stamp of the receiver does not count")
+{
+    hosts.clear();
+    add("a1", "a", 3);
+    hosts[0]->exchangesProofs = true;
+    PeerFrame frame;
+    frame.whole = true;
+    frame.host = HostId("a2");
+    frame.dataCentre = DataCentre("a");
+    frame.manifestProvenAge = 1ms;
+    frame.echoedProbe = GENERATE(0, 1000);
+    const auto socket = connectAndSend(frame);
+    runFor(50ms);
+    CHECK(hosts[0]->proofsGiven == 0);
+}
