Requests of organisations beyond their share are refused while capacity is scarce

RequestForwarder asks OrganisationShares before it looks for a server, and reports requests refused for lack of capacity.

--- a/Source/Forwarding/RequestForwarder.cpp
+++ b/Source/Forwarding/RequestForwarder.cpp
@@ -71,7 +71,10 @@
         const auto& prompt = *m_request.prompt;
         m_context.demand.onRequest(
             m_service, prompt, cachedWorkMs(), m_context.decodeTimes.holdMs(m_route->name), m_arrivedAt);
-        co_await runAttempts([this] { return attemptStream(); });
+        if (exceedsShare())
+            co_await refuse(ErrorKind::QueueFull);
+        else
+            co_await runAttempts([this] { return attemptStream(); });
     } else {
         co_await runAttempts([this] { return attemptPlain(); });
     }
@@ -79,6 +82,27 @@
     logSummary();
 }
 
+bool RequestForwarder::Impl::exceedsShare()
+{
+    if (m_request.organisation.empty())
+        return false;
+    const double workMs = cachedWorkMs() + m_context.speeds.speedOf(m_service).requestMs
+        + m_context.decodeTimes.holdMs(m_route->name) / std::max(1, m_engine->slots);
+    m_exceedsShare = !m_context.shares[m_service].admit(
+        m_request.organisation, m_request.priority.value_or(m_route->priority), workMs, m_arrivedAt);
+    return m_exceedsShare;
+}
+
+void RequestForwarder::Impl::noteScarcity(ErrorKind kind)
+{
+    // A request that is refused for lack of capacity. Nothing less counts, because an expected time may be
+    // wrong, and refusing the requests of some would then be a loss for all.
+    const bool scarce = kind == ErrorKind::DeadlineUnreachable || kind == ErrorKind::QueueFull;
+    if (!scarce || !m_engine || m_exceedsShare || m_request.organisation.empty())
+        return;
+    m_context.shares[m_service].onScarce(m_request.priority.value_or(m_route->priority), bootTime());
+}
+
 void RequestForwarder::Impl::startDeadlineTimer()
 {
     m_deadlineTimer.expires_after(m_deadline.remaining(bootTime()));
@@ -162,6 +186,7 @@
 
 awaitable<void> RequestForwarder::Impl::refuse(ErrorKind kind)
 {
+    noteScarcity(kind);
     m_outcome = errorName(kind);
     auto answer = m_context.wire.encodeError(kind, refusalRetryAfter(kind));
     co_await m_writer.sendResponse(std::move(answer.head), std::move(answer.body));
--- a/Source/Forwarding/RequestForwarderImpl.h
+++ b/Source/Forwarding/RequestForwarderImpl.h
@@ -52,6 +52,9 @@
     awaitable<void> sendFailure();
 
     awaitable<void> refuse(ErrorKind kind);
+    // Whether the organisation of the request has used up its share while capacity is scarce.
+    bool exceedsShare();
+    void noteScarcity(ErrorKind);
 
     // Opens m_connection to the server. If it returns false, nothing was sent.
     awaitable<bool> openConnection(BackendId id, Address address, Deadline deadline);
@@ -223,6 +226,7 @@
     // Last 5xx response, delivered if no other attempt succeeds.
     std::optional<LocalResponse> m_failure;
     ErrorKind m_error = ErrorKind::NoEngine;
+    bool m_exceedsShare = false;
     const char* m_outcome = "";
     // Sends other than prefills, and attempts that may have run the request.
     int m_requestSends = 0;
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -12,6 +12,7 @@
 #include "Serving/DecodeTimes.h"
 #include "Serving/DemandMeter.h"
 #include "Serving/EngineSpeeds.h"
+#include "Serving/OrganisationShares.h"
 #include "Serving/Placement.h"
 #include "Serving/RetryLimiter.h"
 #include "Serving/RoomQueue.h"
@@ -57,6 +58,8 @@
     // Called for each request sent to a server that has a limit.
     std::function<void()> onLimitedSend = {};
     RoomQueue roomQueue = {};
+    // The shares of organisations in the engines of each service.
+    std::map<ServiceName, OrganisationShares> shares = {};
     // Set while the host is shutting down; caller connections are closed after the next response.
     std::optional<ShutdownSchedule> shutdown = {};
     // Another data centre can serve callers better. Their connections are closed after the
--- a/Source/Serving/OrganisationShares.cpp
+++ b/Source/Serving/OrganisationShares.cpp
@@ -154,7 +154,8 @@
     member.leastDemand.add(workMs, m_options.leastDemandTime, now);
     if (isScarce(level, now)) {
         compute(level, now);
-        const double most = std::max(workMs, member.sharePerSecond * seconds(m_options.burstTime));
+        const double most = std::max(
+            m_options.minBurstRequests * workMs, member.sharePerSecond * seconds(m_options.burstTime));
         member.allowance
             = std::min(most, member.allowance + member.sharePerSecond * seconds(now - member.allowanceAt));
         member.allowanceAt = now;
--- a/Source/Serving/OrganisationShares.h
+++ b/Source/Serving/OrganisationShares.h
@@ -29,11 +29,13 @@
     double leastShare = 0.32;
     // Highest part of the capacity that an organisation gets on account of leastShare alone. Covers one with
     // half of the demand at twice the capacity, and limits one that retries without end.
-    double maxLeastPart = 0.15;
+    double maxLeastPart = 0.18;
     // While capacity is scarce, the demand that the least share is derived from counts with at most this
     // growth per second, because retries of refused requests look like demand.
     double leastGrowth = 0.05;
-    // Unused work that an organisation may catch up on, as time at its share.
+    // Unused work that an organisation may catch up on: as time at its share, and at least this many
+    // requests, because a host gets the requests of a small organisation at irregular intervals.
+    double minBurstRequests = 4;
     Nanoseconds burstTime = std::chrono::seconds(1);
 };
 
