--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -13,6 +13,7 @@
 #include "Serving/DemandMeter.h"
 #include "Serving/EngineSpeeds.h"
 #include "Serving/KeyCheck.h"
+#include "Serving/OrganisationShares.h"
 #include "Serving/Placement.h"
 #include "Serving/RetryLimiter.h"
 #include "Serving/RoomQueue.h"
@@ -60,6 +61,8 @@
     // Called once for each request of an organisation that began to run, with the time of that.
     std::function<void(const Organisation&, MonotonicTime began)> onRunBegan = {};
     RoomQueue roomQueue = {};
+    // The shares of organisations in the engines of each service.
+    std::map<ServiceName, OrganisationShares> shares = {};
     // Set while the host is shutting down; caller connections are closed after the next response.
     std::optional<ShutdownSchedule> shutdown = {};
     // Another data centre can serve callers better. Their connections are closed after the
