Placement by the learned speed of each server

Cause: the expected times of Placement are those of a typical server. On engines whose speeds differ, and of which some are slowed down for half a second, requests queue behind the slow ones.

Change: ServerSpeeds measures each server against the median of its service, for prefill and decode apart, by lifetime, from samples of this host and the sums of all others (SpeedExchange, whole frames, once a second and only what changed). Placement multiplies expected times by the factor; a slow engine is the home of fewer prefixes, and hosts draw the engines to compare in proportion to their speed. EngineSpeeds learns from samples divided by the factor. In a fleet of even speed all factors are exactly 1.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -74,6 +74,10 @@
                   },
                   [this](const LimitStatement& statement) {
                       return m_backends.limits().noteRelayed(statement, bootTime());
+                  },
+                  [this] { return m_context.serverSpeeds.localSums(bootTime()); },
+                  [this](ServerSpeeds::Sums sums) {
+                      m_context.serverSpeeds.setRemoteSums(std::move(sums), bootTime());
                   } })
         , m_tableSynchronizer(m_store, m_mirror, m_self,
               { [this] { return m_network.isReader(); }, [this](SharedTable table) { onTableRead(table); },
@@ -415,6 +419,7 @@
             m_pool.closeExpired();
             m_controlPool.closeExpired();
             m_directory.sweep(bootTime());
+            m_context.serverSpeeds.update(m_backends, bootTime());
             sweepCrashRecords();
             m_backends.limits().forgetAfterRemoval(
                 [this](const BackendLifetime& server) { return isRegistered(server); }, bootTime());
--- a/Programs/almondscale-host/StatusPages.cpp
+++ b/Programs/almondscale-host/StatusPages.cpp
@@ -146,6 +146,8 @@
             .integer("open_elsewhere", backend.remoteLoad.requests)
             .integer("prefill_ms", static_cast<std::int64_t>(backend.load().prefillMs))
             .number("slowness", backend.slowness)
+            .number("prefill_factor", backend.factors.prefill)
+            .number("decode_factor", backend.factors.decode)
             .endObject();
     }
     return json.endArray().finish();
--- a/Source/Forwarding/RequestForwarder.cpp
+++ b/Source/Forwarding/RequestForwarder.cpp
@@ -426,8 +426,12 @@
     if (reply.value().notExecuted || reply.value().wrongBackend)
         co_return co_await handleRefusal(id, reply.value(), m_deadline);
     const auto outcome = co_await handleWholeResponse(id, std::move(reply.value()), m_deadline);
-    if (outcome == AttemptOutcome::Delivered)
-        m_context.backends.noteSpeed(id, bootTime() - sentAt, fromMs(choice->workMs));
+    if (outcome == AttemptOutcome::Delivered) {
+        const auto taken = bootTime() - sentAt;
+        m_context.backends.noteSpeed(id, taken, fromMs(choice->workMs * choice->factor));
+        m_context.serverSpeeds.noteDecode(
+            m_server, toMs(taken), choice->nominalMs, choice->sampleWeight(), bootTime());
+    }
     co_return outcome;
 }
 
--- a/Source/Forwarding/RequestForwarderImpl.h
+++ b/Source/Forwarding/RequestForwarderImpl.h
@@ -160,6 +160,9 @@
 
     awaitable<AttemptOutcome> forwardStream(BackendId id, BackendReply reply);
 
+    // Notes the time between the events of the stream that has ended.
+    void noteDecodeSpeed(std::size_t events);
+
     AttemptOutcome handleCallerDisconnect();
 
     void logSummary() const;
@@ -181,6 +184,8 @@
     // Last engine chosen for the prefill, and when the prefill was done.
     std::optional<PlacementChoice> m_prefill;
     MonotonicTime m_prefilledAt {};
+    // Last engine chosen for the stream.
+    std::optional<PlacementChoice> m_decode;
     // Load of a prefill on the decode engine itself, until its first event.
     std::optional<ScopedLoad> m_directWork;
     // Time until which the stream may wait for a slot on the engine.
--- a/Source/Forwarding/RequestForwarderStream.cpp
+++ b/Source/Forwarding/RequestForwarderStream.cpp
@@ -30,6 +30,8 @@
     // A leaving engine runs for at least two more seconds, in which KV caches can be fetched
     // from it.
     constexpr Nanoseconds leavingSourceLifetime = milliseconds(1000);
+    // Shorter streams say little about the time between events.
+    constexpr std::size_t minTimedEvents = 4;
     // Freeing a KV cache may fail, since it also expires.
     constexpr Nanoseconds kvFreeTimeout = milliseconds(500);
 
@@ -156,9 +158,12 @@
     dropConnection();
     recordOutcome(id, BackendOutcome::Answered);
     const auto taken = bootTime() - sentAt;
-    m_context.backends.noteSpeed(id, taken, fromMs(choice.nominalMs));
+    m_context.backends.noteSpeed(id, taken, fromMs(choice.nominalMs * choice.factor));
+    // The time that would have been taken by the typical engine, of which the model is learned.
     m_context.speeds.notePrefill(
-        m_service, { m_request.prompt->tokens, choice.cached, choice.queuedMs, toMs(taken) });
+        m_service, { m_request.prompt->tokens, choice.cached, choice.queuedMs, toMs(taken) / choice.factor });
+    m_context.serverSpeeds.notePrefill(
+        m_server, toMs(taken), choice.nominalMs, choice.sampleWeight(), bootTime());
     m_context.crashes.noteCompleted(m_subjects, bootTime(), true);
     m_prefilledAt = bootTime();
     co_return m_context.wire.decodeKvHandle(body.value());
@@ -199,6 +204,7 @@
         if (!choice)
             co_return failNoServer();
         m_backend = choice->backend;
+        m_decode = choice;
         m_excluded.insert(m_backend);
         work.emplace(m_context.backends, m_backend, choice->streamLoad(prompt.tokens));
         deferred = choice->deferred;
@@ -252,6 +258,7 @@
 awaitable<AttemptOutcome> RequestForwarder::Impl::forwardStream(BackendId id, BackendReply reply)
 {
     m_eventCutter.discardPartialEvent();
+    const auto eventsBefore = m_eventCutter.eventCount();
     std::optional<Deadline> soundAt;
     for (;;) {
         auto piece = co_await m_connection->readBodyChunk(streamDeadline());
@@ -299,12 +306,25 @@
     recordOutcome(id, BackendOutcome::Answered);
     if (m_prefilledAt != MonotonicTime() && m_firstEventAt >= m_sentAt)
         m_context.decodeTimes.noteStream(m_route->name, m_firstEventAt - m_sentAt, bootTime() - m_sentAt);
+    if (m_firstEventAt >= m_sentAt)
+        noteDecodeSpeed(m_eventCutter.eventCount() - eventsBefore);
     m_context.crashes.noteCompleted(m_subjects, bootTime());
     m_outcome = "answered";
     co_await m_writer.endStream();
     co_return AttemptOutcome::Delivered;
 }
 
+void RequestForwarder::Impl::noteDecodeSpeed(std::size_t events)
+{
+    if (!m_decode || events < minTimedEvents)
+        return;
+    const double eventMs = toMs(bootTime() - m_firstEventAt) / static_cast<double>(events - 1);
+    const double running = std::max(0, m_decode->running) + 1;
+    const double expectedMs = m_context.decodePace.eventMs(m_service, running);
+    m_context.serverSpeeds.noteDecode(m_server, eventMs, expectedMs, 1, bootTime());
+    m_context.decodePace.noteStream(m_service, running, eventMs / m_decode->factor);
+}
+
 AttemptOutcome RequestForwarder::Impl::handleCallerDisconnect()
 {
     m_callerDisconnected = true;
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -9,6 +9,7 @@
 #include "Forwarding/ShutdownSchedule.h"
 #include "Forwarding/SuspectLock.h"
 #include "Serving/CrashRecords.h"
+#include "Serving/DecodePace.h"
 #include "Serving/DecodeTimes.h"
 #include "Serving/DemandMeter.h"
 #include "Serving/EngineSpeeds.h"
@@ -16,6 +17,7 @@
 #include "Serving/RetryLimiter.h"
 #include "Serving/RoomQueue.h"
 #include "Serving/RouteTable.h"
+#include "Serving/ServerSpeeds.h"
 #include "Serving/ServingWire.h"
 
 #include <functional>
@@ -65,6 +67,8 @@
     int openRequests = 0;
     // Covers buffered responses and request bodies that are being received.
     ByteBudget bufferBudget = {};
+    ServerSpeeds serverSpeeds = ServerSpeeds();
+    DecodePace decodePace = {};
 
     bool closesCallerConnections() const { return shutdown || servedElsewhere; }
 };
--- a/Source/Peers/PeerFrame.h
+++ b/Source/Peers/PeerFrame.h
@@ -74,7 +74,7 @@
     std::vector<UsageRecord> usage;
     // Records that are in the store.
     std::vector<UsageRecordId> storedUsage;
-    // By the hash of the server's id. Only a whole frame has speeds.
+    // By the hash of the server's lifetime, see ServerSpeeds::keyOf. Only whole frames have speeds.
     std::unordered_map<std::uint64_t, ServerSpeed> serverSpeeds;
 };
 
--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -157,6 +157,7 @@
     std::size_t m_sentLeavingPosition = 0;
     std::size_t m_sentRoleTransitionPosition = 0;
     std::uint64_t m_sentLimitVersion = 0;
+    Deadline m_nextSpeeds;
     std::weak_ptr<Impl> m_self;
 };
 
@@ -203,6 +204,8 @@
 
 std::uint64_t& PeerLink::sentLimitVersion() { return m_impl->m_sentLimitVersion; }
 
+Deadline& PeerLink::nextSpeeds() { return m_impl->m_nextSpeeds; }
+
 std::size_t& PeerLink::sentRoleTransitionPosition() { return m_impl->m_sentRoleTransitionPosition; }
 
 } // namespace almondscale
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -49,6 +49,8 @@
     std::size_t& sentLeavingPosition();
     // The version of the limits of servers up to which they were sent over this link.
     std::uint64_t& sentLimitVersion();
+    // The time from which on speeds of servers are sent again.
+    Deadline& nextSpeeds();
     // The same for the log of role transitions.
     std::size_t& sentRoleTransitionPosition();
 
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -6,6 +6,7 @@
 #include "Forwarding/HttpListener.h"
 #include "Forwarding/SocketOptions.h"
 #include "Peers/PeerLink.h"
+#include "Serving/SpeedExchange.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -35,6 +36,12 @@
     constexpr std::size_t maxCrashRecordsPerFrame = 64;
     constexpr std::size_t maxLimitsPerFrame = 64;
 
+    // Speeds of servers are sent over a link at this interval, so many at a time: about 1.5 KB/s within a
+    // data centre, and half as much between data centres.
+    constexpr Nanoseconds speedInterval = std::chrono::seconds(1);
+    constexpr std::size_t maxSpeedsPerFrame = 64;
+    constexpr std::size_t maxRemoteSpeedsPerFrame = 32;
+
     // Seeds are tried in turn, one per interval.
     constexpr Nanoseconds seedInterval = std::chrono::milliseconds(400);
 
@@ -303,6 +310,12 @@
             frame.roleTransitions = m_hooks.roleTransitionsSince(link.sentRoleTransitionPosition());
         if (m_hooks.limitsSince)
             frame.limits = m_hooks.limitsSince(link.sentLimitVersion(), maxLimitsPerFrame);
+        if (whole && m_hooks.localSpeeds && link.nextSpeeds().passed(now)) {
+            link.nextSpeeds() = Deadline::after(now, speedInterval);
+            const bool local = link.dataCentre() == m_self.dataCentre;
+            frame.serverSpeeds = m_speeds.changesFor(&link, isFollower(link), m_hooks.localSpeeds(),
+                local ? maxSpeedsPerFrame : maxRemoteSpeedsPerFrame, now);
+        }
         return frame;
     }
 
@@ -329,6 +342,10 @@
             if (!transition.until.passed(now))
                 changed = (m_hooks.onRoleTransition && m_hooks.onRoleTransition(transition)) || changed;
         }
+        if (frame.whole)
+            m_speeds.receive(&link, isFollower(link), frame.serverSpeeds, now);
+        if (!frame.serverSpeeds.empty() && m_hooks.onRemoteSpeeds)
+            m_hooks.onRemoteSpeeds(m_speeds.remoteSums(now));
         if (changed || crashesBefore < m_crashes.version())
             publish();
         m_sum.stale = true;
@@ -338,6 +355,7 @@
     void onClosed(PeerLink& link)
     {
         m_links.erase(link.shared_from_this());
+        m_speeds.remove(&link);
         // Sums up at once: if this was the last link, no further frame would trigger it.
         m_sum.updatedAt = {};
         m_sum.stale = true;
@@ -373,6 +391,7 @@
 
     std::set<std::shared_ptr<PeerLink>> m_links;
     WorkSum m_sum;
+    SpeedExchange m_speeds;
     std::shared_ptr<PeerLink> m_seedLink;
     Deadline m_nextSeed;
     std::shared_ptr<PeerLink> m_readerLink;
--- a/Source/Peers/PeerNetwork.h
+++ b/Source/Peers/PeerNetwork.h
@@ -5,6 +5,7 @@
 #include "Serving/CrashRecords.h"
 #include "Serving/HostRecord.h"
 #include "Serving/RowMirror.h"
+#include "Serving/ServerSpeeds.h"
 
 #include <functional>
 #include <memory>
@@ -33,6 +34,10 @@
         std::function<std::vector<LimitStatement>(std::uint64_t& version, std::size_t maxCount)> limitsSince
             = {};
         std::function<bool(const LimitStatement&)> onLimit = {};
+        // The samples of servers' speeds of this host alone.
+        std::function<ServerSpeeds::Sums()> localSpeeds = {};
+        // Called with the samples of all other hosts, which replace the last ones.
+        std::function<void(ServerSpeeds::Sums)> onRemoteSpeeds = {};
     };
 
     // The seeds are peer addresses of other hosts, used until the table of hosts is known. They may be stale.
--- a/Source/Serving/Backend.h
+++ b/Source/Serving/Backend.h
@@ -3,6 +3,7 @@
 #include "Core/MonotonicTime.h"
 #include "Serving/BackendLoad.h"
 #include "Serving/BackendRecord.h"
+#include "Serving/ServerFactors.h"
 
 #include <cstdint>
 #include <unordered_map>
@@ -29,8 +30,11 @@
     bool probing = false;
     // Moving average of the share of failed attempts, 0 to 1.
     double failureShare = 0;
-    // Moving average of measured time divided by expected time; 1 at nominal speed.
+    // Moving average of measured time divided by the time expected of this server; 1 at that speed. Covers
+    // what is slow for this host alone, or not yet known of the server.
     double slowness = 1;
+    // The speed of the server, known from the measurements of all hosts.
+    ServerFactors factors;
     // Hashes of the prompt prefixes sent to the server for prefill, with the time of the last send.
     std::unordered_map<std::uint64_t, MonotonicTime> prefixes;
 
@@ -38,8 +42,10 @@
     // estimate.
     static constexpr double slownessThreshold = 1.6;
 
-    // The factor by which expected times are multiplied.
+    // The factors by which expected times are multiplied.
     double delayFactor() const { return slowness < slownessThreshold ? 1 : slowness; }
+    double prefillDelay() const { return factors.prefill * delayFactor(); }
+    double decodeDelay() const { return factors.decode * delayFactor(); }
 
     bool isFull(MonotonicTime now) const
     {
--- a/Source/Serving/BackendTable.cpp
+++ b/Source/Serving/BackendTable.cpp
@@ -319,6 +319,13 @@
         = movingAverage(found->second.slowness, std::clamp(ratio, minSlowness, maxSlowness));
 }
 
+void BackendTable::setFactors(const BackendId& id, const ServerFactors& factors)
+{
+    const auto found = m_backends.find(id);
+    if (found != m_backends.end())
+        found->second.factors = factors;
+}
+
 void BackendTable::noteSentPrefix(const BackendId& id, std::uint64_t prefix, MonotonicTime now)
 {
     const auto found = m_backends.find(id);
--- a/Source/Serving/BackendTable.h
+++ b/Source/Serving/BackendTable.h
@@ -88,8 +88,9 @@
     // is known, so that a server that is still down costs one attempt at a time.
     void noteAttempt(const BackendId&, MonotonicTime now);
     void noteOutcome(const BackendId&, BackendOutcome, MonotonicTime now);
-    // Updates the slowness from the measured time of an attempt and the time expected at nominal speed.
+    // Updates the slowness from the measured time of an attempt and the time expected of the server.
     void noteSpeed(const BackendId&, Nanoseconds taken, Nanoseconds expected);
+    void setFactors(const BackendId&, const ServerFactors&);
     // The number of consecutive attempts at servers of the data centre that failed to connect.
     int consecutiveConnectFailures(const DataCentre&) const;
     // The prefix was sent to the server, which caches it.
--- a/Source/Serving/EventStreamSplitter.cpp
+++ b/Source/Serving/EventStreamSplitter.cpp
@@ -20,6 +20,18 @@
         return end;
     }
 
+    std::size_t countEvents(const std::string& events)
+    {
+        std::size_t count = 0;
+        // An event that ends with a blank line of two carriage returns is not counted.
+        for (const std::string blank : { "\n\n", "\n\r\n" }) {
+            for (auto at = events.find(blank); at != std::string::npos;
+                 at = events.find(blank, at + blank.size()))
+                ++count;
+        }
+        return count;
+    }
+
 } // namespace
 
 std::string EventStreamSplitter::append(const char* data, std::size_t size)
@@ -29,6 +41,7 @@
     std::string events = m_partialEvent.substr(0, end);
     m_partialEvent.erase(0, end);
     updateLastId(events);
+    m_eventCount += countEvents(events);
     return events;
 }
 
--- a/Source/Serving/EventStreamSplitter.h
+++ b/Source/Serving/EventStreamSplitter.h
@@ -12,6 +12,8 @@
     std::string append(const char* data, std::size_t size);
     std::string append(const std::string& bytes) { return append(bytes.data(), bytes.size()); }
 
+    // The number of complete events.
+    std::size_t eventCount() const { return m_eventCount; }
     // The id of the last complete event; empty before the first.
     const std::string& lastId() const { return m_lastId; }
     // Whether bytes of an incomplete event are buffered.
@@ -25,6 +27,7 @@
 
     std::string m_partialEvent;
     std::string m_lastId;
+    std::size_t m_eventCount = 0;
 };
 
 } // namespace almondscale
--- a/Source/Serving/Placement.h
+++ b/Source/Serving/Placement.h
@@ -9,9 +9,11 @@
 #include "Serving/PromptShape.h"
 #include "Serving/StreamRequirements.h"
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace almondscale {
@@ -53,6 +55,9 @@
     double directPauseShare = 0.3;
     // Cost of a millisecond of such prefill for each stream stalled by it.
     double directStallWeight = 0.15;
+    // In a fleet of uneven speed, a host compares at least this many engines of each data centre, drawn in
+    // proportion to their speed: one alone would get its share of the requests whatever its speed.
+    std::size_t minUnevenCompared = 2;
     // Number of hosts that send to the same engines.
     std::function<int()> hosts = [] { return 1; };
     // Load reports of other hosts arrive late, so that many hosts would choose the same engine. Up to this
@@ -73,13 +78,20 @@
     // Milliseconds for which the work occupies a server of nominal speed, and until it is done there.
     double workMs = 0;
     double nominalMs = 0;
-    // Milliseconds of work queued ahead.
+    // Milliseconds of work queued ahead, at nominal speed.
     double queuedMs = 0;
     // Tokens of the prompt that the server is assumed to have cached.
     TokenCount cached;
     // The request would be late everywhere and yields to requests that can be in time.
     bool deferred = false;
+    // How much longer the server is expected to take than the typical one, and the number of its open
+    // streams.
+    double factor = 1;
+    int running = 0;
 
+    // How far the expected time tells the speed of the server: 1 without a queue, whose length is only an
+    // estimate, and less the longer the queue is.
+    double sampleWeight() const { return nominalMs > 0 ? std::max(0.0, 1 - 4 * queuedMs / nominalMs) : 0; }
     // Load that the prefill adds to its engine.
     BackendLoad prefillLoad() const { return { deferred ? 0 : workMs, 0, 0, deferred ? workMs : 0 }; }
     // Load that a stream of the prompt adds to its engine.
@@ -118,8 +130,12 @@
     struct PrefillQuery;
     struct DecodeQuery;
     std::optional<PlacementChoice> bestPrefill(const PrefillQuery&, bool deferred) const;
-    // The decode engines to compare: a random subset of each data centre if there are many hosts.
+    // The engines to compare: a random subset of each data centre if there are many hosts.
+    std::vector<const Backend*> drawCompared(const std::vector<const Backend*>&, EngineRole) const;
     std::vector<const Backend*> decodeEngines(const ServiceName&, const Excluded&, MonotonicTime now) const;
+    // The engines by descending rank for the prefix.
+    std::vector<std::pair<double, const Backend*>> rankForPrefix(
+        std::uint64_t prefixHash, const std::vector<const Backend*>&) const;
     std::optional<PlacementChoice> bestDecode(const DecodeQuery&, bool deferred) const;
     bool hasPrefix(const Backend&, const PromptShape&, bool home, MonotonicTime now) const;
 
--- a/Source/Serving/ServerSpeed.h
+++ b/Source/Serving/ServerSpeed.h
@@ -2,8 +2,8 @@
 
 namespace almondscale {
 
-// Measured times of a server divided by those of a typical server of its service, as weighted sums so that
-// the measurements of several hosts can be added.
+// The logarithms of a server's measured times divided by the expected times, as weighted sums so that the
+// measurements of several hosts can be added. A sample has a weight of at most 1.
 struct ServerSpeed {
     double prefillSum = 0;
     double prefillWeight = 0;
@@ -18,6 +18,19 @@
         decodeWeight += other.decodeWeight;
         return *this;
     }
+    ServerSpeed& operator-=(const ServerSpeed& other)
+    {
+        auto less = other;
+        return *this += (less *= -1);
+    }
+    ServerSpeed& operator*=(double factor)
+    {
+        prefillSum *= factor;
+        prefillWeight *= factor;
+        decodeSum *= factor;
+        decodeWeight *= factor;
+        return *this;
+    }
 };
 
 } // namespace almondscale
--- a/Tests/Serving/SimulatedFleet.cpp
+++ b/Tests/Serving/SimulatedFleet.cpp
@@ -14,6 +14,9 @@
     // A decode engine prefills at half the speed.
     constexpr double directFactor = 2;
     constexpr Nanoseconds allowedPause = std::chrono::milliseconds(150);
+    constexpr double loadReportMs = 100;
+    constexpr double speedReportMs = 1000;
+    constexpr double factorUpdateMs = 250;
     std::string routeOf(std::size_t type) { return "kind-" + std::to_string(type); }
 
     double millionPairs(double fresh, double before) { return fresh * (before + fresh / 2) / 1e6; }
@@ -22,6 +25,8 @@
 
 struct SimulatedFleet::Job {
     std::size_t type = 0;
+    HostView* host = nullptr;
+    PlacementChoice decode;
     PromptShape prompt;
     double arrivedMs = 0;
     double sentMs = 0;
@@ -35,17 +40,34 @@
     : m_spec(spec)
     , m_random(seededRandom(seed))
     , m_engines(static_cast<std::size_t>(spec.engines))
+    , m_hosts([&spec] {
+        std::vector<std::unique_ptr<HostView>> hosts;
+        for (int i = 0; i < spec.hosts; ++i)
+            hosts.push_back(std::make_unique<HostView>());
+        return hosts;
+    }())
+    , m_table(m_hosts.front()->table)
 {
     PlacementOptions options;
     options.warmBeforeMs.reset();
     options.speedOf = [this](const ServiceName& service) { return m_speeds.speedOf(service); };
-    m_placement = std::make_unique<Placement>(m_table, DataCentre("a"), options);
+    options.hosts = [this] { return m_spec.hosts; };
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+        options.random = seededRandom(1 + i);
+        m_hosts[i]->placement = std::make_unique<Placement>(m_hosts[i]->table, DataCentre("a"), options);
+    }
     m_engineSpec.slots = spec.slots;
     m_engineSpec.memory = TokenCount(spec.memoryTokens);
     for (int i = 0; i < spec.engines; ++i) {
         auto& engine = m_engines[static_cast<std::size_t>(i)];
         engine.id = BackendId("e" + std::to_string(i));
         m_byId[engine.id] = &engine;
+        if (!spec.factors.empty())
+            engine.factor = spec.factors[static_cast<std::size_t>(i) % spec.factors.size()];
+        for (double ms = 0; spec.slowDownsPerSecond > 0 && ms < durationMs; ms += spec.slowDownMs) {
+            ms -= std::log(1 - uniform(m_random)) * 1000 / spec.slowDownsPerSecond;
+            engine.slowDownsMs.push_back(ms);
+        }
         setRole(engine, i % 3 == 0 ? EngineRole::Prefill : EngineRole::Decode);
     }
 }
@@ -55,7 +77,8 @@
     engine.role = role;
     auto record = engineRecord(engine.id.text(), role, "a", 1);
     record.slots = m_spec.slots;
-    m_table.put(record);
+    for (const auto& host : m_hosts)
+        host->table.put(record);
 }
 
 void SimulatedFleet::at(double ms, std::function<void()> action) { m_events.emplace(ms, std::move(action)); }
@@ -78,6 +101,10 @@
     }
     for (std::size_t type = 0; type < m_spec.types.size(); ++type)
         at(0, [this, type] { arrive(type); });
+    if (m_spec.hosts > 1)
+        at(loadReportMs, [this] { exchangeLoads({}); });
+    // Scheduled in any case, since the order of concurrent events depends on the number of events.
+    at(factorUpdateMs, [this] { exchangeSpeeds({}); });
     while (!m_events.empty()) {
         auto event = m_events.top();
         m_events.pop();
@@ -107,7 +134,8 @@
         return;
     }
     const auto& record = m_table.find(order.engine)->record;
-    m_table.noteBackoff(lifetimeOf(record), Deadline(now() + fromMs(roleChangeMs)), now());
+    for (const auto& host : m_hosts)
+        host->table.noteBackoff(lifetimeOf(record), Deadline(now() + fromMs(roleChangeMs)), now());
     at(m_nowMs + roleChangeMs, [this, order] { setRole(engine(order.engine), order.role); });
 }
 
@@ -122,6 +150,9 @@
     ++m_asked;
     const auto job = std::make_shared<Job>();
     job->type = type;
+    auto& host = *m_hosts[m_spec.hosts > 1 ? uniformBelow(m_random, m_hosts.size()) : 0];
+    job->host = &host;
+    ++m_counts[type].requested;
     job->arrivedMs = m_nowMs;
     job->targetMs = simulated.targetMs;
     job->events = 1 - simulated.events * std::log(1 - uniform(m_random));
@@ -135,8 +166,11 @@
     prompt.tokens = prompt.prefixTokens + TokenCount(static_cast<std::int64_t>(std::max(16.0, own)));
     const auto route = routeOf(type);
     m_demand.onRequest(model, prompt, cachedWorkMs(prompt), m_times.holdMs(route), now());
-    const auto prefill = m_placement->choosePrefill(model, prompt, {}, targetTime(*job), now());
-    const auto direct = m_placement->chooseDirect(model, m_engineSpec, prompt, allowedPause, {}, now());
+    const auto prefill = choose(host, EngineRole::Prefill, *job,
+        [&] { return host.placement->choosePrefill(model, prompt, {}, targetTime(*job), now()); });
+    const auto direct = m_spec.policy == SimulatedPolicy::Placement
+        ? host.placement->chooseDirect(model, m_engineSpec, prompt, allowedPause, {}, now())
+        : std::nullopt;
     // Callers do not wait for longer.
     if (prefill && prefill->expectedMs > callerTimeoutMs && !direct)
         return;
@@ -174,39 +208,151 @@
 {
     auto& at = engine(choice.backend);
     job->direct = direct;
+    auto& host = *job->host;
     if (direct) {
         const auto id = choice.backend;
         const BackendLoad reading { choice.workMs, 0, 0 };
-        m_table.open(id, reading);
-        const double stallMs = directFactor * readMs(at, job->prompt);
+        host.table.open(id, reading);
+        const double stallMs = directFactor * readMs(at, job->prompt) * at.factor;
         const double beforeFirst = m_spec.baseMs + stallMs;
         at.stalledMs += stallMs;
         m_demand.addWork(model, -cachedWorkMs(job->prompt), choice.workMs * m_spec.slots, now());
-        this->at(m_nowMs + beforeFirst, [this, id, reading] { m_table.close(id, reading); });
+        this->at(m_nowMs + beforeFirst, [&host, id, reading] { host.table.close(id, reading); });
         decodeAt(job, choice, beforeFirst);
         return;
     }
-    m_table.open(choice.backend, choice.prefillLoad());
-    m_table.noteSentPrefix(choice.backend, job->prompt.prefixHash, now());
+    host.table.open(choice.backend, choice.prefillLoad());
+    host.table.noteSentPrefix(choice.backend, job->prompt.prefixHash, now());
+    if (job->prompt.prefixHash != 0)
+        m_sentPrefixes.insert({ backendHash(choice.backend), job->prompt.prefixHash });
+    m_longestQueue = std::max(m_longestQueue, ++at.openPrefills);
     if (choice.cached < job->prompt.prefixTokens)
         m_demand.addWork(model, choice.workMs - cachedWorkMs(job->prompt), 0, now());
-    at.freeAtMs = std::max(at.freeAtMs, m_nowMs) + readMs(at, job->prompt);
+    at.freeAtMs = workEnd(at, std::max(at.freeAtMs, m_nowMs), readMs(at, job->prompt));
     const double sent = m_nowMs;
-    this->at(at.freeAtMs + m_spec.baseMs, [this, job, choice, sent] {
-        m_table.close(choice.backend, choice.prefillLoad());
-        m_table.noteSpeed(choice.backend, fromMs(m_nowMs - sent), fromMs(choice.nominalMs));
-        m_speeds.notePrefill(model, { job->prompt.tokens, choice.cached, choice.queuedMs, m_nowMs - sent });
+    this->at(at.freeAtMs + m_spec.baseMs, [this, job, choice, sent, &at, &host] {
+        --at.openPrefills;
+        const double takenMs = m_nowMs - sent;
+        host.table.close(choice.backend, choice.prefillLoad());
+        host.table.noteSpeed(choice.backend, fromMs(takenMs), fromMs(choice.nominalMs * choice.factor));
+        m_speeds.notePrefill(
+            model, { job->prompt.tokens, choice.cached, choice.queuedMs, takenMs / choice.factor });
+        host.factors.notePrefill(lifetimeOf(host.table.find(choice.backend)->record), takenMs,
+            choice.nominalMs, choice.sampleWeight(), now());
         const auto route = routeOf(job->type);
         const StreamRequirements needs { m_times.firstEventMs(route), m_times.holdMs(route),
             targetTime(*job) };
-        const auto decode
-            = m_placement->chooseDecode(model, m_engineSpec, job->prompt, needs, DataCentre("a"), {}, now());
+        const auto decode = choose(host, EngineRole::Decode, *job, [&] {
+            return host.placement->chooseDecode(
+                model, m_engineSpec, job->prompt, needs, DataCentre("a"), {}, now());
+        });
         if (decode)
             decodeAt(
                 job, *decode, m_spec.transferMsPerToken * static_cast<double>(job->prompt.tokens.count()));
     });
 }
 
+double SimulatedFleet::inTime(std::size_t type) const
+{
+    const auto& count = m_counts.at(type);
+    return static_cast<double>(count.inTime) / count.requested;
+}
+
+double SimulatedFleet::workEnd(const Engine& engine, double beginMs, double nominalMs) const
+{
+    double at = beginMs;
+    double leftMs = nominalMs * engine.factor;
+    for (const double slowMs : engine.slowDownsMs) {
+        const double until = slowMs + m_spec.slowDownMs;
+        if (until <= at)
+            continue;
+        const double before = std::max(0.0, slowMs - at);
+        if (leftMs <= before)
+            break;
+        at += before;
+        leftMs -= before;
+        const double slowly = std::min(leftMs * m_spec.slowDownFactor, until - at);
+        at += slowly;
+        leftMs -= slowly / m_spec.slowDownFactor;
+    }
+    return at + leftMs;
+}
+
+std::optional<PlacementChoice> SimulatedFleet::choose(HostView& host, EngineRole role, const Job& job,
+    const std::function<std::optional<PlacementChoice>()>& byPlacement)
+{
+    if (m_spec.policy == SimulatedPolicy::Placement)
+        return byPlacement();
+    const auto usable = host.table.usable(model, now(), role);
+    if (usable.empty())
+        return std::nullopt;
+    auto chosen = usable[host.turn++ % usable.size()]->record.id;
+    const auto open = [&](const BackendId& id) {
+        if (m_spec.hosts == 1 || role == EngineRole::Decode)
+            return role == EngineRole::Prefill ? engine(id).openPrefills
+                                               : host.table.find(id)->load().requests;
+        return engine(id).reportedPrefills;
+    };
+    for (std::size_t i = 0; m_spec.policy == SimulatedPolicy::FewestWaiting && i < usable.size(); ++i) {
+        if (open(usable[i]->record.id) < open(chosen))
+            chosen = usable[i]->record.id;
+    }
+    PlacementChoice choice;
+    choice.backend = chosen;
+    choice.workMs = choice.nominalMs = m_speeds.speedOf(model).prefillMs(job.prompt.tokens, TokenCount(0));
+    return choice;
+}
+
+void SimulatedFleet::exchangeLoads(std::vector<BackendTable::Loads> snapshot)
+{
+    // The loads of the previous turn are known now.
+    BackendTable::Loads total;
+    for (const auto& loads : snapshot) {
+        for (const auto& [server, load] : loads)
+            total[server] += load;
+    }
+    for (std::size_t i = 0; i < snapshot.size(); ++i) {
+        auto others = total;
+        for (const auto& [server, load] : snapshot[i])
+            others[server] -= load;
+        m_hosts[i]->table.setRemoteLoads(others);
+        m_hosts[i]->table.noteRemotePrefixes(m_sentPrefixes, now());
+    }
+    m_sentPrefixes.clear();
+    for (auto& engine : m_engines)
+        engine.reportedPrefills = std::exchange(engine.countedPrefills, engine.openPrefills);
+    snapshot.clear();
+    for (const auto& host : m_hosts)
+        snapshot.push_back(host->table.localLoads());
+    if (m_nowMs < durationMs)
+        at(m_nowMs + loadReportMs, [this, snapshot] { exchangeLoads(snapshot); });
+}
+
+void SimulatedFleet::exchangeSpeeds(std::vector<ServerSpeeds::Sums> snapshot)
+{
+    ServerSpeeds::Sums total;
+    for (const auto& sums : snapshot) {
+        for (const auto& [server, sum] : sums)
+            total[server] += sum;
+    }
+    for (std::size_t i = 0; i < snapshot.size(); ++i) {
+        auto others = total;
+        for (const auto& [server, sum] : snapshot[i])
+            others[server] -= sum;
+        m_hosts[i]->factors.setRemoteSums(std::move(others), now() - fromMs(speedReportMs));
+    }
+    for (const auto& host : m_hosts) {
+        if (m_spec.learnsFactors)
+            host->factors.update(host->table, now());
+    }
+    snapshot.clear();
+    for (const auto& host : m_hosts)
+        snapshot.push_back(host->factors.localSums(now()));
+    if (m_nowMs < durationMs)
+        at(m_nowMs + (m_spec.hosts > 1 ? speedReportMs : factorUpdateMs),
+            [this, snapshot] { exchangeSpeeds(snapshot); });
+}
+
 Deadline SimulatedFleet::targetTime(const Job& job) const
 {
     return Deadline(testStart + fromMs(job.arrivedMs + job.targetMs));
@@ -217,13 +363,16 @@
 {
     auto& engine = this->engine(choice.backend);
     job->load = choice.streamLoad(job->prompt.tokens);
-    m_table.open(engine.id, job->load);
+    job->decode = choice;
+    job->host->table.open(engine.id, job->load);
     job->sentMs = m_nowMs;
     auto start = [this, job, &engine, beforeFirstMs] {
         ++engine.running;
-        const double first = m_nowMs + beforeFirstMs + m_spec.eventMs;
-        const double end = first + (job->events - 1) * m_spec.eventMs;
-        m_inTime += first <= job->arrivedMs + job->targetMs ? 1 : 0;
+        const double first = workEnd(engine, m_nowMs + beforeFirstMs, m_spec.eventMs);
+        const double end = workEnd(engine, first, (job->events - 1) * m_spec.eventMs);
+        const int inTime = first <= job->arrivedMs + job->targetMs ? 1 : 0;
+        m_inTime += inTime;
+        m_counts[job->type].inTime += inTime;
         const double stalled = engine.stalledMs;
         at(end, [this, job, &engine, first, stalled] { endStream(job, engine, first, stalled); });
     };
@@ -243,7 +392,15 @@
         return;
     }
     --engine.running;
-    m_table.close(engine.id, job->load);
+    auto& host = *job->host;
+    host.table.close(engine.id, job->load);
+    if (job->events >= 4) {
+        const double eventMs = (m_nowMs - firstMs) / (job->events - 1);
+        const double running = std::max(0, job->decode.running) + 1;
+        host.factors.noteDecode(lifetimeOf(host.table.find(engine.id)->record), eventMs,
+            host.pace.eventMs(model, running), 1, now());
+        host.pace.noteStream(model, running, eventMs / job->decode.factor);
+    }
     const auto since = [&](double ms) { return fromMs(ms - job->sentMs); };
     if (!job->direct)
         m_times.noteStream(routeOf(job->type), since(firstMs), since(m_nowMs));
--- a/Tests/Serving/SimulatedFleet.h
+++ b/Tests/Serving/SimulatedFleet.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "Serving/DecodePace.h"
 #include "Serving/DecodeTimes.h"
 #include "Serving/DemandMeter.h"
 #include "Serving/EngineSpeeds.h"
 #include "Serving/Placement.h"
 #include "Serving/RoleSplit.h"
+#include "Serving/ServerSpeeds.h"
 
 #include "Core/Milliseconds.h"
 #include "Core/RandomSource.h"
@@ -18,6 +20,7 @@
 #include <memory>
 #include <optional>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +36,9 @@
     double targetMs = 0;
 };
 
+// How the hosts of a simulated fleet choose engines.
+enum class SimulatedPolicy { Placement, RoundRobin, FewestWaiting };
+
 // A fleet of engines with their actual times, which are hidden from the policy.
 struct SimulatedFleetSpec {
     int engines = 0;
@@ -46,6 +52,16 @@
     std::vector<RequestType> types;
     // Used in the second half of the simulation.
     std::vector<RequestType> laterTypes;
+    // How much longer engines take, in turn; empty if all are alike.
+    std::vector<double> factors;
+    // Each engine is slowed down by this factor for slowDownMs, at random times at this rate.
+    double slowDownFactor = 2.5;
+    double slowDownMs = 600;
+    double slowDownsPerSecond = 0;
+    // Hosts that know the load of the others late by up to 200 ms, and their samples of speeds by seconds.
+    int hosts = 1;
+    SimulatedPolicy policy = SimulatedPolicy::Placement;
+    bool learnsFactors = true;
 };
 
 // Simulates a load on a fleet whose engines follow a time model of their own. Prefill engines process prompts
@@ -59,6 +75,10 @@
     double simulate(std::optional<int> fixedDecode);
 
     int orders() const { return m_orders; }
+    // The share of the requests of a type whose first event was in time.
+    double inTime(std::size_t type) const;
+    // The maximum number of prefills outstanding at one engine.
+    int longestQueue() const { return m_longestQueue; }
 
 private:
     struct Engine {
@@ -73,6 +93,27 @@
         double stalledMs = 0;
         // Streams waiting for a slot: ordinary ones, then deferred ones.
         std::array<std::deque<std::function<void()>>, 2> waiting;
+        double factor = 1;
+        // When slow-downs begin, in order.
+        std::vector<double> slowDownsMs;
+        int openPrefills = 0;
+        // Outstanding prefills as the hosts know them, and as they will after the next report.
+        int reportedPrefills = 0;
+        int countedPrefills = 0;
+    };
+
+    // What one host knows.
+    struct HostView {
+        BackendTable table;
+        ServerSpeeds factors;
+        DecodePace pace;
+        std::unique_ptr<Placement> placement;
+        std::size_t turn = 0;
+    };
+
+    struct Count {
+        int requested = 0;
+        int inTime = 0;
     };
 
     struct Job;
@@ -85,6 +126,12 @@
     void endStream(const std::shared_ptr<Job>& job, Engine& engine, double firstMs, double stalledMs);
     Deadline targetTime(const Job& job) const;
     void decodeAt(const std::shared_ptr<Job>& job, const PlacementChoice& choice, double beforeFirstMs);
+    // When work that takes so long on an engine of factor 1 is done.
+    double workEnd(const Engine&, double beginMs, double nominalMs) const;
+    std::optional<PlacementChoice> choose(HostView&, EngineRole, const Job&,
+        const std::function<std::optional<PlacementChoice>()>& byPlacement);
+    void exchangeLoads(std::vector<BackendTable::Loads> snapshot);
+    void exchangeSpeeds(std::vector<ServerSpeeds::Sums> snapshot);
     void decideSplit();
     void changeRole(const RoleAssignment& order, bool atOnce);
     void setRole(Engine& engine, EngineRole role);
@@ -97,11 +144,13 @@
     RandomSource m_random;
     std::vector<Engine> m_engines;
     std::map<BackendId, Engine*> m_byId;
-    BackendTable m_table;
+    std::vector<std::unique_ptr<HostView>> m_hosts;
+    // Of the first host.
+    BackendTable& m_table;
+    std::set<SentPrefix> m_sentPrefixes;
     EngineSpeeds m_speeds;
     DecodeTimes m_times;
     DemandMeter m_demand;
-    std::unique_ptr<Placement> m_placement;
     RoleSplit m_split { m_table };
     EngineSpec m_engineSpec;
     using Event = std::pair<double, std::function<void()>>;
@@ -114,6 +163,8 @@
     int m_asked = 0;
     int m_inTime = 0;
     int m_orders = 0;
+    int m_longestQueue = 0;
+    std::map<std::size_t, Count> m_counts;
 };
 
 // Draws a fleet and a traffic mix by seed; the load keeps the given share of the engines busy.
