--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -103,6 +103,10 @@
                   [this](const UsageRecordId& id) {
                       if (m_usage)
                           m_usage->noteStored(id);
+                  },
+                  [this] { return m_context.serverSpeeds.localSums(bootTime()); },
+                  [this](ServerSpeeds::Sums sums) {
+                      m_context.serverSpeeds.setRemoteSums(std::move(sums), bootTime());
                   } })
         , m_tableSynchronizer(m_store, m_mirror, m_self,
               { [this] { return m_network.isReader(); }, [this](SharedTable table) { onTableRead(table); },
@@ -570,6 +574,7 @@
             m_controlPool.closeExpired();
             sweepMemory();
             m_directory.sweep(bootTime());
+            m_context.serverSpeeds.update(m_backends, bootTime());
             sweepCrashRecords();
             logKeyTrust();
             m_backends.limits().forgetAfterRemoval(
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -9,6 +9,7 @@
 #include "Forwarding/ShutdownSchedule.h"
 #include "Forwarding/SuspectLock.h"
 #include "Serving/CrashRecords.h"
+#include "Serving/DecodePace.h"
 #include "Serving/DecodeTimes.h"
 #include "Serving/DemandMeter.h"
 #include "Serving/EngineSpeeds.h"
@@ -18,6 +19,7 @@
 #include "Serving/RetryLimiter.h"
 #include "Serving/RoomQueue.h"
 #include "Serving/RouteTable.h"
+#include "Serving/ServerSpeeds.h"
 #include "Serving/ServingWire.h"
 
 #include <functional>
@@ -73,6 +75,8 @@
     MemoryBudget memory = MemoryBudget();
     // Connections to servers that may be open at the same time; unset for no limit.
     std::optional<std::size_t> maxServerConnections = {};
+    ServerSpeeds serverSpeeds = ServerSpeeds();
+    DecodePace decodePace = {};
 
     // What the age of the manifest allows with callers' keys; anything if unset.
     std::function<KeyTrust()> keyTrust = {};
--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -171,6 +171,7 @@
     std::deque<std::pair<std::uint64_t, MonotonicTime>> m_probes;
     std::uint64_t m_sentUsageVersion = 0;
     std::uint64_t m_sentStoredUsagePosition = 0;
+    Deadline m_nextSpeeds;
     std::weak_ptr<Impl> m_self;
 };
 
@@ -220,6 +221,8 @@
 
 std::uint64_t& PeerLink::sentLimitVersion() { return m_impl->m_sentLimitVersion; }
 
+Deadline& PeerLink::nextSpeeds() { return m_impl->m_nextSpeeds; }
+
 std::size_t& PeerLink::sentRoleTransitionPosition() { return m_impl->m_sentRoleTransitionPosition; }
 
 std::uint64_t PeerLink::makeProbe()
--- a/Source/Peers/PeerNetwork.h
+++ b/Source/Peers/PeerNetwork.h
@@ -6,6 +6,7 @@
 #include "Serving/HostRecord.h"
 #include "Serving/ManifestProof.h"
 #include "Serving/RowMirror.h"
+#include "Serving/ServerSpeeds.h"
 
 #include <functional>
 #include <memory>
@@ -49,6 +50,10 @@
             = {};
         // The reader has stored a record of this host.
         std::function<void(const UsageRecordId&)> onStoredUsage = {};
+        // The samples of servers' speeds of this host alone.
+        std::function<ServerSpeeds::Sums()> localSpeeds = {};
+        // Called with the samples of all other hosts, which replace the last ones.
+        std::function<void(ServerSpeeds::Sums)> onRemoteSpeeds = {};
     };
 
     // The seeds are peer addresses of other hosts, used until the table of hosts is known. They may be stale.
