--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -83,8 +83,14 @@
 
     void applyReport(const PeerFrame& frame)
     {
-        if (frame.probe != 0)
+        if (frame.probe != 0) {
+            // A host that has just started serves no keys before its first stamp is echoed.
+            if (m_receivedProbe == 0) {
+                m_nextWholeFrame = Deadline();
+                m_wake.notify();
+            }
             m_receivedProbe = frame.probe;
+        }
         if (frame.whole) {
             m_host = frame.host;
             m_dataCentre = frame.dataCentre;
--- a/Tests/Host/StatusPagesTest.cpp
+++ b/Tests/Host/StatusPagesTest.cpp
@@ -1,5 +1,7 @@
 #include "StatusPages.h"
 
+#include "HostMetrics.h"
+
 #include "Http/Json.h"
 
 #include <catch2/catch.hpp>
@@ -197,3 +199,24 @@
     CHECK(jsonInteger(*found, "age_ms") == 8000);
     CHECK(jsonInteger(*found, "refused_ms") > 0);
 }
+
+TEST_CASE_METHOD(StatusPagesFixture, "Status page shows the age of the manifest's proof only where it matters")
+{
+    CHECK_FALSE(jsonMember(page("/status"), "manifest_proof_age_ms"));
+    const auto text = pages.page("/status", { true, true, 5, 1200ms }, now);
+    CHECK(jsonInteger(*parseJson(*text), "manifest_proof_age_ms") == 1200);
+}
+
+// A deployment without keys exports what it did before.
+TEST_CASE("Metrics of keys appear with their first value")
+{
+    HostMetrics metrics;
+    CHECK(metrics.text().find("key_refusals") == std::string::npos);
+    CHECK(metrics.text().find("proof_age") == std::string::npos);
+    metrics.onKeyRefusal("unauthorised");
+    metrics.onKeyRefusal("manifest_too_old");
+    metrics.setProofAge(1500ms);
+    CHECK(metrics.text().find(R"(almondscale_key_refusals_total{reason="manifest_too_old"} 1)")
+        != std::string::npos);
+    CHECK(metrics.text().find("almondscale_manifest_proof_age_seconds 1.5") != std::string::npos);
+}
