--- a/Tests/Host/StatusPagesTest.cpp
+++ b/Tests/Host/StatusPagesTest.cpp
@@ -200,7 +200,8 @@
     CHECK(jsonInteger(*found, "refused_ms") > 0);
 }
 
-TEST_CASE_METHOD(StatusPagesFixture, "Status page shows the age of the manifest's proof only where it matters")
+TEST_CASE_METHOD(
+    StatusPagesFixture, "Status page shows the age of the manifest's proof only where it matters")
 {
     CHECK_FALSE(jsonMember(page("/status"), "manifest_proof_age_ms"));
     const auto text = pages.page("/status", { true, true, 5, 1200ms }, now);
