A reader's own usage records are kept by the host that would be the next reader

A reader that was killed took its own counts of the open window with it. It now sends them, like any host, in whole frames to the strongest host that has it as its reader, which writes them if they are not confirmed. A record that is not confirmed is written by other hosts at 2.4 s, after a reader's second write.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -83,8 +83,8 @@
                       if (m_usage)
                           m_usage->addRecord(record);
                   },
-                  [this](const HostId& host, std::uint64_t& position) {
-                      return m_usage ? m_usage->storedSince(host, position) : std::vector<UsageRecordId>();
+                  [this](const std::set<HostId>& hosts, std::uint64_t& position) {
+                      return m_usage ? m_usage->storedSince(hosts, position) : std::vector<UsageRecordId>();
                   },
                   [this](const UsageRecordId& id) {
                       if (m_usage)
--- a/Programs/almondscale-host/UsageController.cpp
+++ b/Programs/almondscale-host/UsageController.cpp
@@ -45,7 +45,7 @@
     , m_host(lease.host())
     , m_hooks(std::move(hooks))
     , m_meter(m_host, Incarnation(systemRandom()()), bounds)
-    , m_collector(m_host, bounds)
+    , m_collector(bounds)
     , m_reporter(bounds, bounds.windowAt(wallClock() - startSpread), reporterHooks())
 {
     observeClock();
@@ -105,9 +105,10 @@
     m_reporter.onStoreRestored();
 }
 
-std::vector<UsageRecordId> UsageController::storedSince(const HostId& host, std::uint64_t& position) const
+std::vector<UsageRecordId> UsageController::storedSince(
+    const std::set<HostId>& hosts, std::uint64_t& position) const
 {
-    return m_collector.storedSince(host, position);
+    return m_collector.storedSince(hosts, position);
 }
 
 void UsageController::noteStored(const UsageRecordId& id)
--- a/Programs/almondscale-host/UsageController.h
+++ b/Programs/almondscale-host/UsageController.h
@@ -47,7 +47,7 @@
         return m_meter.changesSince(version);
     }
     void addRecord(const UsageRecord& record) { m_collector.add(record); }
-    std::vector<UsageRecordId> storedSince(const HostId&, std::uint64_t& position) const;
+    std::vector<UsageRecordId> storedSince(const std::set<HostId>&, std::uint64_t& position) const;
     void noteStored(const UsageRecordId&);
 
     // Windows that have ended and are not reported; 0 on a host that is not the holder.
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -87,6 +87,7 @@
             co_await linkToSeed();
             co_await linkToReader();
             co_await linkToOtherReaders();
+            chooseStandIn();
             m_hasCheckedLinks = m_hasCheckedLinks || m_hostsKnown;
             co_await sleepFor(linkCheckInterval);
         }
@@ -307,19 +308,41 @@
         return frame;
     }
 
-    // Usage passes between a host and its reader only, so that each record has one writer.
+    // Of the hosts that have this one as their reader, the one that would be the next reader.
+    void chooseStandIn()
+    {
+        std::set<HostId> followers;
+        for (const auto& link : m_links) {
+            if (isFollower(*link))
+                followers.insert(link->host());
+        }
+        m_standIn = HostId();
+        for (const auto& host : ranked(m_self.dataCentre)) {
+            if (m_standIn.empty() && followers.count(host.id) > 0)
+                m_standIn = host.id;
+        }
+    }
+
+    // Usage passes between a host and its reader, so that each record has one writer. A reader's own records
+    // are kept by one other host, so that they are not lost with it.
     void addUsage(PeerFrame& frame, PeerLink& link)
     {
-        if (frame.whole && &link == m_readerLink.get() && m_hooks.usageSince)
+        const bool follower = isFollower(link);
+        const bool standIn = follower && link.host() == m_standIn;
+        if (frame.whole && (standIn || &link == m_readerLink.get()) && m_hooks.usageSince)
             frame.usage = m_hooks.usageSince(link.sentUsageVersion());
-        if (isFollower(link) && m_hooks.storedUsageSince)
-            frame.storedUsage = m_hooks.storedUsageSince(link.host(), link.sentStoredUsagePosition());
+        if (!follower || !m_hooks.storedUsageSince)
+            return;
+        std::set<HostId> hosts { link.host() };
+        if (standIn)
+            hosts.insert(m_self.id);
+        frame.storedUsage = m_hooks.storedUsageSince(hosts, link.sentStoredUsagePosition());
     }
 
     void takeUsage(const PeerFrame& frame, const PeerLink& link)
     {
         for (const auto& record : frame.usage) {
-            if (isFollower(link) && m_hooks.onUsage)
+            if ((isFollower(link) || &link == m_readerLink.get()) && m_hooks.onUsage)
                 m_hooks.onUsage(record);
         }
         for (const auto& id : frame.storedUsage) {
@@ -400,6 +423,7 @@
     Deadline m_nextSeed;
     std::shared_ptr<PeerLink> m_readerLink;
     HostId m_readerId;
+    HostId m_standIn;
     std::map<DataCentre, std::shared_ptr<PeerLink>> m_otherReaderLinks;
     std::map<DataCentre, HostId> m_otherReaderIds;
     std::map<HostId, Deadline> m_nextAttempts;
--- a/Source/Peers/PeerNetwork.h
+++ b/Source/Peers/PeerNetwork.h
@@ -33,14 +33,15 @@
         std::function<std::vector<LimitStatement>(std::uint64_t& version, std::size_t maxCount)> limitsSince
             = {};
         std::function<bool(const LimitStatement&)> onLimit = {};
-        // This host's records of usage that changed after the version, for its reader; advances the version.
+        // This host's records of usage that changed after the version, for its reader, or for the host that
+        // would be the next reader; advances the version.
         std::function<std::vector<UsageRecord>(std::uint64_t& version)> usageSince = {};
-        // A record of a host that has this one as its reader.
+        // A record of a host that has this one as its reader, or of the reader itself.
         std::function<void(const UsageRecord&)> onUsage = {};
-        // Records of such a host that were stored after the position; advances the position to the end.
-        std::function<std::vector<UsageRecordId>(const HostId&, std::uint64_t& position)> storedUsageSince
-            = {};
-        // The reader has stored a record of this host.
+        // Records of the hosts that were stored after the position; advances the position to the end.
+        std::function<std::vector<UsageRecordId>(const std::set<HostId>&, std::uint64_t& position)>
+            storedUsageSince = {};
+        // The reader has stored a record that this host keeps.
         std::function<void(const UsageRecordId&)> onStoredUsage = {};
     };
 
--- a/Source/Serving/UsageCollector.cpp
+++ b/Source/Serving/UsageCollector.cpp
@@ -16,9 +16,8 @@
 
 } // namespace
 
-UsageCollector::UsageCollector(HostId self, UsageBounds bounds)
-    : m_self(std::move(self))
-    , m_bounds(bounds)
+UsageCollector::UsageCollector(UsageBounds bounds)
+    : m_bounds(bounds)
 {
 }
 
@@ -47,8 +46,7 @@
 {
     if (entry.isStored())
         return false;
-    const bool writesForOthers = isReader || id.host != m_self;
-    const auto delay = writesForOthers ? UsageSchedule::write : UsageSchedule::ownWrite;
+    const auto delay = isReader ? UsageSchedule::write : UsageSchedule::ownWrite;
     return (stopping && isReader) || time >= m_bounds.endOf(id.window) + delay;
 }
 
@@ -161,11 +159,12 @@
         m_storedAt.emplace(++m_storedPosition, id);
 }
 
-std::vector<UsageRecordId> UsageCollector::storedSince(const HostId& host, std::uint64_t& position) const
+std::vector<UsageRecordId> UsageCollector::storedSince(
+    const std::set<HostId>& hosts, std::uint64_t& position) const
 {
     std::vector<UsageRecordId> ids;
     for (auto entry = m_storedAt.upper_bound(position); entry != m_storedAt.end(); ++entry) {
-        if (entry->second.host == host)
+        if (hosts.count(entry->second.host) > 0)
             ids.push_back(entry->second);
     }
     position = m_storedPosition;
--- a/Source/Serving/UsageCollector.h
+++ b/Source/Serving/UsageCollector.h
@@ -7,16 +7,18 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace almondscale {
 
-// The records of this host and of those that have it as their reader, until they are in the store. States
-// which rows are to be written and takes the results; performs no I/O. A reader writes all records that it
-// has; any other host writes its own only if its reader has not confirmed them in time.
+// The records of this host, of those that have it as their reader, and of its reader if it stands in for
+// that, until they are in the store. States which rows are to be written and takes the results; performs no
+// I/O. A reader writes all records that it has; any other host writes them only if its reader has not
+// confirmed them in time.
 class UsageCollector {
 public:
-    UsageCollector(HostId self, UsageBounds);
+    explicit UsageCollector(UsageBounds);
 
     // Adds a record, or the changed counts of one.
     void add(const UsageRecord&);
@@ -31,8 +33,8 @@
     // The store has lost the latest writes.
     void onStoreRestored();
 
-    // The closed records of the host that were stored after the position; advances the position to the end.
-    std::vector<UsageRecordId> storedSince(const HostId&, std::uint64_t& position) const;
+    // The closed records of the hosts that were stored after the position; advances the position to the end.
+    std::vector<UsageRecordId> storedSince(const std::set<HostId>&, std::uint64_t& position) const;
 
 private:
     struct Entry {
@@ -54,7 +56,6 @@
     void onConflict(const std::vector<UsageRow>& current);
     void noteStored(const UsageRecordId&, const Entry&);
 
-    HostId m_self;
     UsageBounds m_bounds;
     std::map<UsageRecordId, Entry> m_entries;
     std::vector<UsageRecordId> m_inFlight;
--- a/Source/Serving/UsageSchedule.h
+++ b/Source/Serving/UsageSchedule.h
@@ -14,8 +14,8 @@
     static constexpr Nanoseconds rewriteInterval = std::chrono::milliseconds(650);
     // A host counts requests into a closed window until then, and later ones into the next window.
     static constexpr Nanoseconds lastCount = std::chrono::milliseconds(1950);
-    // A host whose reader has not confirmed its record writes it itself.
-    static constexpr Nanoseconds ownWrite = std::chrono::milliseconds(2200);
+    // A host whose reader has not confirmed a record writes it itself.
+    static constexpr Nanoseconds ownWrite = std::chrono::milliseconds(2400);
     // The holder of the duty reads the records.
     static constexpr Nanoseconds read = std::chrono::milliseconds(2600);
 };
--- a/Tests/Serving/UsageFleet.h
+++ b/Tests/Serving/UsageFleet.h
@@ -95,8 +95,8 @@
     struct Host {
         Host(int number, const UsageFleet& fleet)
             : id("h" + std::to_string(number))
-            , meter(id, Incarnation(fleet.step_count() + 1), fleet.bounds)
-            , collector(id, fleet.bounds)
+            , meter(id, Incarnation(fleet.stepCount() + 1), fleet.bounds)
+            , collector(fleet.bounds)
             , reporter(fleet.bounds, fleet.bounds.windowAt(fleet.trueNow()), reporterHooks())
         {
             time.observe(fleet.now(), fleet.trueNow());
@@ -136,7 +136,7 @@
         takeOver(0);
     }
 
-    std::int64_t step_count() const { return m_steps; }
+    std::int64_t stepCount() const { return m_steps; }
     MonotonicTime now() const { return MonotonicTime(std::chrono::hours(3) + m_steps * step); }
     WallTime trueNow() const { return WallTime(start + m_steps * step); }
 
@@ -222,7 +222,7 @@
         for (std::size_t i = 1; i < hosts.size(); ++i) {
             for (const auto& record : hosts[i]->meter.changesSince(hosts[i]->sent))
                 reader.collector.add(record);
-            for (const auto& id : reader.collector.storedSince(hosts[i]->id, hosts[i]->confirmed)) {
+            for (const auto& id : reader.collector.storedSince({ hosts[i]->id }, hosts[i]->confirmed)) {
                 hosts[i]->meter.noteStored(id);
                 hosts[i]->collector.noteStoredByReader(id);
             }
