Pools: losses without notice and pauses of the traffic

A data centre whose servers vanished without a notice was counted as present for three boot times. The loss of most servers of a kind now counts at once. While the traffic pauses, nothing is released; before, the pool could fall to the number of one kind in each data centre.

--- a/Source/Serving/PoolSizer.cpp
+++ b/Source/Serving/PoolSizer.cpp
@@ -9,6 +9,9 @@
 
     // Requests per second below which there is no traffic.
     constexpr double minRequestRate = 0.5;
+    // The traffic pauses if it falls to this share within the time of the peak. Its average takes some
+    // seconds to fall to 0, which is no lower demand to follow.
+    constexpr double pauseShare = 0.02;
     // Traffic that pauses for this long is a new beginning.
     constexpr Nanoseconds trafficGap = std::chrono::seconds(5);
     // One engine of each role, which a data centre needs that is cut off from the others.
@@ -26,6 +29,8 @@
     // Servers of the rarer kind in a data centre of a settled pool; more of both kinds mean that one kind is
     // taking the place of the other.
     constexpr int maxBasePerDataCentre = 2;
+    // The loss of fewer servers at once may be crashes, after which servers return.
+    constexpr int minLostServers = 3;
     // Before any traffic, servers are released in one data centre after the other at this interval.
     constexpr Nanoseconds idleReleaseInterval = std::chrono::milliseconds(500);
 
@@ -85,12 +90,20 @@
     if (!group.ordered)
         return;
     if (group.ready >= *group.ordered) {
+        group.reached = true;
         group.missingSince.reset();
         // The order had no effect, or an earlier one took effect after it.
         if (group.ready > *group.ordered && !group.inFlight && now - group.orderedAt > m_options.releaseTime)
             group.ordered.reset();
         return;
     }
+    // Most servers vanished without a notice: a reclaim that was not seen, or a data centre that is cut off.
+    if (group.reached && group.ready + minLostServers <= *group.ordered && 2 * group.ready < *group.ordered) {
+        group.ordered.reset();
+        group.missingSince.reset();
+        group.unavailableUntil = now + m_options.reclaimTime;
+        return;
+    }
     if (!group.missingSince)
         group.missingSince = now;
     if (now - *group.missingSince
@@ -104,7 +117,10 @@
 void PoolSizer::noteDemand(const PoolView& view, MonotonicTime now)
 {
     const auto& demand = view.demand;
-    m_traffic = demand.requests > minRequestRate;
+    double peakRequests = 0;
+    for (const auto& sample : m_samples)
+        peakRequests = std::max(peakRequests, sample.requests);
+    m_traffic = demand.requests > std::max(minRequestRate, pauseShare * peakRequests);
     if (m_traffic) {
         if (!m_trafficSince)
             m_trafficSince = now;
@@ -119,6 +135,7 @@
     sample.decodeEngines = std::max(0.0, sample.decodeEngines);
     sample.plannedPrefill = sample.prefillEngines;
     sample.plannedDecode = sample.decodeEngines;
+    sample.requests = demand.requests;
     m_samples.push_back(sample);
     while (m_samples.front().at < now - m_options.peakTime)
         m_samples.pop_front();
@@ -180,6 +197,7 @@
     if (isObserved(now)) {
         m_found.clear();
         m_startedIdle = false;
+        m_wasObserved = true;
         return;
     }
     for (const auto& [dataCentre, count] : registered()) {
@@ -188,7 +206,8 @@
         const bool ordered
             = m_groups[{ dataCentre, false }].ordered || m_groups[{ dataCentre, true }].ordered;
         auto& found = m_found[dataCentre];
-        found = std::max(found, more + (ordered ? 0 : std::min(fewer, maxBasePerDataCentre)));
+        const int base = ordered ? 0 : std::min(fewer, maxBasePerDataCentre);
+        found = std::max(found, m_wasObserved ? count.total() : more + base);
     }
     int prefilling = 0;
     int ready = 0;
@@ -290,6 +309,7 @@
     group.orderedBefore = group.ordered;
     group.ordered = servers;
     group.orderedAt = now;
+    group.reached = false;
     group.inFlight = true;
     group.repeatTime = m_options.repeatTime;
     group.missingSince.reset();
--- a/Source/Serving/PoolSizer.h
+++ b/Source/Serving/PoolSizer.h
@@ -149,6 +149,7 @@
         // The same when servers that are ordered now would be ready.
         double plannedPrefill = 0;
         double plannedDecode = 0;
+        double requests = 0;
     };
 
     // The servers of one kind in one data centre.
@@ -160,6 +161,8 @@
         std::optional<int> ordered;
         std::optional<int> orderedBefore;
         MonotonicTime orderedAt {};
+        // As many servers as ordered have been registered.
+        bool reached = false;
         // Since when fewer servers are registered than ordered.
         std::optional<MonotonicTime> missingSince;
         // Servers released by recent orders.
@@ -218,6 +221,8 @@
     int m_foundPrefill = 0;
     int m_foundDecode = 0;
     int m_surplus = 0;
+    // The demand was known before a pause of the traffic, so that the pool has the size for it.
+    bool m_wasObserved = false;
     // The first decision was made without traffic, so that the servers found are all there were.
     bool m_startedIdle = false;
     bool m_first = true;
--- a/Tests/Serving/PoolSizerTest.cpp
+++ b/Tests/Serving/PoolSizerTest.cpp
@@ -141,6 +141,30 @@
     CHECK(pool.total() >= busy / 0.7);
 }
 
+TEST_CASE("Pool that loses a data centre without notice orders other servers within a second")
+{
+    SimulatedPool pool(1, steady);
+    pool.run(100);
+    const int before = pool.total();
+    pool.cutOff("b");
+    REQUIRE(pool.total() <= before - 8);
+    pool.run(101);
+    CHECK(pool.total() >= before - 1);
+    CHECK(pool.count("b", true) == 0);
+}
+
+TEST_CASE("Pool whose traffic pauses keeps its size")
+{
+    SimulatedPool pool(1, [](double seconds) { return scaled(seconds > 80 && seconds < 130 ? 0 : 1); });
+    // The maximum of the demand still covers the time before the pause.
+    pool.run(104);
+    const int before = pool.total();
+    pool.run(129);
+    CHECK(pool.total() == before);
+    pool.run(140);
+    CHECK(pool.missingEngineSeconds == 0);
+}
+
 TEST_CASE("Pool order without an answer is repeated with the same number")
 {
     SimulatedPool pool(1, steady);
--- a/Tests/Serving/SimulatedPool.cpp
+++ b/Tests/Serving/SimulatedPool.cpp
@@ -105,6 +105,18 @@
     }
 }
 
+void SimulatedPool::cutOff(const std::string& dataCentre)
+{
+    for (auto entry = m_servers.begin(); entry != m_servers.end();) {
+        if (entry->second.record.dataCentre.text() != dataCentre) {
+            ++entry;
+            continue;
+        }
+        m_table.remove(entry->first);
+        entry = m_servers.erase(entry);
+    }
+}
+
 bool SimulatedPool::apply(const PoolOrder& order)
 {
     const auto& dataCentre = order.dataCentre.text();
--- a/Tests/Serving/SimulatedPool.h
+++ b/Tests/Serving/SimulatedPool.h
@@ -23,6 +23,8 @@
     void run(double untilSeconds);
     // The spot servers of the data centre leave. Until then, none are available there, or in any data centre.
     void reclaim(const std::string& dataCentre, double unavailableUntil, bool everywhere);
+    // All servers of the data centre vanish without a notice.
+    void cutOff(const std::string& dataCentre);
     // A later holder of the lease knows nothing but the registrations.
     void changeHolder() { sizer.emplace(model); }
     int count(const std::string& dataCentre, bool spot) const;
