--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -530,6 +530,14 @@
             m_metrics.setUsageBacklog(m_usage->backlog());
         m_metrics.setMemory(
             m_context.memory, m_sessions.size(), m_pool.openCount() + m_controlPool.openCount());
+        std::size_t unevenServers = 0;
+        double slowestFactor = 1;
+        for (const auto& entry : m_backends.all()) {
+            const auto& factors = entry.second.factors;
+            unevenServers += factors.prefill != 1 || factors.decode != 1 ? 1 : 0;
+            slowestFactor = std::max({ slowestFactor, factors.prefill, factors.decode });
+        }
+        m_metrics.setUnevenServers(unevenServers, slowestFactor);
         return m_metrics.text();
     }
 
--- a/Programs/almondscale-host/HostMetrics.cpp
+++ b/Programs/almondscale-host/HostMetrics.cpp
@@ -67,6 +67,10 @@
     // Added with their first value, as only deployments with keys have them.
     prometheus::Family<prometheus::Counter>* keyRefusals = nullptr;
     prometheus::Gauge* proofAge = nullptr;
+    prometheus::Gauge& unevenServers = gauge("almondscale_uneven_servers",
+        "Backend servers whose speed differs from that of the typical server of their service.");
+    prometheus::Gauge& slowestFactor = gauge("almondscale_slowest_server_factor",
+        "How much longer the slowest backend server takes than the typical one.");
     prometheus::Gauge& limitedServers
         = gauge("almondscale_limited_servers", "Backend servers that have a limit.");
     // Registered with their first value, since most deployments report no usage.
@@ -193,6 +197,12 @@
 
 void HostMetrics::onCallerTurnedAway() { m_impl->turnedAway.Increment(); }
 
+void HostMetrics::setUnevenServers(std::size_t count, double slowestFactor)
+{
+    m_impl->unevenServers.Set(static_cast<double>(count));
+    m_impl->slowestFactor.Set(slowestFactor);
+}
+
 void HostMetrics::onStoreReading(const char* table, bool answered)
 {
     m_impl->storeReadings.Add({ { "table", table }, { "answered", answered ? "yes" : "no" } }).Increment();
--- a/Programs/almondscale-host/HostMetrics.h
+++ b/Programs/almondscale-host/HostMetrics.h
@@ -51,6 +51,8 @@
     void setMemory(const MemoryBudget&, std::size_t callers, std::size_t servers);
     // A caller was turned away for lack of descriptors or memory.
     void onCallerTurnedAway();
+    // Servers whose speed differs from that of the typical one, and the highest factor.
+    void setUnevenServers(std::size_t count, double slowestFactor);
 
     // All metrics in the Prometheus text format.
     std::string text() const;
