--- a/Tests/Serving/SimulatedFleet.cpp
+++ b/Tests/Serving/SimulatedFleet.cpp
@@ -42,6 +42,7 @@
     , m_engines(static_cast<std::size_t>(spec.engines))
     , m_hosts([&spec] {
         std::vector<std::unique_ptr<HostView>> hosts;
+        hosts.reserve(static_cast<std::size_t>(spec.hosts));
         for (int i = 0; i < spec.hosts; ++i)
             hosts.push_back(std::make_unique<HostView>());
         return hosts;
