RunCountTest: the decoder of requests is told whether callers have keys

Identity added an argument to the decoder; the test of run counts replaces the decoder and passes it on.

--- a/Tests/Forwarding/RunCountTest.cpp
+++ b/Tests/Forwarding/RunCountTest.cpp
@@ -15,8 +15,8 @@
     RunCountFixture()
     {
         const auto decode = wire.decodeRequest;
-        wire.decodeRequest = [this, decode](HttpRequestHead head, std::string body) {
-            auto request = decode(std::move(head), std::move(body));
+        wire.decodeRequest = [this, decode](HttpRequestHead head, std::string body, bool keyed) {
+            auto request = decode(std::move(head), std::move(body), keyed);
             if (request)
                 request.value().organisation = organisation;
             return request;
