--- a/Source/Serving/PoolSizer.cpp
+++ b/Source/Serving/PoolSizer.cpp
@@ -22,7 +22,9 @@
     // Hosts know the queues of the engines with a delay, so that a queue behaves like that of a few engines
     // rather than of all.
     constexpr double pooledEngines = 4;
-    constexpr double minUtilisation = 0.3;
+    // While caches are cold, requests look as long as their targets; a lower bound would order twice the
+    // servers that carry them, each with another cold cache.
+    constexpr double minUtilisation = 0.5;
     constexpr double msPerSecond = 1000;
     // A kind of which fewer servers are released is not worth a separate treatment by the role split.
     constexpr int minLeavingGroup = 4;
@@ -34,6 +36,16 @@
     // Before any traffic, servers are released in one data centre after the other at this interval.
     constexpr Nanoseconds idleReleaseInterval = std::chrono::milliseconds(500);
 
+    // What the needs leave after the loss of a data centre's spot servers.
+    PoolNeeds needsAfterLoss(PoolNeeds needs, const PoolSpec& spec)
+    {
+        needs.normal = std::min(needs.normal, needs.oneLost);
+        needs.oneLost = std::min(needs.oneLost, needs.twoLost);
+        for (auto& entry : needs.perDataCentre)
+            entry.second = std::min({ entry.second, std::max(spec.min, minEnginesPerDataCentre), spec.max });
+        return needs;
+    }
+
     int ceilCount(double engines) { return static_cast<int>(std::ceil(engines - 1e-9)); }
 
 } // namespace
@@ -272,6 +284,12 @@
     return mix;
 }
 
+bool PoolSizer::hasLostSpot(MonotonicTime now) const
+{
+    return std::any_of(m_groups.begin(), m_groups.end(),
+        [now](const auto& entry) { return entry.first.second && now < entry.second.unavailableUntil; });
+}
+
 std::set<PoolSizer::Key> PoolSizer::unavailable(MonotonicTime now) const
 {
     std::set<Key> keys;
@@ -491,8 +509,11 @@
 
     std::vector<PoolDecision> decisions;
     repeatOrders(decisions, now);
-    if (poolShortfall(wanted(), least) > 0)
-        raise(decisions, grown(spec, wide, wanted(), now), PoolReason::Grow, now);
+    // The loss of spot servers that the pool was planned for needs no reserved servers in their place.
+    const bool lost = hasLostSpot(now);
+    if (poolShortfall(wanted(), lost ? needsAfterLoss(least, spec) : least) > 0)
+        raise(decisions, grown(spec, lost ? needsAfterLoss(wide, spec) : wide, wanted(), now),
+            PoolReason::Grow, now);
     raise(decisions, replacement(spec, wide, now), PoolReason::Replace, now);
     noteLeavingGroups(spec, wide);
     release(decisions, spec, wide, demand, now);
--- a/Source/Serving/PoolSizer.h
+++ b/Source/Serving/PoolSizer.h
@@ -22,7 +22,7 @@
     // The same without the spot servers of one data centre. New servers are ready a boot time later.
     double oneLostUtilisation = 0.75;
     // The same without those of two. Above 1: the service works, with a part of the requests refused.
-    double twoLostUtilisation = 1.15;
+    double twoLostUtilisation = 1.05;
     // Utilisation that a role may reach if a release takes engines of this role only.
     double roleUtilisation = 0.8;
     // Reserved servers, as a share of all and at least, for the time in which no spot servers are available.
@@ -146,6 +146,9 @@
     PoolOutlook outlook() const;
 
 private:
+    // Whether the spot servers of some data centre were reclaimed or refused a short time ago.
+    bool hasLostSpot(MonotonicTime now) const;
+
     struct Sample {
         MonotonicTime at {};
         double prefillEngines = 0;
