Manifest: logs and metrics say by which copy a request was decided

Change: RowMirror keeps by whom a copy was last confirmed (CopyOrigin: store, reader, peer). Lines about a request (request, no_route, refused) have the manifest by which it was decided, its age, its origin and the deployment's bound (bounds.configApplyMs, which nothing read so far); manifest_in_force has an upper limit of its delay. Metrics: age, bound, delay, and the decisions by a manifest older than the bound, by kind.

No logic is changed.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -32,6 +32,7 @@
 #include <algorithm>
 #include <csignal>
 #include <set>
+#include <utility>
 
 namespace almondscale {
 
@@ -148,6 +149,8 @@
         m_mirror.onCurrent = [this](SharedTable table, MonotonicTime now) {
             if (table == SharedTable::Backends)
                 m_directory.onCurrent(now);
+            if (table == SharedTable::Manifest)
+                m_confirmedBefore = std::exchange(m_confirmedAt, m_mirror.currentAt(table));
         };
         m_mirror.onUpdate = [this](SharedTable table, const StoredRows& rows, MonotonicTime now) {
             applyRows(table, rows, now);
@@ -167,6 +170,9 @@
         m_context.keyTrust
             = [this] { return m_freshness.keyTrust(bootTime(), m_mirror.currentAt(SharedTable::Manifest)); };
         m_context.onKeyRefusal = [this](ErrorKind kind) { m_metrics.onKeyRefusal(errorName(kind)); };
+        m_context.manifestState = [this] { return manifestState(); };
+        m_context.onOutdatedDecision
+            = [this](const char* decision) { m_metrics.onOutdatedDecision(decision); };
         m_context.onLimitedSend = [this] { m_metrics.onLimitedSend(); };
         if (m_settings.duties && m_settings.duties->poolOrders)
             m_poolController = std::make_unique<PoolController>(m_loop.get_executor(), *m_dutyCalls,
@@ -300,7 +306,7 @@
     {
         switch (table) {
         case SharedTable::Manifest:
-            applyManifest(rows);
+            applyManifest(rows, now);
             return;
         case SharedTable::Backends: {
             const auto changes = platform::decodeRegistrationRows(rows);
@@ -348,7 +354,7 @@
         }
     }
 
-    void applyManifest(const StoredRows& rows)
+    void applyManifest(const StoredRows& rows, MonotonicTime now)
     {
         auto reading = platform::decodeManifestRows(rows);
         if (reading.unreadable) {
@@ -380,10 +386,29 @@
         m_freshness.onCopy(rows.newest, m_copyInForce);
         if (!adopted)
             return;
+        const auto state = manifestState();
+        const auto maxDelay = m_confirmedBefore == MonotonicTime() ? Nanoseconds() : now - m_confirmedBefore;
+        m_metrics.onManifestInForce(maxDelay);
         LogEvent("manifest_in_force")
-            .with("version", m_routes.version())
+            .with("version", state.version)
             .with("routes", m_routes.manifest()->routes.size())
-            .with("store_version", rows.newest);
+            .with("store_version", rows.newest)
+            .with("from", copyOriginName(state.origin))
+            .with("age_ms", msOf(state.age))
+            .with("max_delay_ms", msOf(maxDelay))
+            .with("bound_ms", msOf(state.bound));
+    }
+
+    ManifestState manifestState() const
+    {
+        const auto table = SharedTable::Manifest;
+        const auto age = m_mirror.empty(table) ? Nanoseconds() : bootTime() - m_mirror.currentAt(table);
+        return { m_routes.version(), age, m_mirror.origin(table), m_settings.manifestBound };
+    }
+
+    static std::int64_t msOf(Nanoseconds time)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
     }
 
     // The last row of the manifest; null if there is none.
@@ -519,7 +544,7 @@
     std::string metrics()
     {
         m_metrics.setOpenRequests(m_context.openRequests);
-        m_metrics.setManifest(m_routes.version());
+        m_metrics.setManifest(manifestState());
         m_metrics.setHosts(m_network.hostCount(), m_network.isReader());
         m_metrics.setBackends(m_backends.all().size());
         m_metrics.setBadParts(m_crashes.badParts());
@@ -603,7 +628,7 @@
         const auto age = m_freshness.age(bootTime());
         LogEvent(refuses ? "manifest_too_old" : "manifest_proven", LogLevel::Warning)
             .with("version", m_routes.version())
-            .with("age_ms", age ? std::chrono::duration_cast<std::chrono::milliseconds>(*age).count() : -1)
+            .with("age_ms", age ? msOf(*age) : -1)
             .with("copy_in_force", m_copyInForce);
     }
 
@@ -692,6 +717,9 @@
     CrashRecords m_crashes;
     RetryLimiter m_retries;
     ManifestFreshness m_freshness;
+    // When the copy of the manifest was last confirmed to be current, and the time before.
+    MonotonicTime m_confirmedAt {};
+    MonotonicTime m_confirmedBefore {};
     // Whether the manifest in force is at least that of the store's newest row, and its text as a hash.
     bool m_copyInForce = false;
     std::size_t m_manifestText = 0;
--- a/Programs/almondscale-host/HostMetrics.cpp
+++ b/Programs/almondscale-host/HostMetrics.cpp
@@ -16,6 +16,9 @@
     const prometheus::Histogram::BucketBoundaries latencyBounds { 0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 0.8, 1.2,
         2, 3, 5 };
 
+    // In seconds, around the bounds for a manifest of 2 to 4 s.
+    const prometheus::Histogram::BucketBoundaries delayBounds { 0.5, 1, 1.5, 2, 2.5, 3, 4, 6, 10 };
+
 } // namespace
 
 class HostMetrics::Impl {
@@ -86,6 +89,17 @@
     std::set<prometheus::Gauge*> poolGauges;
     prometheus::Gauge& openRequests = gauge("almondscale_open_requests", "Requests that are being served.");
     prometheus::Gauge& manifest = gauge("almondscale_manifest_version", "The manifest in force.");
+    prometheus::Gauge& manifestAge = gauge("almondscale_manifest_age_seconds",
+        "Time since the manifest in force was last known to be the store's newest.");
+    prometheus::Gauge& manifestBound
+        = gauge("almondscale_manifest_bound_seconds", "Time within which a manifest has to be in force.");
+    prometheus::Family<prometheus::Counter>& outdatedDecisions
+        = family(prometheus::BuildCounter(), registry, "almondscale_outdated_decisions_total",
+            "Requests decided by a manifest that was older than its bound, by decision.");
+    prometheus::Histogram& manifestDelay = family(prometheus::BuildHistogram(), registry,
+        "almondscale_manifest_delay_seconds",
+        "Upper limit of the time from the store's acknowledgement of a manifest until it was in force here.")
+                                               .Add({}, delayBounds);
     prometheus::Gauge& hosts = gauge("almondscale_hosts", "Entry hosts that are known, this one included.");
     prometheus::Gauge& reader
         = gauge("almondscale_reader", "1 if this host reads the store for its data centre.");
@@ -237,7 +251,23 @@
 }
 
 void HostMetrics::setOpenRequests(int count) { m_impl->openRequests.Set(count); }
-void HostMetrics::setManifest(std::int64_t version) { m_impl->manifest.Set(static_cast<double>(version)); }
+
+void HostMetrics::setManifest(const ManifestState& state)
+{
+    m_impl->manifest.Set(static_cast<double>(state.version));
+    m_impl->manifestAge.Set(std::chrono::duration<double>(state.age).count());
+    m_impl->manifestBound.Set(std::chrono::duration<double>(state.bound).count());
+}
+
+void HostMetrics::onOutdatedDecision(const char* decision)
+{
+    m_impl->outdatedDecisions.Add({ { "decision", decision } }).Increment();
+}
+
+void HostMetrics::onManifestInForce(Nanoseconds maxDelay)
+{
+    m_impl->manifestDelay.Observe(std::chrono::duration<double>(maxDelay).count());
+}
 
 void HostMetrics::setHosts(int count, bool reader)
 {
--- a/Programs/almondscale-host/HostMetrics.h
+++ b/Programs/almondscale-host/HostMetrics.h
@@ -5,6 +5,7 @@
 #include "Forwarding/RequestSummary.h"
 #include "Serving/BadParts.h"
 #include "Serving/CrashSubject.h"
+#include "Serving/ManifestState.h"
 #include "Serving/PoolOrder.h"
 
 #include <memory>
@@ -39,7 +40,11 @@
     void onUsageLate();
     void setUsageBacklog(std::int64_t windows);
     void setOpenRequests(int);
-    void setManifest(std::int64_t version);
+    void setManifest(const ManifestState&);
+    // A request was decided by a manifest that was not known to be the newest within its bound.
+    void onOutdatedDecision(const char* decision);
+    // A host has put a manifest in force, at most so long after the store acknowledged it.
+    void onManifestInForce(Nanoseconds maxDelay);
     void setHosts(int count, bool reader);
     void setBackends(std::size_t count);
     void setLimitedServers(std::size_t count);
--- a/Programs/almondscale-host/StatusPages.cpp
+++ b/Programs/almondscale-host/StatusPages.cpp
@@ -91,6 +91,7 @@
         .flag("reader", process.reader)
         .integer("open_requests", process.openRequests)
         .integer("manifest_version", m_routes.version())
+        .text("manifest_from", copyOriginName(m_mirror.origin(SharedTable::Manifest)))
         .integer("routes", static_cast<std::int64_t>(m_routes.manifest()->routes.size()))
         .integer("servers", static_cast<std::int64_t>(m_backends.all().size()))
         .integer("hosts", static_cast<std::int64_t>(enrolledHosts(m_mirror).size()));
--- a/Source/Forwarding/CallerSession.cpp
+++ b/Source/Forwarding/CallerSession.cpp
@@ -320,14 +320,11 @@
             co_return co_await refuse(ErrorKind::NoRules);
         const auto route = m_context.routes.find(decoded.value().host, decoded.value().head.target);
         if (!route) {
-            LogEvent("no_route")
-                .with("request", decoded.value().id)
-                .with("manifest", m_context.routes.version());
-            co_return co_await refuse(ErrorKind::NotFound);
+            co_return co_await refuse(ErrorKind::NotFound, decoded.value().id);
         }
         const auto refusal = authenticate(m_context, decoded.value(), *route);
         if (refusal != ErrorKind::None)
-            co_return co_await refuse(refusal);
+            co_return co_await refuse(refusal, decoded.value().id);
         m_responseComplete = false;
         m_forwarder = std::make_shared<RequestForwarder>(
             m_context, std::move(decoded.value()), route, responseWriter());
@@ -420,20 +417,32 @@
         co_return m_responseComplete;
     }
 
-    awaitable<bool> refuse(ErrorKind kind)
+    awaitable<bool> refuse(ErrorKind kind, CallerRequestId request = CallerRequestId())
     {
         // After a request that was not read completely, the position in the byte stream is unknown.
         if (kind == ErrorKind::RequestTimeout || kind == ErrorKind::HeaderTooLarge
             || kind == ErrorKind::BodyTooLarge || kind == ErrorKind::BadRequest)
             m_keepAlive = false;
         auto response = m_context.wire.encodeError(kind, retryAfter(kind));
-        if (kind != ErrorKind::NotFound)
-            LogEvent("refused").with("reason", errorName(kind)).with("manifest", m_context.routes.version());
+        logRefusal(kind, request);
         co_await sendResponse(std::move(response.head), std::move(response.body));
         const bool keepOpen = m_responseComplete && m_keepAlive;
         co_return keepOpen;
     }
 
+    // The request is empty if it could not be decoded.
+    void logRefusal(ErrorKind kind, const CallerRequestId& request)
+    {
+        const auto manifest = m_context.manifestNow();
+        const bool noRoute = kind == ErrorKind::NotFound;
+        noteDecision(m_context, manifest, noRoute ? "no_route" : errorName(kind));
+        LogEvent event(noRoute ? "no_route" : "refused");
+        event.with("request", request);
+        if (!noRoute)
+            event.with("reason", errorName(kind));
+        addManifest(event, manifest);
+    }
+
     ServingContext& m_context;
     tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
--- a/Source/Forwarding/RequestForwarder.cpp
+++ b/Source/Forwarding/RequestForwarder.cpp
@@ -50,6 +50,7 @@
     , m_writer(std::move(writer))
     , m_service(drawService(*m_route, drawOf(m_request.id)))
     , m_arrivedAt(bootTime())
+    , m_manifest(m_context.manifestNow())
     , m_deadline(Deadline::after(
           m_arrivedAt, std::min(m_request.timeout.value_or(m_route->timeout), m_route->timeout)))
     , m_deadlineTimer(m_context.executor)
@@ -59,6 +60,7 @@
     , m_lastEvent(m_request.lastEventId)
 {
     ++m_context.openRequests;
+    noteDecision(m_context, m_manifest, "routed");
 }
 
 awaitable<void> RequestForwarder::Impl::run()
@@ -608,8 +610,8 @@
     event.with("request", m_request.id).with("route", m_route->name);
     if (m_context.routes.organisations())
         event.with("organisation", m_request.organisation);
-    event.with("backend", m_backend)
-        .with("manifest", m_context.routes.version())
+    event.with("backend", m_backend).with("service", m_service);
+    addManifest(event, m_manifest)
         .with("outcome", m_callerDisconnected ? "caller_left" : m_outcome)
         .with("sent", m_requestSends)
         .with("prefill", m_prefill ? m_prefill->backend : BackendId())
--- a/Source/Forwarding/RequestForwarderImpl.h
+++ b/Source/Forwarding/RequestForwarderImpl.h
@@ -201,6 +201,8 @@
     ServiceName m_service;
     std::optional<EngineSpec> m_engine;
     MonotonicTime m_arrivedAt;
+    // By which the request was routed.
+    ManifestState m_manifest;
     Deadline m_deadline;
     boost::asio::steady_timer m_deadlineTimer;
     // Last engine chosen for the prefill, and when the prefill was done.
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/LogEvent.h"
 #include "Core/RandomSource.h"
 #include "Forwarding/BrokenRun.h"
 #include "Forwarding/ConnectionPool.h"
@@ -14,6 +15,7 @@
 #include "Serving/DemandMeter.h"
 #include "Serving/EngineSpeeds.h"
 #include "Serving/KeyCheck.h"
+#include "Serving/ManifestState.h"
 #include "Serving/OrganisationShares.h"
 #include "Serving/Placement.h"
 #include "Serving/RetryLimiter.h"
@@ -83,11 +85,24 @@
     // Called for each request that is refused because of its key.
     std::function<void(ErrorKind)> onKeyRefusal = {};
 
+    // The state of the manifest now; unset where nobody asks for its age.
+    std::function<ManifestState()> manifestState = {};
+    // Called for each request that is decided by an outdated manifest, with "routed", "no_route" or the name
+    // of the error.
+    std::function<void(const char* decision)> onOutdatedDecision = {};
+
+    ManifestState manifestNow() const;
     // Whether requests with keys are refused, since the manifest may be outdated.
     bool refusesKeys() const { return routes.organisations() && keyTrust && !keyTrust().serves; }
     bool closesCallerConnections() const { return shutdown || servedElsewhere || refusesKeys(); }
 };
 
+// Reports the decision if the manifest is outdated.
+void noteDecision(const ServingContext&, const ManifestState&, const char* decision);
+
+// Adds the version of the manifest, its age, by whom it was confirmed and the bound.
+LogEvent& addManifest(LogEvent&, const ManifestState&);
+
 // Checks the caller's key against the manifest in force, see checkKey().
 ErrorKind authenticate(ServingContext&, CallerRequest&, const Route&);
 
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -406,7 +406,8 @@
             link.setKnownVersion(update.table, update.rows.newest);
             if (!assumeEra(update))
                 continue;
-            m_mirror.apply(update.table, update.rows, now - update.age, now);
+            m_mirror.apply(update.table, update.rows, now - update.age, now,
+                &link == m_readerLink.get() ? CopyOrigin::Reader : CopyOrigin::Peer);
             changed = changed || before < m_mirror.version(update.table);
         }
         applyProof(link, frame);
--- a/Source/Serving/RowMirror.cpp
+++ b/Source/Serving/RowMirror.cpp
@@ -11,14 +11,18 @@
 
 } // namespace
 
-void RowMirror::apply(SharedTable which, const StoredRows& rows, MonotonicTime currentAt, MonotonicTime now)
+void RowMirror::apply(
+    SharedTable which, const StoredRows& rows, MonotonicTime currentAt, MonotonicTime now, CopyOrigin origin)
 {
     auto& table = m_tables[which];
     const bool otherEra = table.known && rows.newest.era != table.version.era;
     if (rows.newest < table.version || (!rows.whole && (!table.known || otherEra)))
         return;
     m_eraChanged = m_eraChanged || (otherEra && table.version.era != StoreEra(0));
-    table.currentAt = std::max(table.currentAt, currentAt);
+    if (table.currentAt <= currentAt) {
+        table.currentAt = currentAt;
+        table.origin = origin;
+    }
     if (onCurrent)
         onCurrent(which, now);
     auto changes = merge(which, table, rows);
@@ -83,6 +87,12 @@
     return table ? table->currentAt : MonotonicTime();
 }
 
+CopyOrigin RowMirror::origin(SharedTable which) const
+{
+    const auto* table = find(which);
+    return table ? table->origin : CopyOrigin::None;
+}
+
 std::optional<StoredRows> RowMirror::changesSince(SharedTable which, StoreVersion version) const
 {
     const auto* table = find(which);
--- a/Source/Serving/RowMirror.h
+++ b/Source/Serving/RowMirror.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/MonotonicTime.h"
+#include "Serving/CopyOrigin.h"
 #include "Serving/SharedTable.h"
 #include "Serving/StoredRow.h"
 
@@ -24,7 +25,8 @@
 
     // Applies rows that were current at the given time. Rows of an older version than the replica are
     // ignored, and changes in another era, since the rows that they do not name may have changed too.
-    void apply(SharedTable, const StoredRows&, MonotonicTime currentAt, MonotonicTime now);
+    void apply(SharedTable, const StoredRows&, MonotonicTime currentAt, MonotonicTime now,
+        CopyOrigin = CopyOrigin::Store);
 
     // Whether nothing is known of the table yet.
     bool empty(SharedTable) const;
@@ -33,6 +35,8 @@
     bool hasSeenEraChange() const { return m_eraChanged; }
     // The last time at which the replica was known to be current.
     MonotonicTime currentAt(SharedTable) const;
+    // By whom it was.
+    CopyOrigin origin(SharedTable) const;
     // The rows changed after the version; unset if there are none.
     std::optional<StoredRows> changesSince(SharedTable, StoreVersion) const;
 
@@ -41,6 +45,7 @@
         std::map<std::string, StoredRow> rows;
         StoreVersion version;
         MonotonicTime currentAt {};
+        CopyOrigin origin = CopyOrigin::None;
         // Removals before this version are no longer known; a reader with an older version gets the whole
         // table.
         StoreVersion oldestRemoval;
--- a/Tests/Forwarding/CallerKeysTest.cpp
+++ b/Tests/Forwarding/CallerKeysTest.cpp
@@ -187,3 +187,19 @@
     CHECK(statusOf(reply) == 502);
     CHECK(servers[0]->requests + servers[1]->requests == 1);
 }
+
+TEST_CASE_METHOD(KeyFixture, "Decision by an outdated manifest is reported, whichever it is")
+{
+    addServer("s1", std::nullopt, whole(200, "fine"));
+    ManifestState state { 5, 2s, CopyOrigin::Reader, 3s };
+    context.manifestState = [&] { return state; };
+    std::vector<std::string> decisions;
+    context.onOutdatedDecision = [&](const char* decision) { decisions.emplace_back(decision); };
+    CHECK(statusOf(askWith("GET", "/none/x", "n1")) == 404);
+    CHECK(decisions.empty());
+    state.age = 4s;
+    CHECK(statusOf(askWith("GET", "/none/x", "n1")) == 404);
+    CHECK(statusOf(askWith("GET", "/unsafe/x", "other")) == 401);
+    askWith("POST", "/unsafe/x", "n1");
+    CHECK(decisions == std::vector<std::string> { "no_route", "unauthorised", "routed" });
+}
--- a/Tests/Host/StatusPagesTest.cpp
+++ b/Tests/Host/StatusPagesTest.cpp
@@ -221,3 +221,18 @@
         != std::string::npos);
     CHECK(metrics.text().find("almondscale_manifest_proof_age_seconds 1.5") != std::string::npos);
 }
+
+TEST_CASE("Metrics of a manifest distinguish how requests were decided by an outdated one")
+{
+    HostMetrics metrics;
+    metrics.setManifest({ 7, 1500ms, CopyOrigin::Reader, 3s });
+    metrics.onOutdatedDecision("routed");
+    metrics.onOutdatedDecision("no_route");
+    metrics.onManifestInForce(700ms);
+    for (const auto* line : { "almondscale_manifest_version 7", "almondscale_manifest_age_seconds 1.5",
+             "almondscale_manifest_bound_seconds 3",
+             R"(almondscale_outdated_decisions_total{decision="routed"} 1)",
+             R"(almondscale_outdated_decisions_total{decision="no_route"} 1)",
+             R"(almondscale_manifest_delay_seconds_bucket{le="1"} 1)" })
+        CHECK(metrics.text().find(line) != std::string::npos);
+}
