PeerNetwork: a table update is as old as when its frame was made

Callers could get 404 or 401 for what had been added, or run on a dropped route, at a host in touch whose reader was suspended, slow or behind a bad link: a frame was dated by its arrival less the age that its sender states. What it had waited on the way made an old copy appear current, and a host reads the store itself only when its copy appears old.

Class: the age of a copy counted from when it was received instead of from when its source was asked. Keys had stamps for this (probe, echoed probe) since strict revocation; tables now use the same stamps, always sent. The sender also states how long ago the echoed stamp arrived, which makes the date exact but for the way of the stamp, so that followers do not read the store more often. A frame without an echo confirms nothing.

--- a/Programs/almondscale-host/TableSynchronizer.cpp
+++ b/Programs/almondscale-host/TableSynchronizer.cpp
@@ -70,8 +70,7 @@
     if (m_hooks.reader() || isOfEarlierEra(table) || isManifestReadDue(table))
         return true;
     const auto schedule = scheduleOf(table);
-    const auto since
-        = m_mirror.empty(table) ? m_startedAt + startupDelay - schedule.maxAge : m_mirror.currentAt(table);
+    const auto since = std::max(m_mirror.currentAt(table), m_startedAt + startupDelay - schedule.maxAge);
     return bootTime() - since > schedule.maxAge;
 }
 
--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -48,6 +48,13 @@
         return loads;
     }
 
+    std::uint32_t wholeMs(Nanoseconds duration)
+    {
+        const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+        return static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::uint32_t>::max()));
+    }
+
     std::string textOf(const flatbuffers::String* text) { return text ? text->str() : std::string(); }
 
     flatbuffers::Offset<peerwire::TableNews> encodeTableUpdate(
@@ -58,11 +65,9 @@
         for (const auto& row : update.rows.rows)
             rows.push_back(peerwire::CreateRow(builder, builder.CreateString(row.key),
                 builder.CreateString(row.value), row.version.count(), row.removed));
-        const auto ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(update.age).count();
         return peerwire::CreateTableNews(builder, static_cast<std::uint8_t>(update.table),
-            update.rows.newest.version.count(), update.rows.whole,
-            static_cast<std::uint32_t>(std::max<std::int64_t>(0, ageMs)), builder.CreateVector(rows),
-            update.rows.newest.era.count());
+            update.rows.newest.version.count(), update.rows.whole, wholeMs(std::chrono::ceil<std::chrono::milliseconds>(update.age)),
+            builder.CreateVector(rows), update.rows.newest.era.count());
     }
 
     flatbuffers::Offset<peerwire::Demand> encodeDemandOf(
@@ -181,13 +186,6 @@
             && std::isfinite(speed.decode_sum()) && std::isfinite(speed.decode_weight());
     }
 
-    std::uint32_t wholeMs(Nanoseconds duration)
-    {
-        const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-        return static_cast<std::uint32_t>(
-            std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::uint32_t>::max()));
-    }
-
     std::uint32_t msAgo(MonotonicTime at, MonotonicTime now)
     {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
@@ -407,7 +405,8 @@
         sendsList, frame.whole && frame.work ? frame.work->traffic.hosts : 0, rateList, frame.probe,
         frame.echoedProbe, frame.manifestProvenAge.has_value(),
         frame.manifestProvenAge ? wholeMs(*frame.manifestProvenAge + roundUp) : 0, usageList, storedList,
-        speedList, frame.manifestProvenVersion.version.count(), frame.manifestProvenVersion.era.count()));
+        speedList, frame.manifestProvenVersion.version.count(), frame.manifestProvenVersion.era.count(),
+        wholeMs(frame.echoedProbeAge)));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -452,6 +451,7 @@
     }
     frame.probe = from->probe();
     frame.echoedProbe = from->echoed_probe();
+    frame.echoedProbeAge = std::chrono::milliseconds(from->echoed_probe_age_ms());
     if (from->manifest_proven())
         frame.manifestProvenAge = std::chrono::milliseconds(from->manifest_proven_age_ms());
     frame.manifestProvenVersion
--- a/Source/Peers/PeerFrame.h
+++ b/Source/Peers/PeerFrame.h
@@ -69,6 +69,8 @@
     // without a common clock.
     std::uint64_t probe = 0;
     std::uint64_t echoedProbe = 0;
+    // Time from the arrival of the echoed stamp until the frame was made.
+    Nanoseconds echoedProbeAge {};
     // Time since the sender could prove that its manifest was the newest; unset if it never could.
     std::optional<Nanoseconds> manifestProvenAge;
     // The version that the proof is about, see ManifestProof.h.
--- a/Source/Peers/PeerFrames_generated.h
+++ b/Source/Peers/PeerFrames_generated.h
@@ -1242,7 +1242,8 @@
     VT_STORED_USAGE = 44,
     VT_SERVER_SPEEDS = 46,
     VT_MANIFEST_PROVEN_VERSION = 48,
-    VT_MANIFEST_PROVEN_ERA = 50
+    VT_MANIFEST_PROVEN_ERA = 50,
+    VT_ECHOED_PROBE_AGE_MS = 52
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -1316,6 +1317,9 @@
   uint64_t manifest_proven_era() const {
     return GetField<uint64_t>(VT_MANIFEST_PROVEN_ERA, 0);
   }
+  uint32_t echoed_probe_age_ms() const {
+    return GetField<uint32_t>(VT_ECHOED_PROBE_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -1366,6 +1370,7 @@
            verifier.VerifyVector(server_speeds()) &&
            VerifyField<uint64_t>(verifier, VT_MANIFEST_PROVEN_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_MANIFEST_PROVEN_ERA, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ECHOED_PROBE_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -1446,6 +1451,9 @@
   void add_manifest_proven_era(uint64_t manifest_proven_era) {
     fbb_.AddElement<uint64_t>(PeerFrame::VT_MANIFEST_PROVEN_ERA, manifest_proven_era, 0);
   }
+  void add_echoed_probe_age_ms(uint32_t echoed_probe_age_ms) {
+    fbb_.AddElement<uint32_t>(PeerFrame::VT_ECHOED_PROBE_AGE_MS, echoed_probe_age_ms, 0);
+  }
   explicit PeerFrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1482,12 +1490,14 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>>> stored_usage = 0,
     flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::ServerSpeed *>> server_speeds = 0,
     uint64_t manifest_proven_version = 0,
-    uint64_t manifest_proven_era = 0) {
+    uint64_t manifest_proven_era = 0,
+    uint32_t echoed_probe_age_ms = 0) {
   PeerFrameBuilder builder_(_fbb);
   builder_.add_manifest_proven_era(manifest_proven_era);
   builder_.add_manifest_proven_version(manifest_proven_version);
   builder_.add_echoed_probe(echoed_probe);
   builder_.add_probe(probe);
+  builder_.add_echoed_probe_age_ms(echoed_probe_age_ms);
   builder_.add_server_speeds(server_speeds);
   builder_.add_stored_usage(stored_usage);
   builder_.add_usage(usage);
@@ -1536,7 +1546,8 @@
     const std::vector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>> *stored_usage = nullptr,
     const std::vector<almondscale::peerwire::ServerSpeed> *server_speeds = nullptr,
     uint64_t manifest_proven_version = 0,
-    uint64_t manifest_proven_era = 0) {
+    uint64_t manifest_proven_era = 0,
+    uint32_t echoed_probe_age_ms = 0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<almondscale::peerwire::Load>(*loads) : 0;
@@ -1577,7 +1588,8 @@
       stored_usage__,
       server_speeds__,
       manifest_proven_version,
-      manifest_proven_era);
+      manifest_proven_era,
+      echoed_probe_age_ms);
 }
 
 inline const almondscale::peerwire::PeerFrame *GetPeerFrame(const void *buf) {
--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -90,6 +90,7 @@
                 m_wake.notify();
             }
             m_receivedProbe = frame.probe;
+            m_probeReceivedAt = bootTime();
         }
         if (frame.whole) {
             m_host = frame.host;
@@ -172,6 +173,7 @@
     std::size_t m_sentRoleTransitionPosition = 0;
     std::uint64_t m_sentLimitVersion = 0;
     std::uint64_t m_receivedProbe = 0;
+    MonotonicTime m_probeReceivedAt {};
     std::uint64_t m_lastProbe = 0;
     // The times of the last stamps, oldest first.
     std::deque<std::pair<std::uint64_t, MonotonicTime>> m_probes;
@@ -242,12 +244,16 @@
 
 std::uint64_t PeerLink::receivedProbe() const { return m_impl->m_receivedProbe; }
 
-std::optional<MonotonicTime> PeerLink::probeTime(std::uint64_t probe) const
+MonotonicTime PeerLink::probeReceivedAt() const { return m_impl->m_probeReceivedAt; }
+
+std::optional<MonotonicTime> PeerLink::madeAfter(const PeerFrame& frame) const
 {
     const auto& probes = m_impl->m_probes;
     const auto found = std::find_if(
-        probes.begin(), probes.end(), [probe](const auto& each) { return each.first == probe; });
-    return found == probes.end() ? std::nullopt : std::optional(found->second);
+        probes.begin(), probes.end(), [&frame](const auto& each) { return each.first == frame.echoedProbe; });
+    if (found == probes.end())
+        return std::nullopt;
+    return std::min(found->second + frame.echoedProbeAge, bootTime());
 }
 
 } // namespace almondscale
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -61,10 +61,12 @@
 
     // A stamp of this moment, to be sent with the next frame.
     std::uint64_t makeProbe();
-    // The last stamp received from the other host; 0 if there is none.
+    // The last stamp received from the other host, 0 if there is none, and when it arrived.
     std::uint64_t receivedProbe() const;
-    // When the stamp was made; unset if it is none of this link.
-    std::optional<MonotonicTime> probeTime(std::uint64_t probe) const;
+    MonotonicTime probeReceivedAt() const;
+    // A time, on the clock of this host, after which the frame was made; unset if it echoes no stamp of this
+    // link. Differs from the time at which it was made by what the stamp took to arrive.
+    std::optional<MonotonicTime> madeAfter(const PeerFrame&) const;
 
 private:
     class Impl;
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -311,8 +311,12 @@
             frame.roleTransitions = m_hooks.roleTransitionsSince(link.sentRoleTransitionPosition());
         if (m_hooks.limitsSince)
             frame.limits = m_hooks.limitsSince(link.sentLimitVersion(), maxLimitsPerFrame);
-        if (exchangesProofs() && (whole || hasManifestRows(frame)))
-            addProof(link, frame, now);
+        if (whole || hasManifestRows(frame)) {
+            frame.probe = link.makeProbe();
+            frame.echoedProbe = link.receivedProbe();
+            frame.echoedProbeAge = now - link.probeReceivedAt();
+            addProof(frame, now);
+        }
         addUsage(frame, link);
         if (whole && m_hooks.localSpeeds && link.nextSpeeds().passed(now)) {
             link.nextSpeeds() = Deadline::after(now, speedInterval);
@@ -334,24 +338,19 @@
             });
     }
 
-    void addProof(PeerLink& link, PeerFrame& frame, MonotonicTime now) const
+    void addProof(PeerFrame& frame, MonotonicTime now) const
     {
-        frame.probe = link.makeProbe();
-        frame.echoedProbe = link.receivedProbe();
-        const auto proof = m_hooks.manifestProof();
+        const auto proof = exchangesProofs() ? m_hooks.manifestProof() : std::nullopt;
         if (!proof)
             return;
         frame.manifestProvenAge = now - proof->provenAt;
         frame.manifestProvenVersion = proof->version;
     }
 
-    // The frame was made after the probe that it echoes was sent, and its proof is as much older as it says.
-    void applyProof(const PeerLink& link, const PeerFrame& frame) const
+    void applyProof(const PeerFrame& frame, std::optional<MonotonicTime> madeAfter) const
     {
-        if (!frame.manifestProvenAge || !exchangesProofs())
-            return;
-        if (const auto sentAt = link.probeTime(frame.echoedProbe))
-            m_hooks.onManifestProof({ *sentAt - *frame.manifestProvenAge, frame.manifestProvenVersion });
+        if (madeAfter && frame.manifestProvenAge && exchangesProofs())
+            m_hooks.onManifestProof({ *madeAfter - *frame.manifestProvenAge, frame.manifestProvenVersion });
     }
 
     // Of the hosts that have this one as their reader, the one that would be the next reader.
@@ -400,17 +399,19 @@
     void onFrame(PeerLink& link, const PeerFrame& frame)
     {
         const auto now = bootTime();
+        // A frame may have waited for any time on its way.
+        const auto madeAfter = link.madeAfter(frame);
         bool changed = false;
         for (auto update : frame.tableUpdates) {
             const auto before = m_mirror.version(update.table);
             link.setKnownVersion(update.table, update.rows.newest);
             if (!assumeEra(update))
                 continue;
-            m_mirror.apply(update.table, update.rows, now - update.age, now,
-                &link == m_readerLink.get() ? CopyOrigin::Reader : CopyOrigin::Peer);
+            m_mirror.apply(update.table, update.rows, madeAfter ? *madeAfter - update.age : MonotonicTime(),
+                now, &link == m_readerLink.get() ? CopyOrigin::Reader : CopyOrigin::Peer);
             changed = changed || before < m_mirror.version(update.table);
         }
-        applyProof(link, frame);
+        applyProof(frame, madeAfter);
         takeUsage(frame, link);
         const auto crashesBefore = m_crashes.version();
         for (const auto& record : frame.crashes)
--- a/Source/Serving/RowMirror.cpp
+++ b/Source/Serving/RowMirror.cpp
@@ -22,9 +22,9 @@
     if (table.currentAt <= currentAt) {
         table.currentAt = currentAt;
         table.origin = origin;
+        if (onCurrent)
+            onCurrent(which, now);
     }
-    if (onCurrent)
-        onCurrent(which, now);
     auto changes = merge(which, table, rows);
     const bool first = !table.known;
     table.version = rows.newest;
--- a/Source/Serving/RowMirror.h
+++ b/Source/Serving/RowMirror.h
@@ -23,8 +23,9 @@
     // Whether two values of a row are equivalent; such a change is not reported.
     std::function<bool(SharedTable, const std::string& before, const std::string& after)> isEquivalent;
 
-    // Applies rows that were current at the given time. Rows of an older version than the replica are
-    // ignored, and changes in another era, since the rows that they do not name may have changed too.
+    // Applies rows that were current at the given time, which is the default if it is unknown. Rows of an
+    // older version than the replica are ignored, and changes in another era, since the rows that they do not
+    // name may have changed too.
     void apply(SharedTable, const StoredRows&, MonotonicTime currentAt, MonotonicTime now,
         CopyOrigin = CopyOrigin::Store);
 
--- a/Tests/Peers/PeerFrameTest.cpp
+++ b/Tests/Peers/PeerFrameTest.cpp
@@ -153,6 +153,7 @@
     const auto plain = encodePeerFrame(frame, now).size();
     frame.probe = 5;
     frame.echoedProbe = 4;
+    frame.echoedProbeAge = 150ms;
     frame.manifestProvenAge = 1200us;
     frame.manifestProvenVersion = { StoreEra(2), RowVersion(8) };
     UsageRecord record { { HostId("n1"), Incarnation(9), UsageWindow(77) }, { { Organisation("o"), 3 } },
@@ -166,6 +167,7 @@
     REQUIRE(decoded);
     CHECK(decoded->probe == 5);
     CHECK(decoded->echoedProbe == 4);
+    CHECK(decoded->echoedProbeAge == 150ms);
     // An age is rounded up, since it proves how old something is at most.
     CHECK(decoded->manifestProvenAge == Nanoseconds(2ms));
     CHECK(decoded->manifestProvenVersion == frame.manifestProvenVersion);
--- a/Tests/Peers/PeerNetworkTest.cpp
+++ b/Tests/Peers/PeerNetworkTest.cpp
@@ -327,6 +327,23 @@
     CHECK(hosts[1]->proof->provenAt > provenAt - 600ms);
 }
 
+// Guards against a host that does not read the store because an old copy appears to be current.
+TEST_CASE_METHOD(
+    PeerNetworkFixture, "Table update that waited on its way, once received, is as old as when it was made")
+{
+    runFor(1500ms);
+    const auto confirmedAt = bootTime();
+    hosts[0]->mirror.apply(SharedTable::Manifest, manifest(9), confirmedAt, confirmedAt);
+    hosts[0]->network.publish();
+    runFor(300ms);
+    CHECK(hosts[1]->mirror.currentAt(SharedTable::Manifest) > confirmedAt - 200ms);
+    const auto until = Deadline::after(bootTime(), 700ms);
+    while (!until.passed(bootTime()))
+        hosts[0]->loop.poll();
+    hosts[1]->loop.poll();
+    CHECK(hosts[1]->mirror.currentAt(SharedTable::Manifest) <= confirmedAt);
+}
+
 TEST_CASE_METHOD(PeerNetworkFixture, "Hosts without strict revocation send and take no proofs")
 {
     hosts[0]->proof = ManifestProof { bootTime(), {} };
