TableSynchronizer: reads are paced by the deployment's bounds

Callers could get answers by an old manifest for seconds at a host in touch: a host that gets no updates began to read at an age of 1.3 s, waited up to 1.7 s for an answer to its first call (a wait for a change included) and 0.8 to 1.6 s until the next. One unanswered call, as on a connection that has gone silent, took 3.8 to 4.6 s, past each deployment's bound for configuration changes (2, 3 and 4 s), two more than 6 s. Nothing read the bounds.

Class: a time constant in the code beside a bound of the settings. The age at which a host reads, the time for a response and the first delays now follow from bounds.configApplyMs (manifest) and bounds.drainTimeoutMs (registrations): the third read is within the bound. Both grow while the store stays away, as before. An old copy is confirmed without waiting for a change.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -109,7 +109,7 @@
                   [this](ServerSpeeds::Sums sums) {
                       m_context.serverSpeeds.setRemoteSums(std::move(sums), bootTime());
                   } })
-        , m_tableSynchronizer(m_store, m_mirror, m_self,
+        , m_tableSynchronizer(m_store, m_mirror, m_self, m_settings.tableBounds,
               { [this] { return m_network.isReader(); }, [this](SharedTable table) { onTableRead(table); },
                   [this](SharedTable table) { onTableReadFailed(table); },
                   [this](SharedTable table, StoreVersion newest, MonotonicTime sentAt) {
@@ -403,7 +403,7 @@
     {
         const auto table = SharedTable::Manifest;
         const auto age = m_mirror.empty(table) ? Nanoseconds() : bootTime() - m_mirror.currentAt(table);
-        return { m_routes.version(), age, m_mirror.origin(table), m_settings.manifestBound };
+        return { m_routes.version(), age, m_mirror.origin(table), m_settings.tableBounds.manifest };
     }
 
     static std::int64_t msOf(Nanoseconds time)
--- a/Programs/almondscale-host/SettingsChange.cpp
+++ b/Programs/almondscale-host/SettingsChange.cpp
@@ -37,7 +37,8 @@
         { { "host", running.host != read.host }, { "data_centre", running.dataCentre != read.dataCentre },
             { "callers", running.callers != read.callers }, { "ready", running.ready != read.ready },
             { "peers", running.peers != read.peers }, { "store", running.store != read.store },
-            { "lease", running.lease != read.lease }, { "strength", running.strength != read.strength } });
+            { "lease", running.lease != read.lease }, { "strength", running.strength != read.strength },
+            { "table_bounds", running.tableBounds != read.tableBounds } });
     return change;
 }
 
--- a/Programs/almondscale-host/TableSynchronizer.cpp
+++ b/Programs/almondscale-host/TableSynchronizer.cpp
@@ -12,34 +12,8 @@
 
     using std::chrono::milliseconds;
 
-    // When a table is read.
-    struct ReadSchedule {
-        // How long the store waits for a change before it responds.
-        Nanoseconds longPollTime;
-        // Delay between two reads of a reader.
-        Nanoseconds interval;
-        // A host that is not a reader reads the store when its copy is older than this.
-        Nanoseconds maxAge;
-    };
-
-    // A manifest takes effect, and a leaving server gets no new work, within two seconds
-    // of the write to the store; changes of the hosts may take longer.
-    ReadSchedule scheduleOf(SharedTable table)
-    {
-        switch (table) {
-        case SharedTable::Manifest:
-            return { milliseconds(800), milliseconds(50), milliseconds(1300) };
-        case SharedTable::Backends:
-            return { milliseconds(0), milliseconds(550), milliseconds(1000) };
-        case SharedTable::Hosts:
-            return { milliseconds(0), milliseconds(2000), milliseconds(6000) };
-        }
-        return {};
-    }
-
     constexpr Nanoseconds readerRetryDelay = milliseconds(200);
-    // Many copies may become outdated at once; a random delay of up to this is added to spread the retries.
-    constexpr Nanoseconds nonReaderRetryDelay = milliseconds(800);
+    constexpr Nanoseconds enrollmentRetryDelay = milliseconds(800);
     // Time over which hosts spread the writes of their rows.
     constexpr Nanoseconds enrollmentSpread = milliseconds(1500);
     // Maximum age on arrival of the store's response that nothing changed.
@@ -52,7 +26,7 @@
 } // namespace
 
 TableSynchronizer::TableSynchronizer(
-    platform::StoreClient& store, RowMirror& mirror, HostRecord self, Hooks hooks)
+    platform::StoreClient& store, RowMirror& mirror, HostRecord self, const TableBounds& bounds, Hooks hooks)
     : m_store(store)
     , m_mirror(mirror)
     , m_self(std::move(self))
@@ -60,6 +34,10 @@
     , m_random(systemRandom())
     , m_startedAt(bootTime())
 {
+    for (const auto table : sharedTables) {
+        const auto schedule = readSchedule(table, bounds);
+        m_reads.emplace(table, Reads { schedule, ReadPacer(schedule.minAnswerTime, schedule.minRetryDelay) });
+    }
 }
 
 bool TableSynchronizer::isDue(SharedTable table) const
@@ -69,7 +47,7 @@
         return true;
     if (m_hooks.reader() || isOfEarlierEra(table) || isManifestReadDue(table))
         return true;
-    const auto schedule = scheduleOf(table);
+    const auto& schedule = m_reads.at(table).schedule;
     const auto since = std::max(m_mirror.currentAt(table), m_startedAt + startupDelay - schedule.maxAge);
     return bootTime() - since > schedule.maxAge;
 }
@@ -81,10 +59,13 @@
 
 Nanoseconds TableSynchronizer::startRead(SharedTable table)
 {
-    const auto wait = scheduleOf(table).longPollTime;
-    if (table != SharedTable::Manifest || !m_hooks.onManifestReadStart)
-        return wait;
-    return std::min(wait, m_hooks.onManifestReadStart());
+    const auto& reads = m_reads.at(table);
+    auto wait = reads.schedule.longPollTime;
+    if (table == SharedTable::Manifest && m_hooks.onManifestReadStart)
+        wait = std::min(wait, m_hooks.onManifestReadStart());
+    // An old copy is confirmed at once: its host may be the only one to know that it is old.
+    const bool old = bootTime() - m_mirror.currentAt(table) > reads.schedule.maxAge;
+    return old || reads.pacer.failing() ? Nanoseconds() : wait;
 }
 
 bool TableSynchronizer::isOfEarlierEra(SharedTable table) const
@@ -94,7 +75,7 @@
 
 awaitable<void> TableSynchronizer::follow(SharedTable table)
 {
-    const auto schedule = scheduleOf(table);
+    auto& [schedule, pacer] = m_reads.at(table);
     for (;;) {
         if (!isDue(table)) {
             co_await sleepFor(checkInterval);
@@ -106,11 +87,9 @@
             continue;
         }
         m_hooks.onReadFailed(table);
-        const bool reader = m_hooks.reader();
-        co_await sleepFor(reader ? readerRetryDelay
-                                 : nonReaderRetryDelay
-                    + Nanoseconds(
-                        static_cast<std::int64_t>(uniform(m_random) * nonReaderRetryDelay.count())));
+        pacer.onFailure();
+        const auto delay = pacer.retryDelay(uniform(m_random));
+        co_await sleepFor(m_hooks.reader() ? std::min(delay, readerRetryDelay) : delay);
     }
 }
 
@@ -119,12 +98,16 @@
     Result<StoredRows> rows = ErrorKind::PlatformUnavailable;
     const auto askedAt = bootTime();
     const auto before = m_mirror.version(table);
-    const auto wait = startRead(table);
     const bool whole = m_mirror.empty(table) || m_snapshotNeeded.count(table) > 0 || isOfEarlierEra(table);
+    const auto wait = whole ? Nanoseconds() : startRead(table);
+    auto& pacer = m_reads.at(table).pacer;
     if (whole)
         rows = co_await m_store.read(table);
     else
-        rows = co_await m_store.readChanges(table, before.version, wait);
+        rows = co_await m_store.readChanges(table, before.version, wait, pacer.answerTime());
+    const auto answeredAt = bootTime();
+    if (rows)
+        pacer.onAnswer(std::max(Nanoseconds(), answeredAt - askedAt - wait));
     // The changes since a version of an earlier era say nothing.
     if (rows && !whole && rows.value().newest.era != before.era)
         co_return true;
@@ -146,7 +129,7 @@
         m_snapshotNeeded.erase(table);
     // A long poll that ended without a change shows that there was none until its end.
     const bool waited = !whole && rows.value().rows.empty() && wait.count() > 0;
-    m_mirror.apply(table, rows.value(), waited ? bootTime() - maxAnswerAge : askedAt, bootTime());
+    m_mirror.apply(table, rows.value(), waited ? answeredAt - maxAnswerAge : askedAt, answeredAt);
     m_hooks.onRead(table);
     // An answer that is cut short, or older than the copy was, does not show the newest version.
     if (m_hooks.onNewest && !rows.value().more && before <= rows.value().newest)
@@ -187,7 +170,7 @@
         if (written.outcome == WriteOutcome::Applied)
             checked = { m_store.era(), written.version };
         else
-            co_await sleepFor(nonReaderRetryDelay);
+            co_await sleepFor(enrollmentRetryDelay);
     }
 }
 
--- a/Programs/almondscale-host/TableSynchronizer.h
+++ b/Programs/almondscale-host/TableSynchronizer.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "Core/RandomSource.h"
+#include "ReadPacer.h"
+#include "ReadSchedule.h"
 #include "Serving/HostRecord.h"
 #include "Serving/RowMirror.h"
 #include "platform/StoreClient.h"
 
 #include <functional>
+#include <map>
 #include <set>
 
 namespace almondscale {
@@ -30,7 +33,7 @@
         std::function<Nanoseconds()> onManifestReadStart = {};
     };
 
-    TableSynchronizer(platform::StoreClient&, RowMirror&, HostRecord self, Hooks);
+    TableSynchronizer(platform::StoreClient&, RowMirror&, HostRecord self, const TableBounds&, Hooks);
 
     // Keeps one table current; does not return.
     awaitable<void> follow(SharedTable);
@@ -46,12 +49,19 @@
     // Whether the store has started an era of which the copy has nothing.
     bool isOfEarlierEra(SharedTable) const;
 
+    // The reads of one table.
+    struct Reads {
+        ReadSchedule schedule;
+        ReadPacer pacer;
+    };
+
     platform::StoreClient& m_store;
     RowMirror& m_mirror;
     HostRecord m_self;
     Hooks m_hooks;
     RandomSource m_random;
     MonotonicTime m_startedAt;
+    std::map<SharedTable, Reads> m_reads;
     // Tables whose missed changes are no longer in the store's history, until all rows are read.
     std::set<SharedTable> m_snapshotNeeded;
     // Tables whose last read failed.
--- a/Tests/PlatformAdapter/NodeSettingsTest.cpp
+++ b/Tests/PlatformAdapter/NodeSettingsTest.cpp
@@ -28,6 +28,12 @@
     CHECK(read.settings.strength == Approx(250));
     CHECK_FALSE(read.settings.firstStart);
     CHECK(parseNodeSettings(valid + "bootstrap=true\n", "node.conf").settings.firstStart);
+    CHECK(read.settings.tableBounds.manifest == 2s);
+    const auto bounds
+        = parseNodeSettings(valid + "bounds.configApplyMs=3000\nbounds.drainTimeoutMs=2500\n", "node.conf")
+              .settings.tableBounds;
+    CHECK(bounds.manifest == 3s);
+    CHECK(bounds.backends == 2500ms);
 }
 
 TEST_CASE("Invalid value gives an error with file, line, key and remedy")
