TableSynchronizer: a late response to a long poll confirms no more than the store waited

A host whose reader was slow, suspended or behind a lossy link could take an old copy for a current one: the end of a long poll was dated 100 ms before its response was processed, however late that was. The copy is now confirmed until the time for which the store was asked to wait, counted from when it was asked.

--- a/Programs/almondscale-host/TableSynchronizer.cpp
+++ b/Programs/almondscale-host/TableSynchronizer.cpp
@@ -16,8 +16,6 @@
     constexpr Nanoseconds enrollmentRetryDelay = milliseconds(800);
     // Time over which hosts spread the writes of their rows.
     constexpr Nanoseconds enrollmentSpread = milliseconds(1500);
-    // Maximum age on arrival of the store's response that nothing changed.
-    constexpr Nanoseconds maxAnswerAge = milliseconds(100);
     constexpr Nanoseconds checkInterval = milliseconds(50);
     // A connected reader delivers the tables within this time. A host without them rejects
     // requests, so it waits no longer before it reads them from the store.
@@ -127,9 +125,10 @@
         co_return false;
     if (whole)
         m_snapshotNeeded.erase(table);
-    // A long poll that ended without a change shows that there was none until its end.
-    const bool waited = !whole && rows.value().rows.empty() && wait.count() > 0;
-    m_mirror.apply(table, rows.value(), waited ? answeredAt - maxAnswerAge : askedAt, answeredAt);
+    // A long poll that ended without a change shows that there was none for as long as the store waited; its
+    // response may then have been late by any time.
+    const bool waited = !whole && rows.value().rows.empty() && answeredAt >= askedAt + wait;
+    m_mirror.apply(table, rows.value(), waited ? askedAt + wait : askedAt, answeredAt);
     m_hooks.onRead(table);
     // An answer that is cut short, or older than the copy was, does not show the newest version.
     if (m_hooks.onNewest && !rows.value().more && before <= rows.value().newest)
--- a/Tests/Host/TableSynchronizerTest.cpp
+++ b/Tests/Host/TableSynchronizerTest.cpp
@@ -152,6 +152,19 @@
     CHECK(reads == 0);
 }
 
+// Guards against a long poll whose late response makes an old copy appear to be current.
+TEST_CASE_METHOD(TableSynchronizerFixture, "Response that was late on its way, does not confirm that time")
+{
+    follow(true);
+    transit = 400ms;
+    runFor(1400ms);
+    CHECK(reads >= 1);
+    const auto receivedAt = bootTime();
+    const auto confirmedAt = mirror.currentAt(SharedTable::Manifest);
+    // The store made the last response that arrived at least the transit time before.
+    CHECK(confirmedAt <= receivedAt - transit + 20ms);
+}
+
 // Guards against hosts that are late because single calls to the store get no response.
 TEST_CASE_METHOD(TableSynchronizerFixture,
     "Host without updates, whose first two reads are lost, is late by less than the bound")
