RowMirror: a change that the store's feed shows late is not passed by

Callers could get 404 or 401 for what is there, and run on a dropped route or key, until the next change: if the feed shows a change after it has stated a higher version, and ends a poll in between with no rows, the position of the next read is past the change. Nothing ever compared the copy with the row. Seen from outside with such a feed: 10 to 23 s, all hosts. Whether the platform's store may answer so is open; nothing here depends on it any more.

Class: a position taken from what is said about a copy instead of from what is in it. The feed is now read from the version of 3 s ago, or from the newest row if that is higher, which returns nothing twice. A row below the copy's version marks what others have as incomplete, so that they get the whole table. A dropped history of one table lets all be read whole. Registrations keep their position: they are written again each heartbeat.

--- a/Programs/almondscale-host/TableSynchronizer.cpp
+++ b/Programs/almondscale-host/TableSynchronizer.cpp
@@ -66,6 +66,14 @@
     return old || reads.pacer.failing() ? Nanoseconds() : wait;
 }
 
+RowVersion TableSynchronizer::feedPosition(SharedTable table) const
+{
+    // Registrations are written again and again, so that a change which was passed by does not stay unknown,
+    // and each read would return more of them.
+    return table == SharedTable::Backends ? m_mirror.version(table).version
+                                          : m_mirror.feedPosition(table, bootTime());
+}
+
 bool TableSynchronizer::isOfEarlierEra(SharedTable table) const
 {
     return !m_mirror.empty(table) && m_mirror.version(table).era < m_store.era();
@@ -102,7 +110,7 @@
     if (whole)
         rows = co_await m_store.read(table);
     else
-        rows = co_await m_store.readChanges(table, before.version, wait, pacer.answerTime());
+        rows = co_await m_store.readChanges(table, feedPosition(table), wait, pacer.answerTime());
     const auto answeredAt = bootTime();
     if (rows)
         pacer.onAnswer(std::max(Nanoseconds(), answeredAt - askedAt - wait));
@@ -111,7 +119,8 @@
         co_return true;
     if (rows && rows.value().historyCompacted) {
         LogEvent("store_history_gone").with("table", sharedTableName(table)).with("version", before);
-        m_snapshotNeeded.insert(table);
+        // The feeds of the other tables may have passed changes by too.
+        m_snapshotNeeded.insert(sharedTables.begin(), sharedTables.end());
         co_return true;
     }
     const bool changed = rows.ok() ? m_unavailable.erase(table) > 0 : m_unavailable.insert(table).second;
--- a/Programs/almondscale-host/TableSynchronizer.h
+++ b/Programs/almondscale-host/TableSynchronizer.h
@@ -44,6 +44,8 @@
     awaitable<bool> readOnce(SharedTable);
     bool isDue(SharedTable) const;
     bool isManifestReadDue(SharedTable) const;
+    // The version after which changes are read.
+    RowVersion feedPosition(SharedTable) const;
     // How long a read that begins now waits for a change.
     Nanoseconds startRead(SharedTable);
     // Whether the store has started an era of which the copy has nothing.
--- a/Source/Serving/RowMirror.cpp
+++ b/Source/Serving/RowMirror.cpp
@@ -8,6 +8,10 @@
 
     // Removed rows that are kept for hosts that lag behind.
     constexpr std::size_t maxRemovals = 64;
+    // The feed may show a change this much later than it states a higher version.
+    constexpr Nanoseconds feedDelay = std::chrono::seconds(3);
+
+    RowVersion higher(RowVersion a, RowVersion b) { return a.count() < b.count() ? b : a; }
 
 } // namespace
 
@@ -29,6 +33,7 @@
     const bool first = !table.known;
     table.version = rows.newest;
     table.known = true;
+    recordVersion(table, rows.whole && origin == CopyOrigin::Store, now);
     pruneRemovals(table);
     if (onUpdate && (first || rows.whole || !changes.rows.empty()))
         onUpdate(which, changes, now);
@@ -43,9 +48,13 @@
     StoredRows changes;
     changes.newest = rows.newest;
     for (const auto& row : rows.rows) {
+        table.newestRow = higher(table.newestRow, row.version);
         auto& stored = table.rows[row.key];
         if (isRedundant(which, table, stored, row))
             continue;
+        // Others may have passed this change by.
+        if (versionOf(table, row) <= table.version)
+            table.completeSince = rows.newest;
         stored = row;
         changes.rows.push_back(row);
     }
@@ -101,7 +110,7 @@
     StoredRows changes;
     changes.newest = table->version;
     changes.whole = version.version == RowVersion(0) || version.era != table->version.era
-        || version < table->oldestRemoval;
+        || version < table->completeSince;
     for (const auto& entry : table->rows) {
         if (changes.whole ? !entry.second.removed : version < versionOf(*table, entry.second))
             changes.rows.push_back(entry.second);
@@ -118,10 +127,38 @@
 void RowMirror::replaceAll(Table& table, const StoredRows& rows)
 {
     table.rows.clear();
-    for (const auto& row : rows.rows)
+    table.newestRow = RowVersion();
+    for (const auto& row : rows.rows) {
         table.rows[row.key] = row;
+        table.newestRow = higher(table.newestRow, row.version);
+    }
     // The rows removed since an older version are unknown.
-    table.oldestRemoval = rows.newest;
+    table.completeSince = rows.newest;
+}
+
+void RowMirror::recordVersion(Table& table, bool snapshot, MonotonicTime now)
+{
+    auto& versions = table.versions;
+    // All changes up to a snapshot are in it, and versions of an earlier era mean nothing.
+    if (snapshot || (!versions.empty() && versions.back().second.era != table.version.era))
+        versions.clear();
+    if (versions.empty() || versions.back().second < table.version)
+        versions.emplace_back(now, table.version);
+    while (versions.size() > 1 && versions[1].first <= now - feedDelay)
+        versions.pop_front();
+}
+
+RowVersion RowMirror::feedPosition(SharedTable which, MonotonicTime now) const
+{
+    const auto* table = find(which);
+    if (!table || table->versions.empty())
+        return {};
+    auto position = table->versions.front().second.version;
+    for (const auto& [learnedAt, version] : table->versions) {
+        if (learnedAt <= now - feedDelay)
+            position = version.version;
+    }
+    return higher(position, table->newestRow);
 }
 
 void RowMirror::pruneRemovals(Table& table)
@@ -134,9 +171,9 @@
     if (removals.size() <= maxRemovals)
         return;
     std::sort(removals.begin(), removals.end());
-    table.oldestRemoval = removals[removals.size() - maxRemovals];
+    table.completeSince = removals[removals.size() - maxRemovals];
     for (auto row = table.rows.begin(); row != table.rows.end();) {
-        if (row->second.removed && versionOf(table, row->second) < table.oldestRemoval)
+        if (row->second.removed && versionOf(table, row->second) < table.completeSince)
             row = table.rows.erase(row);
         else
             ++row;
--- a/Source/Serving/RowMirror.h
+++ b/Source/Serving/RowMirror.h
@@ -5,9 +5,11 @@
 #include "Serving/SharedTable.h"
 #include "Serving/StoredRow.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace almondscale {
 
@@ -38,6 +40,9 @@
     MonotonicTime currentAt(SharedTable) const;
     // By whom it was.
     CopyOrigin origin(SharedTable) const;
+    // The version after which changes are read from the store's feed. It stays behind the replica's, though
+    // not behind its newest row, so that a change which the feed shows late is not passed by.
+    RowVersion feedPosition(SharedTable, MonotonicTime now) const;
     // The rows changed after the version; unset if there are none.
     std::optional<StoredRows> changesSince(SharedTable, StoreVersion) const;
 
@@ -47,9 +52,13 @@
         StoreVersion version;
         MonotonicTime currentAt {};
         CopyOrigin origin = CopyOrigin::None;
-        // Removals before this version are no longer known; a reader with an older version gets the whole
-        // table.
-        StoreVersion oldestRemoval;
+        // The changes after earlier versions are not known completely; a reader with such a version gets the
+        // whole table.
+        StoreVersion completeSince;
+        // The highest version of a row, and the versions of the replica by the time at which it got them,
+        // from the one that is the feed's position now.
+        RowVersion newestRow;
+        std::deque<std::pair<MonotonicTime, StoreVersion>> versions;
         bool known = false;
     };
 
@@ -60,6 +69,7 @@
     static StoreVersion versionOf(const Table&, const StoredRow&);
     static void replaceAll(Table&, const StoredRows&);
     static void pruneRemovals(Table&);
+    static void recordVersion(Table&, bool snapshot, MonotonicTime now);
 
     std::map<SharedTable, Table> m_tables;
     bool m_eraChanged = false;
--- a/Tests/Host/TableSynchronizerTest.cpp
+++ b/Tests/Host/TableSynchronizerTest.cpp
@@ -176,3 +176,20 @@
     CHECK(delayOf(2) < bounds.manifest);
     CHECK(reads == 3);
 }
+
+// Guards against a change that is never noticed because the position of reads has passed it.
+TEST_CASE_METHOD(TableSynchronizerFixture, "Change that the feed shows late, is found nevertheless")
+{
+    follow(true);
+    runFor(1000ms);
+    hidesChanges = true;
+    put(2);
+    runFor(1000ms);
+    CHECK(copy() == "v1");
+    hidesChanges = false;
+    const auto shownAt = bootTime();
+    // The history up to the change may be gone by then.
+    oldest = GENERATE(0, 12);
+    delayOf(2);
+    CHECK(bootTime() - shownAt < 2s);
+}
--- a/Tests/Serving/RowMirrorTest.cpp
+++ b/Tests/Serving/RowMirrorTest.cpp
@@ -148,3 +148,31 @@
     CHECK(mirror.version(table) == at(10));
     CHECK(mirror.currentAt(table) == now);
 }
+
+TEST_CASE_METHOD(
+    RowMirrorFixture, "Feed is read from a position behind the version, but not behind the newest row")
+{
+    mirror.apply(table, rows(at(20), {}), now + 2s, now + 2s);
+    CHECK(mirror.feedPosition(table, now + 2s) == RowVersion(10));
+    mirror.apply(table, rows(at(30), {}), now + 4s, now + 4s);
+    CHECK(mirror.feedPosition(table, now + 4s) == RowVersion(10));
+    CHECK(mirror.feedPosition(table, now + 6s) == RowVersion(20));
+    mirror.apply(table, rows(at(32), { row("x", "2", 31) }), now + 6s, now + 6s);
+    CHECK(mirror.feedPosition(table, now + 6s) == RowVersion(31));
+    // A snapshot of the store has all changes.
+    mirror.apply(table, rows(at(40), { row("x", "2", 31) }, true), now + 7s, now + 7s);
+    CHECK(mirror.feedPosition(table, now + 7s) == RowVersion(40));
+}
+
+// Guards against hosts that never get a change because they already have a higher version.
+TEST_CASE_METHOD(
+    RowMirrorFixture, "Change of a version that others have passed, reaches them with the whole table")
+{
+    mirror.apply(table, rows(at(20), {}), now + 1s, now + 1s);
+    mirror.apply(table, rows(at(21), { row("x", "late", 15) }), now + 2s, now + 2s);
+    REQUIRE(updates.size() == 1);
+    const auto lacking = mirror.changesSince(table, at(20));
+    REQUIRE(lacking);
+    CHECK(lacking->whole);
+    CHECK(lacking->rows.size() == 2);
+}
