ManifestFreshness: an unknown key is denied within the deployment's bound for changes

A caller with a key that had been added could get 401 up to 3.75 s after the store's acknowledgement, where the deployment allows 3.0 s (2.0 s elsewhere): the time in which a change is in force was a constant of 4 s here and in Tests/Soak/keys.py, so that the soak could not see it. Both take bounds.configApplyMs now; keys.py plays 3.0 s.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -71,7 +71,7 @@
         , m_placement(m_backends, m_settings.dataCentre, placementOptions())
         , m_reach(m_backends, m_settings.dataCentre)
         , m_retries(m_settings.retries, assumedHosts)
-        , m_freshness(m_settings.revocation, bootTime())
+        , m_freshness(m_settings.revocation, m_settings.tableBounds.manifest, bootTime())
         , m_self { m_settings.host, m_settings.dataCentre, m_settings.peers, m_settings.strength }
         , m_store(m_controlPool, m_settings.store)
         , m_network(m_loop.get_executor(), m_self, m_settings.seeds, m_mirror, m_crashes,
--- a/Source/Serving/ManifestFreshness.cpp
+++ b/Source/Serving/ManifestFreshness.cpp
@@ -10,9 +10,6 @@
 
     // Keyed requests are refused this long before the bound, for the time between the check and the send.
     constexpr Nanoseconds margin = milliseconds(250);
-    // A configuration change is in force on every host that can reach the store within this time; a key that
-    // is not in an older manifest may have been added since.
-    constexpr Nanoseconds changeTime = milliseconds(4000);
     // A host without a path to the store still serves keyed requests for this share of the bound.
     constexpr double servedShare = 0.6;
     // Besides twice the wait of a read, a proof is this old at most while the store responds: the interval
@@ -31,8 +28,10 @@
 
 } // namespace
 
-ManifestFreshness::ManifestFreshness(RevocationBounds bounds, MonotonicTime startedAt)
+ManifestFreshness::ManifestFreshness(
+    RevocationBounds bounds, Nanoseconds manifestBound, MonotonicTime startedAt)
     : m_bounds(bounds)
+    , m_manifestBound(manifestBound)
     , m_startedAt(startedAt)
 {
 }
@@ -68,12 +67,13 @@
 KeyTrust ManifestFreshness::keyTrust(MonotonicTime now, MonotonicTime copyCurrentAt) const
 {
     KeyTrust trust;
+    // A key that an older manifest lacks may have been added since.
     if (!m_bounds.strict) {
-        trust.denies = now - copyCurrentAt < changeTime - margin;
+        trust.denies = now - copyCurrentAt < m_manifestBound - margin;
         return trust;
     }
     trust.serves = isYoungerThan(m_bounds.time - margin, now);
-    trust.denies = isYoungerThan(std::min(m_bounds.time, changeTime) - margin, now);
+    trust.denies = isYoungerThan(std::min(m_bounds.time, m_manifestBound) - margin, now);
     return trust;
 }
 
--- a/Source/Serving/ManifestFreshness.h
+++ b/Source/Serving/ManifestFreshness.h
@@ -12,7 +12,8 @@
 // store had acknowledged, and decides from its age what may be done with callers' keys.
 class ManifestFreshness {
 public:
-    ManifestFreshness(RevocationBounds, MonotonicTime startedAt);
+    // `manifestBound`: a change is in force on every host that can reach the store within this time.
+    ManifestFreshness(RevocationBounds, Nanoseconds manifestBound, MonotonicTime startedAt);
 
     // This host's copy of the manifest has changed. `inForce` is set if the manifest in force is the copy's
     // or a newer one; unset if the copy's was rejected or cannot be decoded.
@@ -38,6 +39,7 @@
     Nanoseconds maxReadWait() const;
 
     RevocationBounds m_bounds;
+    Nanoseconds m_manifestBound;
     MonotonicTime m_startedAt;
     std::optional<ManifestProof> m_proof;
     StoreVersion m_copy;
--- a/Tests/Serving/ManifestFreshnessModelTest.cpp
+++ b/Tests/Serving/ManifestFreshnessModelTest.cpp
@@ -124,7 +124,7 @@
         RevocationBounds bounds;
         bounds.strict = true;
         bounds.time = std::chrono::seconds(boundTicks);
-        ManifestFreshness freshness(bounds, at(0));
+        ManifestFreshness freshness(bounds, bounds.time, at(0));
         if (host.copy == none)
             return freshness;
         const auto copy = manifests.at(host.copy).version;
--- a/Tests/Serving/ManifestFreshnessTest.cpp
+++ b/Tests/Serving/ManifestFreshnessTest.cpp
@@ -25,7 +25,7 @@
     bool denies(Nanoseconds at) const { return freshness.keyTrust(start + at, start).denies; }
 
     const MonotonicTime start { 1h };
-    ManifestFreshness freshness { { true, 5s }, start };
+    ManifestFreshness freshness { { true, 5s }, 4s, start };
 };
 
 } // namespace
@@ -104,10 +104,25 @@
     CHECK(serves(oldest + 3s));
 }
 
+// Guards against 401 for a key that was added longer ago than the deployment's bound.
+TEST_CASE("Unknown key, with a manifest as old as the bound for changes, is not denied")
+{
+    const MonotonicTime now { 1h };
+    const auto bound = GENERATE(Nanoseconds(2s), Nanoseconds(3s));
+    ManifestFreshness plain({ false, 5s }, bound, now);
+    CHECK(plain.keyTrust(now, now - bound + 300ms).denies);
+    CHECK_FALSE(plain.keyTrust(now, now - bound).denies);
+    ManifestFreshness strict({ true, 5s }, bound, now);
+    strict.onCopy(version(5), true);
+    CHECK(strict.onProof({ now, version(5) }, version(5)));
+    CHECK(strict.keyTrust(now + bound - 300ms, now).denies);
+    CHECK_FALSE(strict.keyTrust(now + bound, now + bound).denies);
+}
+
 TEST_CASE("Without strict revocation, keys are served with any manifest, and denied with a current one")
 {
     const MonotonicTime now { 1h };
-    ManifestFreshness freshness({ false, 5s }, now);
+    ManifestFreshness freshness({ false, 5s }, 4s, now);
     CHECK(freshness.keyTrust(now, now - 1h).serves);
     CHECK_FALSE(freshness.keyTrust(now, now - 1h).denies);
     CHECK(freshness.keyTrust(now, now - 3s).denies);
--- a/Tests/Soak/keys.py
+++ b/Tests/Soak/keys.py
@@ -23,8 +23,9 @@
 REVOKE_S = 5.0
 # Share of the bound for which a host without a path to the store has to serve.
 SERVED_SHARE = 0.6
-# Time from the store's acknowledgement until a manifest is in force everywhere; its keys may be unknown until then.
-APPLY_S = 4.0
+# Time from the store's acknowledgement until a manifest is in force everywhere (bounds.configApplyMs); its keys may be
+# unknown until then.
+APPLY_S = 3.0
 PLAY_S = 24.0
 KEY_PREFIX = "secret-key-"
 
@@ -37,7 +38,8 @@
 
 class Keys(World):
     backend_type = CheckedBackend
-    more_settings = f"bounds.strictRevoke=true\nbounds.revokeMs={int(REVOKE_S * 1000)}\n"
+    more_settings = (f"bounds.strictRevoke=true\nbounds.revokeMs={int(REVOKE_S * 1000)}\n"
+                     f"bounds.configApplyMs={int(APPLY_S * 1000)}\n")
 
     def __init__(self, program, seed, folder):
         super().__init__(program, seed, HOSTS, folder)
