CallerSession: no 404 by a manifest that is older than the bound

A host whose copy of the manifest is older than bounds.configApplyMs answered 404 for a route that may have been added since, and a caller does not repeat a request that got 404. Keys were decided by the age of the copy, routes were not. Such a request gets 503 with Retry-After now, as one with a key that an old manifest lacks; requests whose route is known are served by the older manifest as before.

Evidence: the new test got 404 before and gets 503 now; Forwarding tests on keys and decisions pass.

--- a/Source/Forwarding/CallerSession.cpp
+++ b/Source/Forwarding/CallerSession.cpp
@@ -320,7 +320,11 @@
             co_return co_await refuse(ErrorKind::NoRules);
         const auto route = m_context.routes.find(decoded.value().host, decoded.value().head.target);
         if (!route) {
-            co_return co_await refuse(ErrorKind::NotFound, decoded.value().id);
+            // A route that an outdated manifest lacks may have been added. A caller does not repeat a request
+            // that got 404.
+            const bool outdated = m_context.manifestNow().isOutdated();
+            co_return co_await refuse(
+                outdated ? ErrorKind::ManifestTooOld : ErrorKind::NotFound, decoded.value().id);
         }
         const auto refusal = authenticate(m_context, decoded.value(), *route);
         if (refusal != ErrorKind::None)
