Hosts: a change at or below a version that others have, reaches them

After a reader had found a change that the feed had shown late, hosts behind it went on answering 404 and running on dropped routes until the next change: hosts send each other what is newer than the version that the other one has, and the others already had the version of the change.

--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -66,8 +66,9 @@
             rows.push_back(peerwire::CreateRow(builder, builder.CreateString(row.key),
                 builder.CreateString(row.value), row.version.count(), row.removed));
         return peerwire::CreateTableNews(builder, static_cast<std::uint8_t>(update.table),
-            update.rows.newest.version.count(), update.rows.whole, wholeMs(std::chrono::ceil<std::chrono::milliseconds>(update.age)),
-            builder.CreateVector(rows), update.rows.newest.era.count());
+            update.rows.newest.version.count(), update.rows.whole,
+            wholeMs(std::chrono::ceil<std::chrono::milliseconds>(update.age)), builder.CreateVector(rows),
+            update.rows.newest.era.count());
     }
 
     flatbuffers::Offset<peerwire::Demand> encodeDemandOf(
--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -168,6 +168,7 @@
     DataCentre m_dataCentre;
     PeerWork m_work;
     std::map<SharedTable, StoreVersion> m_knownVersions;
+    std::map<SharedTable, std::uint64_t> m_sentLateChanges;
     std::uint64_t m_sentCrashVersion = 0;
     std::size_t m_sentLeavingPosition = 0;
     std::size_t m_sentRoleTransitionPosition = 0;
@@ -221,6 +222,8 @@
         known = version;
 }
 
+std::uint64_t& PeerLink::sentLateChanges(SharedTable table) { return m_impl->m_sentLateChanges[table]; }
+
 std::uint64_t& PeerLink::sentCrashVersion() { return m_impl->m_sentCrashVersion; }
 std::size_t& PeerLink::sentLeavingPosition() { return m_impl->m_sentLeavingPosition; }
 
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -44,6 +44,8 @@
     // Ignored if it is older than the known version. A version without an era is taken to be of the era that
     // was last sent.
     void setKnownVersion(SharedTable, StoreVersion);
+    // The late changes of a table up to which it was sent over this link, see RowMirror::lateChanges().
+    std::uint64_t& sentLateChanges(SharedTable);
     // The version of the crash records up to which they were sent over this link.
     std::uint64_t& sentCrashVersion();
     // The position in the log of announced shutdowns up to which they were sent over this link.
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -272,6 +272,18 @@
             || (update.table != SharedTable::Hosts && !m_mirror.hasSeenEraChange());
     }
 
+    // The rows of the table that the other host lacks.
+    std::optional<StoredRows> changesFor(PeerLink& link, SharedTable table) const
+    {
+        auto known = link.knownVersion(table);
+        const auto lateChanges = m_mirror.lateChanges(table);
+        if (link.sentLateChanges(table) != lateChanges && known <= m_mirror.version(table)) {
+            link.sentLateChanges(table) = lateChanges;
+            known = StoreVersion();
+        }
+        return m_mirror.changesSince(table, known);
+    }
+
     PeerFrame makeFrame(PeerLink& link, bool whole)
     {
         PeerFrame frame;
@@ -289,7 +301,7 @@
         for (const auto table : sharedTables) {
             if (m_mirror.empty(table))
                 continue;
-            auto rows = m_mirror.changesSince(table, link.knownVersion(table));
+            auto rows = changesFor(link, table);
             if (rows && !wouldAdopt(link, table))
                 rows.reset();
             if (!rows && !whole)
--- a/Source/Serving/RowMirror.cpp
+++ b/Source/Serving/RowMirror.cpp
@@ -42,6 +42,7 @@
 StoredRows RowMirror::merge(SharedTable which, Table& table, const StoredRows& rows)
 {
     if (rows.whole) {
+        table.lateChanges += hasLateChange(table, rows) ? 1 : 0;
         replaceAll(table, rows);
         return rows;
     }
@@ -52,9 +53,7 @@
         auto& stored = table.rows[row.key];
         if (isRedundant(which, table, stored, row))
             continue;
-        // Others may have passed this change by.
-        if (versionOf(table, row) <= table.version)
-            table.completeSince = rows.newest;
+        table.lateChanges += versionOf(table, row) <= table.version ? 1 : 0;
         stored = row;
         changes.rows.push_back(row);
     }
@@ -110,7 +109,7 @@
     StoredRows changes;
     changes.newest = table->version;
     changes.whole = version.version == RowVersion(0) || version.era != table->version.era
-        || version < table->completeSince;
+        || version < table->oldestRemoval;
     for (const auto& entry : table->rows) {
         if (changes.whole ? !entry.second.removed : version < versionOf(*table, entry.second))
             changes.rows.push_back(entry.second);
@@ -133,7 +132,7 @@
         table.newestRow = higher(table.newestRow, row.version);
     }
     // The rows removed since an older version are unknown.
-    table.completeSince = rows.newest;
+    table.oldestRemoval = rows.newest;
 }
 
 void RowMirror::recordVersion(Table& table, bool snapshot, MonotonicTime now)
@@ -148,6 +147,29 @@
         versions.pop_front();
 }
 
+bool RowMirror::hasLateChange(const Table& table, const StoredRows& all)
+{
+    if (!table.known || all.newest.era != table.version.era)
+        return false;
+    std::size_t present = 0;
+    for (const auto& row : all.rows) {
+        const auto stored = table.rows.find(row.key);
+        const bool known = stored != table.rows.end() && !stored->second.removed;
+        present += known ? 1 : 0;
+        if (versionOf(table, row) <= table.version && (!known || stored->second.value != row.value))
+            return true;
+    }
+    const auto before = std::count_if(
+        table.rows.begin(), table.rows.end(), [](const auto& entry) { return !entry.second.removed; });
+    return all.newest == table.version && static_cast<std::size_t>(before) > present;
+}
+
+std::uint64_t RowMirror::lateChanges(SharedTable which) const
+{
+    const auto* table = find(which);
+    return table ? table->lateChanges : 0;
+}
+
 RowVersion RowMirror::feedPosition(SharedTable which, MonotonicTime now) const
 {
     const auto* table = find(which);
@@ -171,9 +193,9 @@
     if (removals.size() <= maxRemovals)
         return;
     std::sort(removals.begin(), removals.end());
-    table.completeSince = removals[removals.size() - maxRemovals];
+    table.oldestRemoval = removals[removals.size() - maxRemovals];
     for (auto row = table.rows.begin(); row != table.rows.end();) {
-        if (row->second.removed && versionOf(table, row->second) < table.completeSince)
+        if (row->second.removed && versionOf(table, row->second) < table.oldestRemoval)
             row = table.rows.erase(row);
         else
             ++row;
--- a/Source/Serving/RowMirror.h
+++ b/Source/Serving/RowMirror.h
@@ -43,6 +43,9 @@
     // The version after which changes are read from the store's feed. It stays behind the replica's, though
     // not behind its newest row, so that a change which the feed shows late is not passed by.
     RowVersion feedPosition(SharedTable, MonotonicTime now) const;
+    // Number of times that rows changed at or below the version that the replica had. Others with that
+    // version lack these changes.
+    std::uint64_t lateChanges(SharedTable) const;
     // The rows changed after the version; unset if there are none.
     std::optional<StoredRows> changesSince(SharedTable, StoreVersion) const;
 
@@ -52,9 +55,10 @@
         StoreVersion version;
         MonotonicTime currentAt {};
         CopyOrigin origin = CopyOrigin::None;
-        // The changes after earlier versions are not known completely; a reader with such a version gets the
-        // whole table.
-        StoreVersion completeSince;
+        // Removals before this version are no longer known; a reader with an older version gets the whole
+        // table.
+        StoreVersion oldestRemoval;
+        std::uint64_t lateChanges = 0;
         // The highest version of a row, and the versions of the replica by the time at which it got them,
         // from the one that is the feed's position now.
         RowVersion newestRow;
@@ -68,6 +72,8 @@
     bool isRedundant(SharedTable, const Table&, const StoredRow& stored, const StoredRow&) const;
     static StoreVersion versionOf(const Table&, const StoredRow&);
     static void replaceAll(Table&, const StoredRows&);
+    // Whether the rows differ from those of the table by a change that its version should have had.
+    static bool hasLateChange(const Table&, const StoredRows& all);
     static void pruneRemovals(Table&);
     static void recordVersion(Table&, bool snapshot, MonotonicTime now);
 
--- a/Tests/Peers/PeerNetworkTest.cpp
+++ b/Tests/Peers/PeerNetworkTest.cpp
@@ -327,6 +327,22 @@
     CHECK(hosts[1]->proof->provenAt > provenAt - 600ms);
 }
 
+// Guards against hosts that never get a change because they already have its version.
+TEST_CASE_METHOD(PeerNetworkFixture, "Table update at a version that all have, reaches all")
+{
+    runFor(1500ms);
+    hosts[0]->mirror.apply(SharedTable::Manifest, manifest(9), bootTime(), bootTime());
+    hosts[0]->network.publish();
+    runFor(300ms);
+    auto late = manifest(9);
+    late.rows.front().value = "late";
+    hosts[0]->mirror.apply(SharedTable::Manifest, late, bootTime(), bootTime());
+    hosts[0]->network.publish();
+    runFor(300ms);
+    for (const auto& host : hosts)
+        CHECK(host->mirror.changesSince(SharedTable::Manifest, {})->rows.front().value == "late");
+}
+
 // Guards against a host that does not read the store because an old copy appears to be current.
 TEST_CASE_METHOD(
     PeerNetworkFixture, "Table update that waited on its way, once received, is as old as when it was made")
