ReadPacer: reads of a store that is away are spaced out after the second failure

Two lost calls fit into the bound; what follows only costs calls, which the platform prices: with delays that double, a host made six calls for each table in the first three seconds of an outage, three before the reads were paced by the bounds. The third delay is four times the second now: five calls (calculated, bound 3 s, calls that are refused at once). Host tests pass.

--- a/Programs/almondscale-host/ReadPacer.cpp
+++ b/Programs/almondscale-host/ReadPacer.cpp
@@ -13,7 +13,10 @@
     constexpr Nanoseconds maxRetryDelay = std::chrono::milliseconds(1600);
     // A response may take this many times as long as the last one.
     constexpr int answerTimeFactor = 3;
-    constexpr int maxDoublings = 16;
+    // The first delays are equal, so that two lost calls cost little; each further one is as many times
+    // longer.
+    constexpr int equalDelays = 2;
+    constexpr int retryDelayFactor = 4;
 
 } // namespace
 
@@ -26,9 +29,9 @@
 
 Nanoseconds ReadPacer::retryDelay(double random) const
 {
-    // The first two delays are equal.
-    const auto doublings = std::clamp(m_failures - 2, 0, maxDoublings);
-    const auto longest = std::min(m_minRetryDelay * (std::int64_t(1) << doublings), maxRetryDelay);
+    auto longest = m_minRetryDelay;
+    for (int i = equalDelays; i < m_failures && longest < maxRetryDelay; ++i)
+        longest = std::min(longest * retryDelayFactor, maxRetryDelay);
     return Nanoseconds(static_cast<std::int64_t>(static_cast<double>(longest.count()) * (1 + random) / 2));
 }
 
--- a/Tests/Host/ReadPacerTest.cpp
+++ b/Tests/Host/ReadPacerTest.cpp
@@ -28,7 +28,7 @@
     pacer.onFailure();
     CHECK(pacer.retryDelay(1) == 100ms);
     pacer.onFailure();
-    CHECK(pacer.retryDelay(1) == 200ms);
+    CHECK(pacer.retryDelay(1) == 400ms);
     for (int i = 0; i < 100; ++i)
         pacer.onFailure();
     CHECK(pacer.retryDelay(0) == 800ms);
