--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -87,8 +87,8 @@
 
     // The state of the manifest now; unset where nobody asks for its age.
     std::function<ManifestState()> manifestState = {};
-    // Called for each request that is decided by an outdated manifest, with "routed", "no_route" or the name
-    // of the error.
+    // Called for each request that is decided by an outdated manifest, with "routed" or the name of the
+    // error; 404 is not given by such a manifest.
     std::function<void(const char* decision)> onOutdatedDecision = {};
 
     ManifestState manifestNow() const;
