--- a/Tests/Soak/configuration.py
+++ b/Tests/Soak/configuration.py
@@ -1,11 +1,12 @@
 #!/usr/bin/env python3
 """Changes of the manifest while readers are late, links between hosts are slow and the store fails some hosts.
 
-Usage: Tests/Soak/configuration.py --program FILE [--seeds FIRST-LAST] [--parallel N] [--play all|readers]
+Usage: Tests/Soak/configuration.py --program FILE [--seeds FIRST-LAST] [--parallel N] [--play all|readers] [--before FILE]
 
 A request that is sent later than the bound after a change was acknowledged, to a host without a fault of its own, is
 not handled as only an older manifest allows: no 404 for a route that is there, no answer on a dropped one. No host goes
-back to an older manifest. With --play readers, the store has no faults.
+back to an older manifest. With --play readers, the store has no faults. With --before, every second host runs an older
+program and is not judged.
 """
 import argparse
 import asyncio
@@ -61,9 +62,11 @@
 
 
 class Configuration(World):
-    def __init__(self, program, seed, store_fails, folder):
+    def __init__(self, program, seed, store_fails, before, folder):
         super().__init__(program, seed, HOSTS, folder)
         self.store_fails = store_fails
+        for host in self.hosts[1::2]:
+            host.program = before
         self.bound_s = self.random.choice([2.0, 3.0])
         strict = self.random.random() < 0.5
         self.more_settings = f"bounds.configApplyMs={int(self.bound_s * 1000)}\n" + (
@@ -124,7 +127,7 @@
         self.judge(host, process, number, sent_at, int(line.split()[1]))
 
     def judge(self, host, process, number, sent_at, status):
-        if status not in (200, 404):
+        if status not in (200, 404) or host.program:
             return
         serves, now = status == 200, time.monotonic()
         dropped_at = self.dropped.get(number, 1e12)
@@ -285,13 +288,15 @@
     parser.add_argument("--seeds", default="1-1", help="FIRST-LAST")
     parser.add_argument("--parallel", type=int, default=1)
     parser.add_argument("--play", choices=["all", "readers"], default="all")
+    parser.add_argument("--before", help="an older almondscale-host, which every second host runs")
     arguments = parser.parse_args()
     program = os.path.abspath(arguments.program)
+    before = arguments.before and os.path.abspath(arguments.before)
 
     def play_seed(seed):
         random.seed(seed)
         folder = tempfile.mkdtemp(prefix=f"configuration-{seed}-")
-        return run_world(Configuration(program, seed, arguments.play == "all", folder))
+        return run_world(Configuration(program, seed, arguments.play == "all", before, folder))
 
     sys.exit(0 if run_seeds(arguments.seeds, arguments.parallel, play_seed) else 1)
 
