--- a/Tests/Soak/usage.py
+++ b/Tests/Soak/usage.py
@@ -4,7 +4,8 @@
 Usage: Tests/Soak/usage.py --program FILE [--seeds FIRST-LAST] [--parallel N] [--hosts N] [--play NAME]
 
 Callers of several organisations send requests; a fake platform takes the reports. Checks that each window is reported
-once, in time, by holders in order, and that its counts are those that the backend servers observed.
+once, in time, by holders in order, and that its counts are those that the backend servers observed. Only what a killed
+host had not passed on may be missing, and no more of it than the tolerance for all organisations together.
 """
 import argparse
 import asyncio
@@ -25,7 +26,7 @@
 TOLERANCE = 0.05
 # A request that begins within this time of a boundary may count on either side of it.
 BOUNDARY_S = 0.05
-# A host passes its counts on five times a second; what the platform's transit time adds may be lost with it as well.
+# A host passes its counts on each 0.2 s, which takes up to the transit time of 0.2 s. A killed host takes the rest with it.
 UNSENT_S = 0.4
 
 
