CallerSession: no label for a decision that cannot be made

Cause: since a 404 is not given by an outdated manifest, and only outdated decisions are reported; logRefusal() still chose a label for one.

Change: the error's name is the label of each. Behaviour stays as it is.

--- a/Source/Forwarding/CallerSession.cpp
+++ b/Source/Forwarding/CallerSession.cpp
@@ -439,7 +439,7 @@
     {
         const auto manifest = m_context.manifestNow();
         const bool noRoute = kind == ErrorKind::NotFound;
-        noteDecision(m_context, manifest, noRoute ? "no_route" : errorName(kind));
+        noteDecision(m_context, manifest, errorName(kind));
         LogEvent event(noRoute ? "no_route" : "refused");
         event.with("request", request);
         if (!noRoute)
