--- a/review/standins-2/loopback.py
+++ b/review/standins-2/loopback.py
@@ -143,8 +143,11 @@
                                     self.version))
             await asyncio.sleep(0.05)
 
-    async def drill(self, away_s, copy_age_s):
-        """Is away, and comes back from a copy that was made copy_age_s before it went."""
+    async def drill(self, away_s, copy_age_s, rewrite_s=0.0):
+        """Is away, and comes back from a copy that was made copy_age_s before it went.
+
+        What the operator and the servers wrote since is written again rewrite_s after the store is back.
+        """
         wanted = time.monotonic() - copy_age_s
         _, tables, version = min(self.copies, key=lambda copy: abs(copy[0] - wanted))
         newest = {name: dict(self.tables.get(name, {})) for name in ("op", "servers")}
@@ -152,12 +155,15 @@
         await asyncio.sleep(away_s)
         self.tables = {name: dict(rows) for name, rows in tables.items()}
         self.version, self.oldest, self.era = version, version, self.era + 1
-        # What the operator and the servers wrote is written again.
+        if rewrite_s:
+            await self.start()
+            await asyncio.sleep(rewrite_s)
         for name, rows in newest.items():
             for key, (value, _) in rows.items():
                 if self.tables.get(name, {}).get(key, (None, 0))[0] != value:
                     self.put(name, key, value)
-        await self.start()
+        if not rewrite_s:
+            await self.start()
 
     def put(self, table, key, value):
         """Writes a row, or removes it if the value is None."""
