--- a/review/standins-2/loopback.py
+++ b/review/standins-2/loopback.py
@@ -287,6 +287,7 @@
         self.case, self.name, self.ip, self.zone, self.more = case, name, ip, zone, more
         self.settings = os.path.join(case.folder, f"{name}.conf")
         self.process = None
+        self.stdout = None
         self.started = False
 
     async def start(self, bootstrap):
@@ -307,12 +308,18 @@
                 f"bounds.thawSlackMs=300\nplatform.address={case.store.address}\nplatform.form=table\n"
                 "platform.maxRowBytes=65536\n" + self.more)
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
-        with open(self.settings + ".log", "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                HOST_PROGRAM, cwd=ROOT, env={**environment, "ALMONDSCALE_BOOT": self.settings}, stdout=log, stderr=log)
+        output = self.output()
+        self.process = await asyncio.create_subprocess_exec(
+            HOST_PROGRAM, cwd=ROOT, env={**environment, "ALMONDSCALE_BOOT": self.settings}, stdout=output, stderr=output)
+        if output is not self.stdout:
+            output.close()
         self.started = True
         case.record(f"start host {self.name} pid {self.process.pid}")
 
+    def output(self):
+        """Where the process writes its logs to."""
+        return open(self.settings + ".log", "ab")
+
     def signal(self, number):
         if self.process and self.process.returncode is None:
             self.case.record(f"signal {signal.Signals(number).name} to host {self.name}")
@@ -404,8 +411,12 @@
                 if host.process and host.process.returncode is None:
                     host.process.kill()
                     await host.process.wait()
+            self.end_helpers()
             self.record.close()
 
+    def end_helpers(self):
+        """Ends the other processes that the case started."""
+
 
 def main(case_type, folder):
     if not os.access(os.path.join(ROOT, HOST_PROGRAM), os.X_OK):
