Usage: records that another host stored are written again after a restore of the store

The drill took the rows, the reader was killed, and none of the hosts that still had the counts wrote them. The same holds for a reader's own records, which one other host keeps, and for a host that reads through another one: it learned of the store's new era only when it had a call of its own to make.

What a drill may have taken is now written again by whoever has it: confirmations end with the era, readers write first and the others 0.8 s later; the era of another host's rows counts like that of a response; and the holder of the duty waits 1.8 s after each change of era, as it does after an outage, so that it does not read in between.

Evidence: both new tests of UsageReportTest failed before ("{}" for "{org:300,}"; no row to write) and pass now.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -153,6 +153,8 @@
                 m_confirmedBefore = std::exchange(m_confirmedAt, m_mirror.currentAt(table));
         };
         m_mirror.onUpdate = [this](SharedTable table, const StoredRows& rows, MonotonicTime now) {
+            // A host that reads through another one learns of a restored store from its frames.
+            m_store.noteEra(rows.newest.era);
             applyRows(table, rows, now);
         };
         m_context.onRequestEnd = [this](const RequestSummary& end) { m_metrics.onRequestEnd(end); };
--- a/Programs/almondscale-host/UsageController.cpp
+++ b/Programs/almondscale-host/UsageController.cpp
@@ -101,8 +101,9 @@
 
 void UsageController::onStoreRestored()
 {
-    m_collector.onStoreRestored();
-    m_reporter.onStoreRestored();
+    m_meter.onStoreRestored();
+    m_collector.onStoreRestored(bootTime());
+    m_reporter.onStoreRestored(bootTime());
 }
 
 std::vector<UsageRecordId> UsageController::storedSince(
--- a/Source/Serving/UsageCollector.cpp
+++ b/Source/Serving/UsageCollector.cpp
@@ -55,7 +55,8 @@
 {
     forgetOld(time);
     std::vector<UsageRow> rows;
-    if (!m_inFlight.empty() || (!stopping && !m_nextAt.passed(now)))
+    const bool waits = !m_nextAt.passed(now) || (!isReader && !m_ownWritesFrom.passed(now));
+    if (!m_inFlight.empty() || (!stopping && waits))
         return rows;
     std::size_t bytes = 0;
     m_moreDue = false;
@@ -142,13 +143,14 @@
     }
 }
 
-void UsageCollector::onStoreRestored()
+void UsageCollector::onStoreRestored(MonotonicTime now)
 {
+    m_ownWritesFrom = Deadline::after(now, UsageSchedule::ownWrite - UsageSchedule::write);
     for (auto& [id, entry] : m_entries) {
         entry.version = RowVersion(0);
-        if (entry.settled)
-            continue;
         entry.stored = 0;
+        // The host that stored it may be gone, and its write lost.
+        entry.settled = false;
     }
 }
 
--- a/Source/Serving/UsageCollector.h
+++ b/Source/Serving/UsageCollector.h
@@ -30,8 +30,8 @@
     std::vector<UsageRow> nextWrite(MonotonicTime now, WallTime time, bool isReader, bool stopping = false);
     // Takes the result of the write that nextWrite returned.
     void onWritten(MonotonicTime now, const UsageRowsWritten&);
-    // The store has lost the latest writes.
-    void onStoreRestored();
+    // The store has lost the latest writes: all records are written again, by readers first.
+    void onStoreRestored(MonotonicTime now);
 
     // The closed records of the hosts that were stored after the position; advances the position to the end.
     std::vector<UsageRecordId> storedSince(const std::set<HostId>&, std::uint64_t& position) const;
@@ -62,6 +62,8 @@
     bool m_moreDue = false;
     bool m_asReader = false;
     Deadline m_nextAt;
+    // After the store came back, a host that is no reader writes from this time on.
+    Deadline m_ownWritesFrom;
     int m_failures = 0;
     // The positions at which closed records were stored.
     std::map<std::uint64_t, UsageRecordId> m_storedAt;
--- a/Source/Serving/UsageMeter.cpp
+++ b/Source/Serving/UsageMeter.cpp
@@ -41,6 +41,12 @@
         found->second.stored = true;
 }
 
+void UsageMeter::onStoreRestored()
+{
+    for (auto& entry : m_records)
+        entry.second.stored = false;
+}
+
 std::vector<UsageRecord> UsageMeter::changesSince(std::uint64_t& version) const
 {
     std::vector<UsageRecord> changes;
--- a/Source/Serving/UsageMeter.h
+++ b/Source/Serving/UsageMeter.h
@@ -20,6 +20,8 @@
     void advance(WallTime now);
     // A record is in the store as it is now.
     void noteStored(const UsageRecordId&);
+    // The store has lost the latest writes.
+    void onStoreRestored();
 
     // The records that changed after the version, with only those counts that changed; advances the version.
     // From version 0 on, records that are known to be in the store are left out.
--- a/Source/Serving/UsageReporter.cpp
+++ b/Source/Serving/UsageReporter.cpp
@@ -70,8 +70,9 @@
     m_lastHosts.clear();
 }
 
-void UsageReporter::onStoreRestored()
+void UsageReporter::onStoreRestored(MonotonicTime now)
 {
+    m_settledAt = Deadline::after(now, settleTime);
     m_mustReadAll = true;
     m_write.clear();
     m_removals.clear();
--- a/Source/Serving/UsageReporter.h
+++ b/Source/Serving/UsageReporter.h
@@ -57,8 +57,8 @@
 
     // This host has become the holder: what an earlier holder did is read first.
     void begin();
-    // The store came back from an older copy.
-    void onStoreRestored();
+    // The store came back from an older copy. Hosts get the time to write again what it lost.
+    void onStoreRestored(MonotonicTime now);
     // A call of this host to the store, of any kind, has succeeded or failed, also while it is not the
     // holder. After a failure for some time, readers get the time to write the records that they kept.
     void onStoreAnswered(MonotonicTime now);
--- a/Tests/Serving/UsageFleet.h
+++ b/Tests/Serving/UsageFleet.h
@@ -150,7 +150,26 @@
         holder = host;
         hosts[host]->reporter.begin();
     }
-    void restart(std::size_t host) { hosts[host] = std::make_unique<Host>(static_cast<int>(host), *this); }
+    void restart(std::size_t host)
+    {
+        hosts[host] = std::make_unique<Host>(static_cast<int>(host), *this);
+        if (host > 0)
+            return;
+        // Links to a new reader start anew.
+        for (auto& each : hosts)
+            each->sent = each->confirmed = 0;
+    }
+
+    // The store comes back with the rows of an older copy.
+    void restoreStore(std::map<FakeUsageStore::Key, UsageRow> copy)
+    {
+        store.rows = std::move(copy);
+        for (auto& host : hosts) {
+            host->meter.onStoreRestored();
+            host->collector.onStoreRestored(now());
+            host->reporter.onStoreRestored(now());
+        }
+    }
 
     void count(std::size_t host, const std::string& organisation)
     {
--- a/Tests/Serving/UsageReportTest.cpp
+++ b/Tests/Serving/UsageReportTest.cpp
@@ -158,16 +158,50 @@
     const auto copy = store.rows;
     status = -1;
     serveFor(9s);
-    store.rows = copy;
-    for (auto& host : hosts) {
-        host->collector.onStoreRestored();
-        host->reporter.onStoreRestored();
-    }
+    restoreStore(copy);
     status = 200;
     serveFor(10s);
     checkReports();
 }
 
+// Guards against counts that are lost because a restore of the store took rows whose writer is gone.
+TEST_CASE_METHOD(
+    UsageFleetFixture, "Records that a lost reader had stored are written again after a restore of the store")
+{
+    takeOver(1);
+    const auto serveByOthers = [this](Nanoseconds time) {
+        runFor(time, [this] {
+            for (std::size_t i = 1; i < hosts.size(); ++i)
+                count(i, "org");
+        });
+    };
+    serveByOthers(bounds.endOf(bounds.windowAt(trueNow())) + 1s - trueNow());
+    const auto copy = store.rows;
+    serveByOthers(1400ms);
+    REQUIRE(store.rows.size() == copy.size() + hosts.size() - 1);
+    restart(0);
+    restoreStore(copy);
+    serveByOthers(10s);
+    checkReports();
+}
+
+// Guards against the loss of a reader's own records, of which the host that stands in for it has the only
+// copy.
+TEST_CASE_METHOD(UsageFleetFixture,
+    "Record confirmed by a reader is written by its other holder after a restore of the store")
+{
+    UsageCollector other(bounds);
+    const auto end = bounds.endOf(bounds.windowAt(trueNow()));
+    const UsageRecord record { { HostId("reader"), Incarnation(1), bounds.windowAt(trueNow()) },
+        { { Organisation("a"), 2 } }, true };
+    other.add(record);
+    other.noteStoredByReader(record.id);
+    CHECK(other.nextWrite(now(), end + 3s, false).empty());
+    other.onStoreRestored(now());
+    CHECK(other.nextWrite(now() + 700ms, end + 3s, false).empty());
+    CHECK(other.nextWrite(now() + 800ms, end + 3s, false).size() == 1);
+}
+
 // Guards against reports that are skipped or sent out of order after an outage of the platform.
 TEST_CASE_METHOD(
     UsageFleetFixture, "Backlog of ten windows is sent in order, and each is logged as late once")
