Usage: no window is reported with two counts after a restore of the store

On the same path a holder that got the lease again forgot what it had sent, and a restarted host without the row began with the oldest record.

`progress` states the era of the store in which it was written. Before a report is sent, the hosts with a link are told its window and the hash of its body, and confirm. A holder that finds the row outdated or missing fixes only windows after the last one that any host knows of, and repeats that one only with the same body; if no host knows, it leaves out what ended before it became the holder. A missing row is trusted only where the system starts for the first time.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -105,6 +105,8 @@
                       if (m_usage)
                           m_usage->noteStored(id);
                   },
+                  [this] { return m_usage ? m_usage->lastSent() : std::nullopt; },
+                  [this](const SentReport& report) { return m_usage && m_usage->noteSent(report); },
                   [this] { return m_context.serverSpeeds.localSums(bootTime()); },
                   [this](ServerSpeeds::Sums sums) {
                       m_context.serverSpeeds.setRemoteSums(std::move(sums), bootTime());
@@ -265,9 +267,13 @@
         UsageController::Hooks hooks;
         hooks.isReader = [this] { return m_network.isReader(); };
         hooks.counts = [this] { return m_routes.manifest()->organisations.has_value(); };
-        hooks.onReported = [this](bool accepted) { m_metrics.onUsageReport(accepted); };
+        hooks.onReported = [this](UsageOutcome outcome) { m_metrics.onUsageReport(outcome); };
         hooks.onLate = [this] { m_metrics.onUsageLate(); };
-        m_usage.emplace(m_store, *m_dutyCalls, m_dutyLease, m_settings.usage, std::move(hooks));
+        hooks.hearsHosts = [this] { return m_network.hearsHosts(); };
+        hooks.tellHosts = [this] { m_network.publish(); };
+        hooks.hostsKnow = [this](UsageWindow window) { return m_network.othersKnowUsageSent(window); };
+        m_usage.emplace(
+            m_store, *m_dutyCalls, m_dutyLease, m_settings.usage, m_settings.firstStart, std::move(hooks));
         m_context.onRunBegan = [this](const Organisation& organisation, MonotonicTime began) {
             m_usage->onRunBegan(organisation, began);
         };
--- a/Programs/almondscale-host/HostMetrics.cpp
+++ b/Programs/almondscale-host/HostMetrics.cpp
@@ -224,13 +224,14 @@
 
 void HostMetrics::onStoreRestored() { m_impl->storeRestored.Increment(); }
 
-void HostMetrics::onUsageReport(bool accepted)
+void HostMetrics::onUsageReport(UsageOutcome outcome)
 {
     if (!m_impl->usageReports)
-        m_impl->usageReports
-            = &Impl::family(prometheus::BuildCounter(), m_impl->registry, "almondscale_usage_reports_total",
-                "Windows whose usage was reported, or skipped since the platform refused the report.");
-    m_impl->usageReports->Add({ { "outcome", accepted ? "reported" : "skipped" } }).Increment();
+        m_impl->usageReports = &Impl::family(prometheus::BuildCounter(), m_impl->registry,
+            "almondscale_usage_reports_total",
+            "Windows whose usage was reported, skipped since the platform refused the report, or left out "
+            "since an earlier holder may have reported it before the store lost rows.");
+    m_impl->usageReports->Add({ { "outcome", usageOutcomeName(outcome) } }).Increment();
 }
 
 void HostMetrics::onUsageLate()
--- a/Programs/almondscale-host/HostMetrics.h
+++ b/Programs/almondscale-host/HostMetrics.h
@@ -7,6 +7,7 @@
 #include "Serving/CrashSubject.h"
 #include "Serving/ManifestState.h"
 #include "Serving/PoolOrder.h"
+#include "Serving/UsageOutcome.h"
 
 #include <memory>
 #include <string>
@@ -35,8 +36,8 @@
     void onStoreReading(const char* table, bool answered);
     // The store came back from an older copy of itself.
     void onStoreRestored();
-    // A report of usage was acknowledged, or skipped after refusals; one became late.
-    void onUsageReport(bool accepted);
+    // How the report of a window ended; one became late.
+    void onUsageReport(UsageOutcome);
     void onUsageLate();
     void setUsageBacklog(std::int64_t windows);
     void setOpenRequests(int);
--- a/Programs/almondscale-host/UsageController.cpp
+++ b/Programs/almondscale-host/UsageController.cpp
@@ -37,8 +37,8 @@
 
 } // namespace
 
-UsageController::UsageController(
-    platform::StoreClient& store, DutyCalls& calls, const DutyLease& lease, UsageBounds bounds, Hooks hooks)
+UsageController::UsageController(platform::StoreClient& store, DutyCalls& calls, const DutyLease& lease,
+    UsageBounds bounds, bool firstStart, Hooks hooks)
     : m_store(store)
     , m_calls(calls)
     , m_lease(lease)
@@ -46,7 +46,9 @@
     , m_hooks(std::move(hooks))
     , m_meter(m_host, Incarnation(systemRandom()()), bounds)
     , m_collector(bounds)
-    , m_reporter(bounds, bounds.windowAt(wallClock() - startSpread), reporterHooks())
+    , m_reporter(bounds,
+          firstStart ? std::optional(bounds.windowAt(wallClock() - startSpread)) : std::nullopt,
+          reporterHooks())
 {
     observeClock();
 }
@@ -72,8 +74,21 @@
             event.with("requests", summary->requests)
                 .with("organisations", summary->organisations)
                 .with("hosts", summary->hosts);
-        m_hooks.onReported(accepted);
+        m_hooks.onReported(accepted ? UsageOutcome::Reported : UsageOutcome::Skipped);
     };
+    hooks.onLeftOut = [this](UsageWindow window) {
+        LogEvent("usage_left_out", LogLevel::Warning)
+            .with("window", window)
+            .with("last_sent", m_lastSent.value_or(SentReport()).window);
+        m_hooks.onReported(UsageOutcome::LeftOut);
+    };
+    hooks.lastSent = [this] { return m_lastSent; };
+    hooks.hearsHosts = [this] { return m_hooks.hearsHosts(); };
+    hooks.onSending = [this](const SentReport& report) {
+        if (noteSent(report))
+            m_hooks.tellHosts();
+    };
+    hooks.othersKnow = [this](UsageWindow window) { return m_hooks.hostsKnow(window); };
     hooks.onLate = [this](UsageWindow window, UsageReporter::LateReason reason, int lastStatus) {
         LogEvent("usage_late", LogLevel::Warning)
             .with("window", window)
@@ -102,7 +117,7 @@
 void UsageController::onStoreRestored()
 {
     m_meter.onStoreRestored();
-    m_collector.onStoreRestored(bootTime());
+    m_collector.onStoreRestored(bootTime(), m_lastSent ? std::optional(m_lastSent->window) : std::nullopt);
     m_reporter.onStoreRestored(bootTime());
 }
 
@@ -118,6 +133,14 @@
     m_collector.noteStoredByReader(id);
 }
 
+bool UsageController::noteSent(const SentReport& report)
+{
+    if (m_lastSent && m_lastSent->window >= report.window)
+        return false;
+    m_lastSent = report;
+    return true;
+}
+
 std::int64_t UsageController::backlog() const { return m_tenure ? m_reporter.backlog(trueTime()) : 0; }
 
 awaitable<void> UsageController::collect()
@@ -155,7 +178,7 @@
     }
     if (m_tenure != m_lease.fencing()) {
         m_tenure = m_lease.fencing();
-        m_reporter.begin();
+        m_reporter.begin(bootTime(), trueTime());
     }
     return true;
 }
@@ -189,7 +212,7 @@
     std::optional<std::vector<UsageRow>> rows;
     if (read)
         rows = platform::decodeUsageRows(read.value().rows);
-    m_reporter.onRead(bootTime(), rows);
+    m_reporter.onRead(bootTime(), rows, read ? read.value().newest.era : StoreEra());
 }
 
 awaitable<void> UsageController::sendReports()
--- a/Programs/almondscale-host/UsageController.h
+++ b/Programs/almondscale-host/UsageController.h
@@ -5,6 +5,7 @@
 #include "Serving/TrueTime.h"
 #include "Serving/UsageCollector.h"
 #include "Serving/UsageMeter.h"
+#include "Serving/UsageOutcome.h"
 #include "Serving/UsageReporter.h"
 #include "platform/StoreClient.h"
 
@@ -22,12 +23,18 @@
         std::function<bool()> isReader;
         // Whether callers have organisations.
         std::function<bool()> counts;
-        // A report was acknowledged or skipped; a report became late.
-        std::function<void(bool accepted)> onReported;
+        // How the report of a window ended; a report became late.
+        std::function<void(UsageOutcome)> onReported;
         std::function<void()> onLate;
+        // Whether this host learns of the reports that other hosts sent, and tells them of its own.
+        std::function<bool()> hearsHosts;
+        std::function<void()> tellHosts;
+        std::function<bool(UsageWindow)> hostsKnow;
     };
 
-    UsageController(platform::StoreClient&, DutyCalls&, const DutyLease&, UsageBounds, Hooks);
+    // `firstStart` is set if the system has not run before.
+    UsageController(
+        platform::StoreClient&, DutyCalls&, const DutyLease&, UsageBounds, bool firstStart, Hooks);
 
     // Each runs a part and does not return.
     awaitable<void> collect();
@@ -49,6 +56,10 @@
     void addRecord(const UsageRecord& record) { m_collector.add(record); }
     std::vector<UsageRecordId> storedSince(const std::set<HostId>&, std::uint64_t& position) const;
     void noteStored(const UsageRecordId&);
+    // The last report that any host may have sent, as far as this host knows.
+    std::optional<SentReport> lastSent() const { return m_lastSent; }
+    // Returns whether the report is later than those that this host knew of.
+    bool noteSent(const SentReport&);
 
     // Windows that have ended and are not reported; 0 on a host that is not the holder.
     std::int64_t backlog() const;
@@ -73,6 +84,7 @@
     std::uint64_t m_collectedVersion = 0;
     UsageCollector m_collector;
     UsageReporter m_reporter;
+    std::optional<SentReport> m_lastSent;
     // The fencing number under which the reporter works.
     std::optional<FencingToken> m_tenure;
 };
--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -400,6 +400,7 @@
     for (const auto& id : frame.storedUsage)
         stored.push_back({ id, {}, true });
     const auto storedList = encodeUsage(builder, stored);
+    const auto sent = frame.usageSent.value_or(SentReport());
     const auto speedList = encodeServerSpeeds(builder, frame.serverSpeeds);
     builder.Finish(peerwire::CreatePeerFrame(builder, host, dataCentre, frame.work.has_value(), loadList,
         demandList, updateList, partList, frame.whole, crashList, leavingList, transitionList, limitList,
@@ -407,7 +408,7 @@
         frame.echoedProbe, frame.manifestProvenAge.has_value(),
         frame.manifestProvenAge ? wholeMs(*frame.manifestProvenAge + roundUp) : 0, usageList, storedList,
         speedList, frame.manifestProvenVersion.version.count(), frame.manifestProvenVersion.era.count(),
-        wholeMs(frame.echoedProbeAge)));
+        wholeMs(frame.echoedProbeAge), sent.window.count(), sent.body));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -465,6 +466,8 @@
         for (const auto* each : *from->stored_usage())
             frame.storedUsage.push_back(decodeUsage(*each).id);
     }
+    if (from->usage_sent() > 0)
+        frame.usageSent = SentReport { UsageWindow(from->usage_sent()), from->usage_sent_body() };
     if (from->server_speeds()) {
         for (const auto* each : *from->server_speeds()) {
             if (isFinite(*each))
--- a/Source/Peers/PeerFrame.h
+++ b/Source/Peers/PeerFrame.h
@@ -9,6 +9,7 @@
 #include "Serving/EngineDemand.h"
 #include "Serving/FleetTraffic.h"
 #include "Serving/LimitStatement.h"
+#include "Serving/SentReport.h"
 #include "Serving/ServerSpeed.h"
 #include "Serving/SharedTable.h"
 #include "Serving/StoredRow.h"
@@ -78,6 +79,8 @@
     std::vector<UsageRecord> usage;
     // Records that are in the store.
     std::vector<UsageRecordId> storedUsage;
+    // The last report of usage that any host may have sent, in whole frames and when it has changed.
+    std::optional<SentReport> usageSent;
     // By the hash of the server's lifetime, see ServerSpeeds::keyOf. Only whole frames have speeds.
     std::unordered_map<std::uint64_t, ServerSpeed> serverSpeeds;
 };
--- a/Source/Peers/PeerFrames_generated.h
+++ b/Source/Peers/PeerFrames_generated.h
@@ -1243,7 +1243,9 @@
     VT_SERVER_SPEEDS = 46,
     VT_MANIFEST_PROVEN_VERSION = 48,
     VT_MANIFEST_PROVEN_ERA = 50,
-    VT_ECHOED_PROBE_AGE_MS = 52
+    VT_ECHOED_PROBE_AGE_MS = 52,
+    VT_USAGE_SENT = 54,
+    VT_USAGE_SENT_BODY = 56
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -1320,6 +1322,12 @@
   uint32_t echoed_probe_age_ms() const {
     return GetField<uint32_t>(VT_ECHOED_PROBE_AGE_MS, 0);
   }
+  int64_t usage_sent() const {
+    return GetField<int64_t>(VT_USAGE_SENT, 0);
+  }
+  uint64_t usage_sent_body() const {
+    return GetField<uint64_t>(VT_USAGE_SENT_BODY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -1371,6 +1379,8 @@
            VerifyField<uint64_t>(verifier, VT_MANIFEST_PROVEN_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_MANIFEST_PROVEN_ERA, 8) &&
            VerifyField<uint32_t>(verifier, VT_ECHOED_PROBE_AGE_MS, 4) &&
+           VerifyField<int64_t>(verifier, VT_USAGE_SENT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_USAGE_SENT_BODY, 8) &&
            verifier.EndTable();
   }
 };
@@ -1454,6 +1464,12 @@
   void add_echoed_probe_age_ms(uint32_t echoed_probe_age_ms) {
     fbb_.AddElement<uint32_t>(PeerFrame::VT_ECHOED_PROBE_AGE_MS, echoed_probe_age_ms, 0);
   }
+  void add_usage_sent(int64_t usage_sent) {
+    fbb_.AddElement<int64_t>(PeerFrame::VT_USAGE_SENT, usage_sent, 0);
+  }
+  void add_usage_sent_body(uint64_t usage_sent_body) {
+    fbb_.AddElement<uint64_t>(PeerFrame::VT_USAGE_SENT_BODY, usage_sent_body, 0);
+  }
   explicit PeerFrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1491,8 +1507,12 @@
     flatbuffers::Offset<flatbuffers::Vector<const almondscale::peerwire::ServerSpeed *>> server_speeds = 0,
     uint64_t manifest_proven_version = 0,
     uint64_t manifest_proven_era = 0,
-    uint32_t echoed_probe_age_ms = 0) {
+    uint32_t echoed_probe_age_ms = 0,
+    int64_t usage_sent = 0,
+    uint64_t usage_sent_body = 0) {
   PeerFrameBuilder builder_(_fbb);
+  builder_.add_usage_sent_body(usage_sent_body);
+  builder_.add_usage_sent(usage_sent);
   builder_.add_manifest_proven_era(manifest_proven_era);
   builder_.add_manifest_proven_version(manifest_proven_version);
   builder_.add_echoed_probe(echoed_probe);
@@ -1547,7 +1567,9 @@
     const std::vector<almondscale::peerwire::ServerSpeed> *server_speeds = nullptr,
     uint64_t manifest_proven_version = 0,
     uint64_t manifest_proven_era = 0,
-    uint32_t echoed_probe_age_ms = 0) {
+    uint32_t echoed_probe_age_ms = 0,
+    int64_t usage_sent = 0,
+    uint64_t usage_sent_body = 0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<almondscale::peerwire::Load>(*loads) : 0;
@@ -1589,7 +1611,9 @@
       server_speeds__,
       manifest_proven_version,
       manifest_proven_era,
-      echoed_probe_age_ms);
+      echoed_probe_age_ms,
+      usage_sent,
+      usage_sent_body);
 }
 
 inline const almondscale::peerwire::PeerFrame *GetPeerFrame(const void *buf) {
--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -180,6 +180,8 @@
     std::deque<std::pair<std::uint64_t, MonotonicTime>> m_probes;
     std::uint64_t m_sentUsageVersion = 0;
     std::uint64_t m_sentStoredUsagePosition = 0;
+    std::optional<SentReport> m_toldUsageSent;
+    std::optional<SentReport> m_statedUsageSent;
     Deadline m_nextSpeeds;
     std::weak_ptr<Impl> m_self;
 };
@@ -230,6 +232,9 @@
 std::uint64_t& PeerLink::sentUsageVersion() { return m_impl->m_sentUsageVersion; }
 std::uint64_t& PeerLink::sentStoredUsagePosition() { return m_impl->m_sentStoredUsagePosition; }
 
+std::optional<SentReport>& PeerLink::toldUsageSent() { return m_impl->m_toldUsageSent; }
+std::optional<SentReport>& PeerLink::statedUsageSent() { return m_impl->m_statedUsageSent; }
+
 std::uint64_t& PeerLink::sentLimitVersion() { return m_impl->m_sentLimitVersion; }
 
 Deadline& PeerLink::nextSpeeds() { return m_impl->m_nextSpeeds; }
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -60,6 +60,9 @@
     // stored records.
     std::uint64_t& sentUsageVersion();
     std::uint64_t& sentStoredUsagePosition();
+    // The last report of usage that may have been sent, as told to the other host and as it last stated.
+    std::optional<SentReport>& toldUsageSent();
+    std::optional<SentReport>& statedUsageSent();
 
     // A stamp of this moment, to be sent with the next frame.
     std::uint64_t makeProbe();
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -132,6 +132,16 @@
         return !lacking.empty();
     }
 
+    bool hearsHosts() const { return m_hasCheckedLinks && (isOpen(m_readerLink) || !lacksDataCentre()); }
+
+    bool othersKnowUsageSent(UsageWindow window) const
+    {
+        return std::all_of(m_links.begin(), m_links.end(), [window](const auto& link) {
+            const auto& stated = link->statedUsageSent();
+            return link->host().empty() || (stated && stated->window >= window);
+        });
+    }
+
     HostRecord m_self;
     std::vector<Address> m_seeds;
     RowMirror& m_mirror;
@@ -384,6 +394,9 @@
     // are kept by one other host, so that they are not lost with it.
     void addUsage(PeerFrame& frame, PeerLink& link)
     {
+        const auto sent = m_hooks.usageSent ? m_hooks.usageSent() : std::nullopt;
+        if (sent && (frame.whole || !(link.toldUsageSent() == sent)))
+            frame.usageSent = link.toldUsageSent() = sent;
         const bool follower = isFollower(link);
         const bool standIn = follower && link.host() == m_standIn;
         if (frame.whole && (standIn || &link == m_readerLink.get()) && m_hooks.usageSince)
@@ -396,7 +409,8 @@
         frame.storedUsage = m_hooks.storedUsageSince(hosts, link.sentStoredUsagePosition());
     }
 
-    void takeUsage(const PeerFrame& frame, const PeerLink& link)
+    // Returns whether other hosts should be told at once.
+    bool takeUsage(const PeerFrame& frame, PeerLink& link)
     {
         for (const auto& record : frame.usage) {
             if ((isFollower(link) || &link == m_readerLink.get()) && m_hooks.onUsage)
@@ -406,6 +420,10 @@
             if (m_hooks.onStoredUsage)
                 m_hooks.onStoredUsage(id);
         }
+        if (!frame.usageSent || !m_hooks.onUsageSent)
+            return false;
+        link.statedUsageSent() = frame.usageSent;
+        return m_hooks.onUsageSent(*frame.usageSent);
     }
 
     void onFrame(PeerLink& link, const PeerFrame& frame)
@@ -424,7 +442,7 @@
             changed = changed || before < m_mirror.version(update.table);
         }
         applyProof(frame, madeAfter);
-        takeUsage(frame, link);
+        changed = takeUsage(frame, link) || changed;
         const auto crashesBefore = m_crashes.version();
         for (const auto& record : frame.crashes)
             m_crashes.merge(record);
@@ -533,6 +551,13 @@
 
 bool PeerNetwork::lacksDataCentre() const { return m_impl->lacksDataCentre(); }
 
+bool PeerNetwork::hearsHosts() const { return m_impl->hearsHosts(); }
+
+bool PeerNetwork::othersKnowUsageSent(UsageWindow window) const
+{
+    return m_impl->othersKnowUsageSent(window);
+}
+
 void PeerNetwork::publish() { m_impl->publish(); }
 
 } // namespace almondscale
--- a/Source/Peers/PeerNetwork.h
+++ b/Source/Peers/PeerNetwork.h
@@ -51,6 +51,10 @@
             storedUsageSince = {};
         // The reader has stored a record that this host keeps.
         std::function<void(const UsageRecordId&)> onStoredUsage = {};
+        // The last report of usage that any host may have sent, as far as this host knows.
+        std::function<std::optional<SentReport>()> usageSent = {};
+        // The last one of which another host knows; returns whether it is later.
+        std::function<bool(const SentReport&)> onUsageSent = {};
         // The samples of servers' speeds of this host alone.
         std::function<ServerSpeeds::Sums()> localSpeeds = {};
         // Called with the samples of all other hosts, which replace the last ones.
@@ -76,6 +80,11 @@
     bool isReader() const;
     // Whether this host has no link to any host of some other data centre.
     bool lacksDataCentre() const;
+    // Whether this host has links by which it learns what any other host has told: to the reader of each data
+    // centre, or to its own reader.
+    bool hearsHosts() const;
+    // Whether all hosts with a link have stated that they know of the report of usage of this window.
+    bool othersKnowUsageSent(UsageWindow) const;
     // Sends a frame on every link at once, because the state of this host changed.
     void publish();
 
--- a/Source/Serving/UsageCollector.cpp
+++ b/Source/Serving/UsageCollector.cpp
@@ -143,14 +143,14 @@
     }
 }
 
-void UsageCollector::onStoreRestored(MonotonicTime now)
+void UsageCollector::onStoreRestored(MonotonicTime now, std::optional<UsageWindow> lastSent)
 {
     m_ownWritesFrom = Deadline::after(now, UsageSchedule::ownWrite - UsageSchedule::write);
     for (auto& [id, entry] : m_entries) {
         entry.version = RowVersion(0);
         entry.stored = 0;
         // The host that stored it may be gone, and its write lost.
-        entry.settled = false;
+        entry.settled = lastSent >= id.window;
     }
 }
 
--- a/Source/Serving/UsageCollector.h
+++ b/Source/Serving/UsageCollector.h
@@ -30,8 +30,9 @@
     std::vector<UsageRow> nextWrite(MonotonicTime now, WallTime time, bool isReader, bool stopping = false);
     // Takes the result of the write that nextWrite returned.
     void onWritten(MonotonicTime now, const UsageRowsWritten&);
-    // The store has lost the latest writes: all records are written again, by readers first.
-    void onStoreRestored(MonotonicTime now);
+    // The store has lost the latest writes: the records of windows after the last one whose report was sent
+    // are written again, by readers first.
+    void onStoreRestored(MonotonicTime now, std::optional<UsageWindow> lastSent);
 
     // The closed records of the hosts that were stored after the position; advances the position to the end.
     std::vector<UsageRecordId> storedSince(const std::set<HostId>&, std::uint64_t& position) const;
--- a/Source/Serving/UsageReporter.cpp
+++ b/Source/Serving/UsageReporter.cpp
@@ -1,5 +1,6 @@
 #include "Serving/UsageReporter.h"
 
+#include "Core/TextHash.h"
 #include "Serving/UsageSchedule.h"
 
 #include <algorithm>
@@ -23,6 +24,10 @@
     // If hosts with more than this share of the requests lack a record, as after a failure of a reader or
     // with a clock that is wrong, the rows are read again until this long after the end of the window.
     constexpr double maxLackingShare = 0.02;
+    // After a restore of the store, a new holder waits this long for what other hosts know.
+    constexpr Nanoseconds hearTime = milliseconds(1500);
+    // Other hosts that do not confirm within this time are taken to be away.
+    constexpr Nanoseconds confirmTime = milliseconds(400);
     constexpr Nanoseconds lackingRetryDelay = milliseconds(1000);
     constexpr Nanoseconds lastFix = milliseconds(5800);
     // A report that the platform refuses this often is skipped, so that later ones are not held up.
@@ -43,21 +48,26 @@
 
 } // namespace
 
-UsageReporter::UsageReporter(UsageBounds bounds, UsageWindow first, Hooks hooks)
+UsageReporter::UsageReporter(UsageBounds bounds, std::optional<UsageWindow> first, Hooks hooks)
     : m_bounds(bounds)
     , m_first(first)
     , m_hooks(std::move(hooks))
 {
 }
 
-void UsageReporter::begin()
+void UsageReporter::begin(MonotonicTime now, WallTime time)
 {
     m_mustReadAll = true;
     m_started = false;
+    m_fixFromKnown = false;
+    m_hearUntil = Deadline::after(now, hearTime);
+    m_heldFrom = m_bounds.windowAt(time);
+    m_announced.reset();
     m_storeCallInFlight = false;
     m_write.clear();
     m_removals.clear();
-    m_bodies.clear();
+    for (auto body = m_bodies.begin(); body != m_bodies.end();)
+        body = body->second.wasSent ? std::next(body) : m_bodies.erase(body);
     m_progressVersion = RowVersion(0);
     m_storeRetryAt = Deadline();
     m_nextReadAt = Deadline();
@@ -73,6 +83,7 @@
 void UsageReporter::onStoreRestored(MonotonicTime now)
 {
     m_settledAt = Deadline::after(now, settleTime);
+    m_storeWasRestored = true;
     m_mustReadAll = true;
     m_write.clear();
     m_removals.clear();
@@ -103,7 +114,7 @@
     }
     const auto before = m_bounds.windowAt(time - UsageSchedule::read);
     auto fixNext = m_next;
-    while (m_bodies.count(fixNext) > 0)
+    while (m_bodies.count(fixNext) > 0 || isUnknown(fixNext))
         fixNext += UsageWindow(1);
     const bool nothingToFix = fixNext >= before || m_bodies.size() >= maxWaitingBodies;
     if (!m_mustReadAll && (nothingToFix || !m_nextReadAt.passed(now)))
@@ -117,7 +128,7 @@
     return call;
 }
 
-void UsageReporter::onRead(MonotonicTime now, const std::optional<std::vector<UsageRow>>& rows)
+void UsageReporter::onRead(MonotonicTime now, const std::optional<std::vector<UsageRow>>& rows, StoreEra era)
 {
     m_storeCallInFlight = false;
     if (!rows) {
@@ -126,35 +137,93 @@
     }
     onStoreAnswered(now);
     m_storeFailures = 0;
-    adoptRows(*rows);
+    m_era = era;
+    adoptRows(now, *rows);
+    if (m_mustReadAll)
+        return;
     if (m_settledAt.passed(now))
         prepareWrite(now, *rows);
     else
         m_nextReadAt = m_settledAt;
 }
 
-void UsageReporter::adoptProgress(const std::vector<UsageRow>& rows)
+void UsageReporter::adoptProgress(MonotonicTime now, const std::vector<UsageRow>& rows)
 {
     m_progressVersion = RowVersion(0);
-    auto first = m_first;
-    std::optional<UsageWindow> stored;
-    for (const auto& row : rows) {
-        first = std::min(first, row.id.window);
-        if (row.kind != UsageRow::Kind::Progress)
-            continue;
-        m_progressVersion = row.version;
-        stored = row.id.window;
+    const auto progress = std::find_if(
+        rows.begin(), rows.end(), [](const UsageRow& row) { return row.kind == UsageRow::Kind::Progress; });
+    bool complete = m_first && !m_storeWasRestored;
+    if (progress != rows.end()) {
+        m_progressVersion = progress->version;
+        m_next = std::max(m_next, progress->id.window);
+        // Programs of before do not state the era.
+        complete = progress->era == StoreEra() ? !m_storeWasRestored : progress->era == m_era;
+    } else if (complete && !lastSent()) {
+        auto first = *m_first;
+        for (const auto& row : rows)
+            first = std::min(first, row.id.window);
+        m_next = std::max(m_next, first);
+    } else {
+        complete = false;
+    }
+    if (!m_fixFromKnown)
+        m_fixFromKnown = complete || learnFixFrom(now);
+    m_lateNext = std::max(m_lateNext, m_next);
+}
+
+std::optional<SentReport> UsageReporter::lastSent() const
+{
+    return m_hooks.lastSent ? m_hooks.lastSent() : std::nullopt;
+}
+
+bool UsageReporter::learnFixFrom(MonotonicTime now)
+{
+    const bool hears = !m_hooks.hearsHosts || m_hooks.hearsHosts();
+    const auto sent = lastSent();
+    if (hears && sent) {
+        // Reports are sent in order, so that those before the last one are done.
+        m_next = std::max(m_next, sent->window);
+        m_fixFrom = sent->window + UsageWindow(1);
+        m_sentBefore = sent;
+        return true;
+    }
+    if (!m_hearUntil.passed(now))
+        return false;
+    m_fixFrom = m_heldFrom;
+    if (m_next == UsageWindow())
+        m_next = m_heldFrom;
+    return true;
+}
+
+bool UsageReporter::isUnknown(UsageWindow window) const
+{
+    if (window >= m_fixFrom)
+        return false;
+    const auto body = m_bodies.find(window);
+    return body == m_bodies.end()
+        || !(m_sentBefore == SentReport { window, addToTextHash(emptyTextHash, body->second.text) });
+}
+
+void UsageReporter::leaveOutUnknown()
+{
+    for (; isUnknown(m_next); m_next += UsageWindow(1)) {
+        if (m_hooks.onLeftOut)
+            m_hooks.onLeftOut(m_next);
     }
-    m_next = std::max(m_next, stored.value_or(first));
     m_lateNext = std::max(m_lateNext, m_next);
 }
 
 // Takes over what earlier holders, or this one, have stored.
-void UsageReporter::adoptRows(const std::vector<UsageRow>& rows)
+void UsageReporter::adoptRows(MonotonicTime now, const std::vector<UsageRow>& rows)
 {
     const bool all = std::exchange(m_mustReadAll, false);
     if (all) {
-        adoptProgress(rows);
+        adoptProgress(now, rows);
+        if (!m_fixFromKnown) {
+            m_mustReadAll = true;
+            m_storeRetryAt = Deadline::after(now, minStoreRetryDelay);
+            return;
+        }
         for (auto& entry : m_bodies)
             entry.second.version.reset();
     }
@@ -167,7 +236,7 @@
         if (std::exchange(body.wasStored, true))
             continue;
         if (body.text != row.body)
-            body = { row.body, row.version, true, std::nullopt };
+            body = { row.body, row.version, true, false, std::nullopt };
         else if (body.summary && m_hooks.onFixed)
             m_hooks.onFixed(row.id.window, *body.summary);
     }
@@ -175,6 +244,7 @@
         const bool stays = body->second.version || (body->second.wasStored && !isDone(body->first));
         body = stays ? std::next(body) : m_bodies.erase(body);
     }
+    leaveOutUnknown();
     m_started = true;
 }
 
@@ -184,7 +254,9 @@
     writeBodies(now, rows);
     if (m_write.empty())
         return;
-    m_write.push_back({ UsageRow::Kind::Progress, { {}, {}, m_next }, {}, {}, m_progressVersion, false });
+    UsageRow progress { UsageRow::Kind::Progress, { {}, {}, m_next }, {}, {}, m_progressVersion, false, {} };
+    progress.era = m_era;
+    m_write.push_back(std::move(progress));
     m_removals.clear();
     for (const auto& [window, body] : m_bodies) {
         if (isDone(window) && body.version)
@@ -242,7 +314,7 @@
          window < m_readBefore && m_write.size() + 1 < maxUsageRowsPerWrite && bytes < maxUsageBytesPerWrite;
          window += UsageWindow(1)) {
         auto known = m_bodies.find(window);
-        if (known != m_bodies.end() && known->second.version)
+        if (isUnknown(window) || (known != m_bodies.end() && known->second.version))
             continue;
         if (known == m_bodies.end()) {
             const auto& sum = sums[window];
@@ -321,7 +393,17 @@
     const auto body = m_bodies.find(m_next);
     if (body == m_bodies.end() || !body->second.version)
         return std::nullopt;
+    if (m_announced != m_next) {
+        m_announced = m_next;
+        m_confirmUntil = Deadline::after(now, confirmTime);
+        if (m_hooks.onSending)
+            m_hooks.onSending({ m_next, addToTextHash(emptyTextHash, body->second.text) });
+    }
+    // A successor must not report the window again if the store loses its rows.
+    if (m_hooks.othersKnow && !m_hooks.othersKnow(m_next) && !m_confirmUntil.passed(now))
+        return std::nullopt;
     m_sending = true;
+    body->second.wasSent = true;
     return Report { m_next, body->second.text };
 }
 
@@ -347,6 +429,7 @@
     if (m_hooks.onDone)
         m_hooks.onDone(m_next, summary, status, time > m_bounds.endOf(m_next) + m_bounds.due);
     m_next += UsageWindow(1);
+    leaveOutUnknown();
     m_sendRetryAt = Deadline();
     m_sendFailures = 0;
     m_refusals = 0;
--- a/Source/Serving/UsageReporter.h
+++ b/Source/Serving/UsageReporter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Deadline.h"
+#include "Serving/SentReport.h"
 #include "Serving/UsageBounds.h"
 #include "Serving/UsageRow.h"
 
@@ -50,13 +51,24 @@
         std::function<void(UsageWindow, const std::optional<Summary>&, int status, bool late)> onDone = {};
         // The report of the window is due and not acknowledged.
         std::function<void(UsageWindow, LateReason, int lastStatus)> onLate = {};
+        // The window is not reported: the store lost what was known of it, and an earlier holder may have
+        // reported it.
+        std::function<void(UsageWindow)> onLeftOut = {};
+        // The last report that any host may have sent, as far as this host knows.
+        std::function<std::optional<SentReport>()> lastSent = {};
+        // Whether the other hosts can tell this one what they know of that.
+        std::function<bool()> hearsHosts = {};
+        // The report will be sent, once the other hosts know.
+        std::function<void(const SentReport&)> onSending = {};
+        std::function<bool(UsageWindow)> othersKnow = {};
     };
 
-    // `first` is the window in which this process was started, from which a new system is reported.
-    UsageReporter(UsageBounds, UsageWindow first, Hooks);
+    // `first` is the window from which a system that starts for the first time is reported; unset if this
+    // process was started again.
+    UsageReporter(UsageBounds, std::optional<UsageWindow> first, Hooks);
 
     // This host has become the holder: what an earlier holder did is read first.
-    void begin();
+    void begin(MonotonicTime now, WallTime);
     // The store came back from an older copy. Hosts get the time to write again what it lost.
     void onStoreRestored(MonotonicTime now);
     // A call of this host to the store, of any kind, has succeeded or failed, also while it is not the
@@ -66,8 +78,8 @@
 
     // The call to the store that is due; none while one is in flight.
     std::optional<StoreCall> nextStoreCall(MonotonicTime now, WallTime);
-    // Takes the result of a read; unset if it failed.
-    void onRead(MonotonicTime now, const std::optional<std::vector<UsageRow>>&);
+    // Takes the result of a read in an era of the store; unset if it failed.
+    void onRead(MonotonicTime now, const std::optional<std::vector<UsageRow>>&, StoreEra = StoreEra());
     void onWritten(MonotonicTime now, const UsageRowsWritten&);
 
     // The report to send now; none while one is in flight.
@@ -88,6 +100,8 @@
         std::optional<RowVersion> version;
         // The row was known to be stored at some time, so that the body may have been sent.
         bool wasStored = false;
+        // This host may have sent it.
+        bool wasSent = false;
         std::optional<Summary> summary;
     };
 
@@ -101,8 +115,15 @@
     static std::map<UsageWindow, Sum> sumUp(const std::vector<UsageRow>&);
     // Whether hosts that counted in the last window have no record in this one, which they may still write.
     bool lacksHosts(const Sum&) const;
-    void adoptProgress(const std::vector<UsageRow>&);
-    void adoptRows(const std::vector<UsageRow>&);
+    void adoptProgress(MonotonicTime now, const std::vector<UsageRow>&);
+    void adoptRows(MonotonicTime now, const std::vector<UsageRow>&);
+    // Determines, after the store has lost rows, which windows an earlier holder may have reported. Returns
+    // false if other hosts may still tell.
+    bool learnFixFrom(MonotonicTime now);
+    std::optional<SentReport> lastSent() const;
+    // Whether an earlier holder may have sent another body than the stored one, if any.
+    bool isUnknown(UsageWindow) const;
+    void leaveOutUnknown();
     void writeBodies(MonotonicTime now, const std::vector<UsageRow>&);
     void prepareWrite(MonotonicTime now, const std::vector<UsageRow>&);
     void takeRemovals();
@@ -110,13 +131,27 @@
     bool isDone(UsageWindow window) const { return window < m_next; }
 
     UsageBounds m_bounds;
-    UsageWindow m_first;
+    std::optional<UsageWindow> m_first;
     Hooks m_hooks;
 
     // All rows must be read before anything else: at the start, and after a write with an unclear result.
     bool m_mustReadAll = true;
     // Progress is known, so that reports may be sent.
     bool m_started = false;
+    // Whether m_fixFrom is known for this time as the holder, and until when other hosts are waited for.
+    bool m_fixFromKnown = false;
+    Deadline m_hearUntil;
+    // The window in which this host became the holder.
+    UsageWindow m_heldFrom;
+    // An earlier holder may have sent a body, which the store lost, of the windows before this one; the last
+    // of them is known by the hash of its body if other hosts knew it.
+    UsageWindow m_fixFrom;
+    std::optional<SentReport> m_sentBefore;
+    StoreEra m_era;
+    bool m_storeWasRestored = false;
+    // The window whose report the other hosts were told of, and until when their confirmation is waited for.
+    std::optional<UsageWindow> m_announced;
+    Deadline m_confirmUntil;
     bool m_storeCallInFlight = false;
     // The windows of the last read end before this one.
     UsageWindow m_readBefore;
--- a/Source/Serving/UsageRow.h
+++ b/Source/Serving/UsageRow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/RowVersion.h"
+#include "Core/StoreEra.h"
 #include "Platform/WriteResult.h"
 #include "Serving/UsageRecord.h"
 
@@ -28,6 +29,8 @@
     RowVersion version;
     // For a write: the row is removed, whatever its version is, since nobody needs it any more.
     bool removed = false;
+    // Of progress: the era of the store in which it was written; 0 if that is unknown.
+    StoreEra era = {};
 };
 
 // The result of an atomic write of such rows.
--- a/Tests/Peers/PeerNetworkTest.cpp
+++ b/Tests/Peers/PeerNetworkTest.cpp
@@ -49,6 +49,13 @@
             return collector.storedSince(of, position);
         };
         hooks.onStoredUsage = [this](const UsageRecordId& id) { confirmed.push_back(id); };
+        hooks.usageSent = [this] { return usageSent; };
+        hooks.onUsageSent = [this](const SentReport& report) {
+            const bool isNew = !usageSent || usageSent->window < report.window;
+            if (isNew)
+                usageSent = report;
+            return isNew;
+        };
         hooks.exchangesProofs = [this] { return exchangesProofs; };
         hooks.manifestProof = [this] { return proof; };
         hooks.onManifestProof = [this](const ManifestProof& given) {
@@ -83,6 +90,7 @@
     UsageCollector collector { UsageBounds() };
     int usageRecords = 0;
     std::vector<UsageRecordId> confirmed;
+    std::optional<SentReport> usageSent;
     bool exchangesProofs = false;
     std::optional<ManifestProof> proof;
     int proofsGiven = 0;
@@ -384,3 +392,27 @@
     runFor(50ms);
     CHECK(hosts[0]->proofsGiven == 0);
 }
+
+// Guards against a second report of a window by a successor that did not learn of the first one.
+TEST_CASE_METHOD(
+    PeerNetworkFixture, "Report of usage about to be sent is known and confirmed by all linked hosts")
+{
+    for (const auto& host : hosts)
+        CHECK_FALSE(host->network.hearsHosts());
+    runFor(1500ms);
+    for (const auto& host : hosts)
+        CHECK(host->network.hearsHosts());
+    const SentReport report { UsageWindow(7), 99 };
+    hosts[0]->usageSent = report;
+    CHECK_FALSE(hosts[0]->network.othersKnowUsageSent(report.window));
+    hosts[0]->network.publish();
+    runFor(100ms);
+    CHECK(hosts[0]->network.othersKnowUsageSent(report.window));
+    CHECK_FALSE(hosts[0]->network.othersKnowUsageSent(UsageWindow(8)));
+    for (const auto& host : hosts)
+        CHECK(host->usageSent == report);
+    // A host that starts later hears of it with its first link.
+    add("a4", "a", 0.5, { hosts[4]->record.peerAddress });
+    runFor(500ms);
+    CHECK(hosts.back()->usageSent == report);
+}
--- a/Tests/PlatformAdapter/UsageCodecTest.cpp
+++ b/Tests/PlatformAdapter/UsageCodecTest.cpp
@@ -13,8 +13,8 @@
     { { Organisation("hule\"930"), 412 } }, {}, RowVersion(3), false };
 const UsageRow body { UsageRow::Kind::Body, { {}, {}, UsageWindow(353445120) }, {},
     R"({"windowSeq":353445120,"counts":{}})", RowVersion(0), false };
-const UsageRow progress { UsageRow::Kind::Progress, { {}, {}, UsageWindow(99) }, {}, {}, RowVersion(2),
-    false };
+const UsageRow progress { UsageRow::Kind::Progress, { {}, {}, UsageWindow(99) }, {}, {}, RowVersion(2), false,
+    StoreEra(4) };
 
 } // namespace
 
@@ -35,6 +35,7 @@
     CHECK(read[0].counts == record.counts);
     CHECK(read[1].body == body.body);
     CHECK(read[2].id.window == progress.id.window);
+    CHECK(read[2].era == StoreEra(4));
     CHECK(writes[2].expected == RowVersion(2));
 }
 
--- a/Tests/Serving/UsageReportTest.cpp
+++ b/Tests/Serving/UsageReportTest.cpp
@@ -197,11 +197,85 @@
     other.add(record);
     other.noteStoredByReader(record.id);
     CHECK(other.nextWrite(now(), end + 3s, false).empty());
-    other.onStoreRestored(now());
+    other.onStoreRestored(now(), std::nullopt);
     CHECK(other.nextWrite(now() + 700ms, end + 3s, false).empty());
     CHECK(other.nextWrite(now() + 800ms, end + 3s, false).size() == 1);
 }
 
+// Guards against a second report of a window, with other counts, by a holder that knows no more than the
+// older rows.
+TEST_CASE_METHOD(
+    UsageFleetFixture, "Window reported before a restore of the store is not reported again by a new holder")
+{
+    enum class Knowledge { Host, OtherHosts, Nobody };
+    const auto knowledge = GENERATE(Knowledge::Host, Knowledge::OtherHosts, Knowledge::Nobody);
+    takeOver(1);
+    serveUntilAfterWindow(4s);
+    serveUntilAfterWindow(1s);
+    const auto copy = store.rows;
+    const auto reported = bounds.windowAt(trueNow()) - UsageWindow(1);
+    // The rows of the window are written, and its report is accepted.
+    serveFor(2s);
+    REQUIRE(reports.count(reported) == 1);
+    restart(1);
+    if (knowledge == Knowledge::Host)
+        restart(0);
+    for (std::size_t i = 0; knowledge == Knowledge::Nobody && i < hosts.size(); ++i)
+        restart(i);
+    restoreStore(copy);
+    holder.reset();
+    serveFor(4s);
+    takeOver(knowledge == Knowledge::Host ? 2 : 1);
+    serveFor(12s);
+    finish();
+    CHECK(reports.rbegin()->first >= reported + UsageWindow(4));
+    // Without knowledge, the windows that ended before it became the holder are left out too.
+    CHECK(reports.count(reported + UsageWindow(1)) == (knowledge == Knowledge::Nobody ? 0 : 1));
+}
+
+// Guards against a holder that forgets what it sent when it gets the lease again after a restore of the
+// store.
+TEST_CASE_METHOD(UsageFleetFixture,
+    "Holder that gets the lease again after a restore of the store repeats its last report")
+{
+    takeOver(1);
+    serveUntilAfterWindow(4s);
+    serveUntilAfterWindow(1s);
+    const auto copy = store.rows;
+    status = 0;
+    serveFor(2s);
+    REQUIRE(reports.size() == 2);
+    restoreStore(copy);
+    status = 200;
+    handOver(1);
+    serveFor(8s);
+    checkReports();
+}
+
+// Guards against a successor that starts to report before it could hear what its predecessor sent.
+TEST_CASE_METHOD(UsageFleetFixture,
+    "New holder without links after a restore of the store waits for what other hosts know")
+{
+    takeOver(1);
+    serveUntilAfterWindow(4s);
+    serveUntilAfterWindow(1s);
+    const auto copy = store.rows;
+    serveFor(2s);
+    const auto reported = reports.rbegin()->first;
+    restart(1);
+    hosts[1]->hearsHosts = false;
+    restoreStore(copy);
+    holder.reset();
+    serveFor(6s);
+    takeOver(1);
+    serveFor(1s);
+    CHECK(reports.rbegin()->first == reported);
+    hosts[1]->hearsHosts = true;
+    serveFor(500ms);
+    CHECK(reports.rbegin()->first > reported);
+    CHECK(leftOut == std::set<UsageWindow> { reported });
+}
+
 // Guards against reports that are skipped or sent out of order after an outage of the platform.
 TEST_CASE_METHOD(
     UsageFleetFixture, "Backlog of ten windows is sent in order, and each is logged as late once")
@@ -288,6 +362,37 @@
     checkReports();
 }
 
+// Guards against orders of events that no other case has, and in which the store loses rows.
+TEST_CASE_METHOD(
+    UsageFleetFixture, "Random restores of the store and restarts of hosts report no window with two bodies")
+{
+    std::mt19937_64 random(GENERATE(range(1, 41)));
+    const auto draw = [&random](std::size_t below) { return static_cast<std::size_t>(random() % below); };
+    const std::array statuses { 200, 200, 200, 0, -1 };
+    std::vector<std::map<FakeUsageStore::Key, UsageRow>> copies;
+    for (int i = 0; i < 40; ++i) {
+        copies.push_back(store.rows);
+        status = statuses[draw(statuses.size())];
+        serveFor(draw(40) * step);
+        bool holderIsLost = false;
+        for (std::size_t host = 0; host < hosts.size(); ++host) {
+            if (draw(host == holder ? 4 : 20) > 0)
+                continue;
+            restart(host);
+            holderIsLost = holderIsLost || host == holder;
+        }
+        if (draw(4) == 0)
+            restoreStore(copies[copies.size() - 1 - draw(std::min<std::size_t>(4, copies.size()))]);
+        if (holderIsLost || draw(8) == 0) {
+            holder.reset();
+            serveFor(3s);
+            takeOver(draw(hosts.size()));
+        }
+    }
+    finish();
+    CHECK(reports.size() > 5);
+}
+
 // Guards against requests that are counted twice or not at all when their evidence comes late.
 TEST_CASE_METHOD(
     UsageFleetFixture, "Request seen late counts in the window in which it began, or in the next open one")
