ManifestFreshness: a read in a new era proves nothing before the operators have written again

Cause, from the trace: the read counted as proof that the older manifest was the newest that the store had acknowledged. It was only the newest of the copy. Hosts that had lived through it were right by luck: they had the newer manifest in force, took the older copy for superseded, and counted the read as proof of their own.

A read proves a manifest only if the copy's is the one in force, and sent two seconds or more after this host learned of the era, the time in which what was lost is written again; a host that was restarted can't tell how old the era is and waits too, unless another host has proven a manifest in it or the system starts for the first time. A proof now names the manifest, by the operators' version and a hash, so that it holds across eras: earlier proofs are kept and good keys go on to be served, and a host counts another's proof only for its own manifest or an older one. A key that the manifest lacks is answered 503 instead of 401 in that time, as the lost one may have it.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -3,6 +3,7 @@
 #include "ConnectionLimits.h"
 #include "Core/LogEvent.h"
 #include "Core/RandomSource.h"
+#include "Core/TextHash.h"
 #include "Forwarding/AsyncEvent.h"
 #include "Forwarding/BootClock.h"
 #include "Forwarding/CallerSession.h"
@@ -71,7 +72,8 @@
         , m_placement(m_backends, m_settings.dataCentre, placementOptions())
         , m_reach(m_backends, m_settings.dataCentre)
         , m_retries(m_settings.retries, assumedHosts)
-        , m_freshness(m_settings.revocation, m_settings.tableBounds.manifest, bootTime())
+        , m_freshness(
+              m_settings.revocation, m_settings.tableBounds.manifest, bootTime(), m_settings.firstStart)
         , m_self { m_settings.host, m_settings.dataCentre, m_settings.peers, m_settings.strength }
         , m_store(m_controlPool, m_settings.store)
         , m_network(m_loop.get_executor(), m_self, m_settings.seeds, m_mirror, m_crashes,
@@ -90,7 +92,7 @@
                       return m_backends.limits().noteRelayed(statement, bootTime());
                   },
                   [this] { return m_settings.revocation.strict; }, [this] { return m_freshness.proof(); },
-                  [this](const ManifestProof& proof) { onManifestProof(proof); },
+                  [this](const ManifestProof& proof) { m_freshness.onProof(proof); },
                   [this](std::uint64_t& version) {
                       return m_usage ? m_usage->changesSince(version) : std::vector<UsageRecord>();
                   },
@@ -116,7 +118,7 @@
                   [this](SharedTable table) { onTableReadFailed(table); },
                   [this](SharedTable table, StoreVersion newest, MonotonicTime sentAt) {
                       if (table == SharedTable::Manifest)
-                          onManifestProof({ sentAt, newest });
+                          m_freshness.onRead(sentAt, newest, m_mirror.version(table));
                   },
                   [this] { return hasKeys() && m_freshness.isReadDue(bootTime()); },
                   [this] { return m_freshness.startRead(bootTime()); } })
@@ -157,6 +159,7 @@
         m_mirror.onUpdate = [this](SharedTable table, const StoredRows& rows, MonotonicTime now) {
             // A host that reads through another one learns of a restored store from its frames.
             m_store.noteEra(rows.newest.era);
+            m_freshness.onEra(m_store.era(), now);
             applyRows(table, rows, now);
         };
         m_context.onRequestEnd = [this](const RequestSummary& end) { m_metrics.onRequestEnd(end); };
@@ -373,12 +376,12 @@
         if (!reading.manifest) {
             // The table has other rows too.
             m_copyInForce = m_copyInForce && !rows.whole && !newestManifestRow(rows);
-            m_freshness.onCopy(rows.newest, m_copyInForce);
+            m_freshness.onCopy(rows.newest, m_inForce, m_copyInForce);
             return;
         }
         const auto version = reading.manifest->version;
         const auto* row = newestManifestRow(rows);
-        const auto text = std::hash<std::string>()(row->value);
+        const ManifestIdentity identity { version, addToTextHash(emptyTextHash, row->value) };
         const auto errors = checkManifest(*reading.manifest, m_settings.dataCentres);
         for (const auto& error : errors)
             LogEvent("manifest_rejected", LogLevel::Error)
@@ -387,11 +390,10 @@
                 .with("in_force", m_routes.version());
         const bool adopted = errors.empty() && m_routes.adopt(std::move(*reading.manifest));
         if (adopted)
-            m_manifestText = text;
+            m_inForce = identity;
         // The store may have come back with an older manifest, or have got another one of the same version.
-        const bool superseded = version < m_routes.version() || text == m_manifestText;
-        m_copyInForce = errors.empty() && !reading.unreadable && !row->removed && superseded;
-        m_freshness.onCopy(rows.newest, m_copyInForce);
+        m_copyInForce = errors.empty() && !reading.unreadable && !row->removed && identity == m_inForce;
+        m_freshness.onCopy(rows.newest, m_inForce, m_copyInForce);
         if (!adopted)
             return;
         const auto state = manifestState();
@@ -428,11 +430,6 @@
 
     bool hasKeys() const { return m_routes.organisations(); }
 
-    void onManifestProof(const ManifestProof& proof)
-    {
-        m_freshness.onProof(proof, m_mirror.version(SharedTable::Manifest));
-    }
-
     void applyHosts()
     {
         m_network.setHosts(enrolledHosts(m_mirror));
@@ -449,6 +446,7 @@
         for (const auto table : sharedTables)
             event.with(sharedTableName(table), m_mirror.version(table));
         m_metrics.onStoreRestored();
+        m_freshness.onEra(m_store.era(), bootTime());
         m_suspectCoordinator.onStoreRestored();
         if (m_usage)
             m_usage->onStoreRestored();
@@ -728,9 +726,9 @@
     // When the copy of the manifest was last confirmed to be current, and the time before.
     MonotonicTime m_confirmedAt {};
     MonotonicTime m_confirmedBefore {};
-    // Whether the manifest in force is at least that of the store's newest row, and its text as a hash.
+    // The manifest in force, and whether it is that of the store's newest row.
+    ManifestIdentity m_inForce;
     bool m_copyInForce = false;
-    std::size_t m_manifestText = 0;
     bool m_refusesKeys = false;
     DemandMeter m_demand;
     DecodeTimes m_decodeTimes;
--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -408,7 +408,8 @@
         frame.echoedProbe, frame.manifestProvenAge.has_value(),
         frame.manifestProvenAge ? wholeMs(*frame.manifestProvenAge + roundUp) : 0, usageList, storedList,
         speedList, frame.manifestProvenVersion.version.count(), frame.manifestProvenVersion.era.count(),
-        wholeMs(frame.echoedProbeAge), sent.window.count(), sent.body));
+        wholeMs(frame.echoedProbeAge), sent.window.count(), sent.body, frame.provenManifest.version,
+        frame.provenManifest.text));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -466,6 +467,7 @@
         for (const auto* each : *from->stored_usage())
             frame.storedUsage.push_back(decodeUsage(*each).id);
     }
+    frame.provenManifest = { from->proven_manifest(), from->proven_manifest_text() };
     if (from->usage_sent() > 0)
         frame.usageSent = SentReport { UsageWindow(from->usage_sent()), from->usage_sent_body() };
     if (from->server_speeds()) {
--- a/Source/Peers/PeerFrame.h
+++ b/Source/Peers/PeerFrame.h
@@ -9,6 +9,7 @@
 #include "Serving/EngineDemand.h"
 #include "Serving/FleetTraffic.h"
 #include "Serving/LimitStatement.h"
+#include "Serving/ManifestIdentity.h"
 #include "Serving/SentReport.h"
 #include "Serving/ServerSpeed.h"
 #include "Serving/SharedTable.h"
@@ -74,8 +75,9 @@
     Nanoseconds echoedProbeAge {};
     // Time since the sender could prove that its manifest was the newest; unset if it never could.
     std::optional<Nanoseconds> manifestProvenAge;
-    // The version that the proof is about, see ManifestProof.h.
+    // What the proof is about, see ManifestProof.h. Hosts that do not know of eras go by the version.
     StoreVersion manifestProvenVersion;
+    ManifestIdentity provenManifest;
     std::vector<UsageRecord> usage;
     // Records that are in the store.
     std::vector<UsageRecordId> storedUsage;
--- a/Source/Peers/PeerFrames_generated.h
+++ b/Source/Peers/PeerFrames_generated.h
@@ -1245,7 +1245,9 @@
     VT_MANIFEST_PROVEN_ERA = 50,
     VT_ECHOED_PROBE_AGE_MS = 52,
     VT_USAGE_SENT = 54,
-    VT_USAGE_SENT_BODY = 56
+    VT_USAGE_SENT_BODY = 56,
+    VT_PROVEN_MANIFEST = 58,
+    VT_PROVEN_MANIFEST_TEXT = 60
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -1328,6 +1330,12 @@
   uint64_t usage_sent_body() const {
     return GetField<uint64_t>(VT_USAGE_SENT_BODY, 0);
   }
+  int64_t proven_manifest() const {
+    return GetField<int64_t>(VT_PROVEN_MANIFEST, 0);
+  }
+  uint64_t proven_manifest_text() const {
+    return GetField<uint64_t>(VT_PROVEN_MANIFEST_TEXT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -1381,6 +1389,8 @@
            VerifyField<uint32_t>(verifier, VT_ECHOED_PROBE_AGE_MS, 4) &&
            VerifyField<int64_t>(verifier, VT_USAGE_SENT, 8) &&
            VerifyField<uint64_t>(verifier, VT_USAGE_SENT_BODY, 8) &&
+           VerifyField<int64_t>(verifier, VT_PROVEN_MANIFEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_PROVEN_MANIFEST_TEXT, 8) &&
            verifier.EndTable();
   }
 };
@@ -1470,6 +1480,12 @@
   void add_usage_sent_body(uint64_t usage_sent_body) {
     fbb_.AddElement<uint64_t>(PeerFrame::VT_USAGE_SENT_BODY, usage_sent_body, 0);
   }
+  void add_proven_manifest(int64_t proven_manifest) {
+    fbb_.AddElement<int64_t>(PeerFrame::VT_PROVEN_MANIFEST, proven_manifest, 0);
+  }
+  void add_proven_manifest_text(uint64_t proven_manifest_text) {
+    fbb_.AddElement<uint64_t>(PeerFrame::VT_PROVEN_MANIFEST_TEXT, proven_manifest_text, 0);
+  }
   explicit PeerFrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1509,8 +1525,12 @@
     uint64_t manifest_proven_era = 0,
     uint32_t echoed_probe_age_ms = 0,
     int64_t usage_sent = 0,
-    uint64_t usage_sent_body = 0) {
+    uint64_t usage_sent_body = 0,
+    int64_t proven_manifest = 0,
+    uint64_t proven_manifest_text = 0) {
   PeerFrameBuilder builder_(_fbb);
+  builder_.add_proven_manifest_text(proven_manifest_text);
+  builder_.add_proven_manifest(proven_manifest);
   builder_.add_usage_sent_body(usage_sent_body);
   builder_.add_usage_sent(usage_sent);
   builder_.add_manifest_proven_era(manifest_proven_era);
@@ -1569,7 +1589,9 @@
     uint64_t manifest_proven_era = 0,
     uint32_t echoed_probe_age_ms = 0,
     int64_t usage_sent = 0,
-    uint64_t usage_sent_body = 0) {
+    uint64_t usage_sent_body = 0,
+    int64_t proven_manifest = 0,
+    uint64_t proven_manifest_text = 0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<almondscale::peerwire::Load>(*loads) : 0;
@@ -1613,7 +1635,9 @@
       manifest_proven_era,
       echoed_probe_age_ms,
       usage_sent,
-      usage_sent_body);
+      usage_sent_body,
+      proven_manifest,
+      proven_manifest_text);
 }
 
 inline const almondscale::peerwire::PeerFrame *GetPeerFrame(const void *buf) {
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -367,12 +367,14 @@
             return;
         frame.manifestProvenAge = now - proof->provenAt;
         frame.manifestProvenVersion = proof->version;
+        frame.provenManifest = proof->manifest;
     }
 
     void applyProof(const PeerFrame& frame, std::optional<MonotonicTime> madeAfter) const
     {
         if (madeAfter && frame.manifestProvenAge && exchangesProofs())
-            m_hooks.onManifestProof({ *madeAfter - *frame.manifestProvenAge, frame.manifestProvenVersion });
+            m_hooks.onManifestProof(
+                { *madeAfter - *frame.manifestProvenAge, frame.manifestProvenVersion, frame.provenManifest });
     }
 
     // Of the hosts that have this one as their reader, the one that would be the next reader.
--- a/Source/Serving/ManifestFreshness.cpp
+++ b/Source/Serving/ManifestFreshness.cpp
@@ -29,29 +29,62 @@
 } // namespace
 
 ManifestFreshness::ManifestFreshness(
-    RevocationBounds bounds, Nanoseconds manifestBound, MonotonicTime startedAt)
+    RevocationBounds bounds, Nanoseconds manifestBound, MonotonicTime startedAt, bool firstStart)
     : m_bounds(bounds)
     , m_manifestBound(manifestBound)
     , m_startedAt(startedAt)
+    , m_firstStart(firstStart)
 {
 }
 
-void ManifestFreshness::onCopy(StoreVersion version, bool inForce)
+void ManifestFreshness::onEra(StoreEra era, MonotonicTime now)
+{
+    if (m_completeFrom && era <= m_era)
+        return;
+    // A store that states no era loses nothing. A host that was restarted can't tell how old the era is.
+    const bool complete = era == StoreEra() || (m_firstStart && !m_completeFrom);
+    m_era = era;
+    m_completeFrom = complete ? Deadline() : Deadline::after(now, m_bounds.rewriteTime);
+}
+
+void ManifestFreshness::onCopy(StoreVersion version, const ManifestIdentity& inForce, bool copyInForce)
 {
-    // The store lost what a proof of an earlier era is about.
-    if (m_proof && m_proof->version.era != version.era)
-        m_proof.reset();
     m_copy = version;
-    m_copyInForce = inForce;
+    m_inForce = inForce;
+    m_copyInForce = copyInForce;
+}
+
+bool ManifestFreshness::isComplete(MonotonicTime time) const
+{
+    return m_completeFrom && m_completeFrom->passed(time);
+}
+
+bool ManifestFreshness::onRead(MonotonicTime sentAt, StoreVersion newest, StoreVersion copy)
+{
+    if (!m_copyInForce || copy.era != m_copy.era || newest.era != copy.era || copy < newest)
+        return false;
+    if (newest.era != m_era || !isComplete(sentAt))
+        return false;
+    keep({ sentAt, newest, m_inForce });
+    return true;
 }
 
-bool ManifestFreshness::onProof(const ManifestProof& proof, StoreVersion copy)
+bool ManifestFreshness::onProof(const ManifestProof& proof)
 {
-    if (!m_copyInForce || copy.era != m_copy.era || proof.version.era != copy.era || copy < proof.version)
+    const bool inForce = proof.manifest.version < m_inForce.version || proof.manifest == m_inForce;
+    if (proof.manifest.version == 0 || !inForce)
         return false;
+    // The other host has waited for what the operators write again.
+    if (m_completeFrom && proof.version.era == m_era)
+        m_completeFrom = Deadline();
+    keep(proof);
+    return true;
+}
+
+void ManifestFreshness::keep(const ManifestProof& proof)
+{
     if (!m_proof || m_proof->provenAt < proof.provenAt)
         m_proof = proof;
-    return true;
 }
 
 std::optional<Nanoseconds> ManifestFreshness::age(MonotonicTime now) const
@@ -69,7 +102,7 @@
     KeyTrust trust;
     // A key that an older manifest lacks may have been added since.
     if (!m_bounds.strict) {
-        trust.denies = now - copyCurrentAt < m_manifestBound - margin;
+        trust.denies = now - copyCurrentAt < m_manifestBound - margin && isComplete(now);
         return trust;
     }
     trust.serves = isYoungerThan(m_bounds.time - margin, now);
@@ -80,17 +113,21 @@
 bool ManifestFreshness::isReadDue(MonotonicTime now) const
 {
     // While the copy is not in force, reading it again gives no proof.
-    if (!m_bounds.strict || !m_copyInForce || now < m_readStartedAt + readInterval)
+    if (!m_bounds.strict || !m_copyInForce || !isComplete(now) || now < m_readStartedAt + readInterval)
         return false;
     return m_proof ? !isYoungerThan(m_bounds.time / 2, now) : now >= m_startedAt + firstProofTime;
 }
 
 Nanoseconds ManifestFreshness::startRead(MonotonicTime now)
 {
-    if (!isReadDue(now))
-        return maxReadWait();
-    m_readStartedAt = now;
-    return {};
+    if (isReadDue(now)) {
+        m_readStartedAt = now;
+        return {};
+    }
+    // The read that proves the manifest again follows at once.
+    if (m_bounds.strict && m_completeFrom && !isComplete(now))
+        return std::min(maxReadWait(), m_completeFrom->remaining(now));
+    return maxReadWait();
 }
 
 // Short enough for a host without a path to the store to serve keys for as long as it has to.
--- a/Source/Serving/ManifestFreshness.h
+++ b/Source/Serving/ManifestFreshness.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Deadline.h"
 #include "Serving/KeyTrust.h"
 #include "Serving/ManifestProof.h"
 #include "Serving/RevocationBounds.h"
@@ -13,16 +14,22 @@
 class ManifestFreshness {
 public:
     // `manifestBound`: a change is in force on every host that can reach the store within this time.
-    ManifestFreshness(RevocationBounds, Nanoseconds manifestBound, MonotonicTime startedAt);
+    // `firstStart` is set if the system has not run before, so that the store can't have lost a manifest.
+    ManifestFreshness(RevocationBounds, Nanoseconds manifestBound, MonotonicTime startedAt, bool firstStart);
 
-    // This host's copy of the manifest has changed. `inForce` is set if the manifest in force is the copy's
-    // or a newer one; unset if the copy's was rejected or cannot be decoded.
-    void onCopy(StoreVersion, bool inForce);
-    // Counts a proof if the manifest in force is at least of the version that it is about; returns whether it
-    // is. The second argument is the version of this host's copy.
-    bool onProof(const ManifestProof&, StoreVersion copy);
+    // The store is in this era.
+    void onEra(StoreEra, MonotonicTime now);
+    // This host's copy of the manifest, or the manifest in force, has changed. `copyInForce` is set if the
+    // manifest in force is the copy's; unset if that was rejected, cannot be decoded, or is older.
+    void onCopy(StoreVersion, const ManifestIdentity& inForce, bool copyInForce);
+    // A read of the store that was sent at a time has shown the newest version of the table. The last
+    // argument is the version of this host's copy. Returns whether that proves the manifest in force.
+    bool onRead(MonotonicTime sentAt, StoreVersion newest, StoreVersion copy);
+    // Counts a proof of another host if the manifest in force is that one or a newer one; returns whether it
+    // is.
+    bool onProof(const ManifestProof&);
 
-    // The latest proof that counted, unless the store has begun a new era since.
+    // The latest proof that counted.
     const std::optional<ManifestProof>& proof() const { return m_proof; }
     std::optional<Nanoseconds> age(MonotonicTime now) const;
     // `copyCurrentAt` is the time at which the copy was last said to be current.
@@ -35,6 +42,10 @@
     Nanoseconds startRead(MonotonicTime now);
 
 private:
+    // Whether the operators have written again what the store lost before its era, so that its newest
+    // manifest is the newest one.
+    bool isComplete(MonotonicTime) const;
+    void keep(const ManifestProof&);
     bool isYoungerThan(Nanoseconds, MonotonicTime now) const;
     Nanoseconds maxReadWait() const;
 
@@ -42,8 +53,13 @@
     Nanoseconds m_manifestBound;
     MonotonicTime m_startedAt;
     std::optional<ManifestProof> m_proof;
+    bool m_firstStart;
+    StoreEra m_era;
+    // Unset before the first response of the store.
+    std::optional<Deadline> m_completeFrom;
     StoreVersion m_copy;
     bool m_copyInForce = false;
+    ManifestIdentity m_inForce;
     MonotonicTime m_readStartedAt {};
 };
 
--- a/Source/Serving/RevocationBounds.h
+++ b/Source/Serving/RevocationBounds.h
@@ -10,6 +10,8 @@
     bool strict = false;
     // Time from the store's acknowledgement of the manifest; requests sent later must not run.
     Nanoseconds time = std::chrono::seconds(5);
+    // When the store comes back from an older copy, the operators write again what it lost within this time.
+    Nanoseconds rewriteTime = std::chrono::seconds(2);
 };
 
 } // namespace almondscale
--- a/Tests/Peers/PeerNetworkTest.cpp
+++ b/Tests/Peers/PeerNetworkTest.cpp
@@ -325,11 +325,12 @@
     for (const auto& host : hosts)
         host->exchangesProofs = true;
     const auto provenAt = bootTime();
-    hosts[0]->proof = ManifestProof { provenAt, { StoreEra(1), RowVersion(3) } };
+    hosts[0]->proof = ManifestProof { provenAt, { StoreEra(1), RowVersion(3) }, { 7, 77 } };
     runFor(1500ms);
     for (const auto& host : hosts) {
         REQUIRE(host->proof);
         CHECK(host->proof->version == StoreVersion { StoreEra(1), RowVersion(3) });
+        CHECK(host->proof->manifest == ManifestIdentity { 7, 77 });
         CHECK(host->proof->provenAt <= provenAt);
     }
     CHECK(hosts[1]->proof->provenAt > provenAt - 600ms);
@@ -370,7 +371,7 @@
 
 TEST_CASE_METHOD(PeerNetworkFixture, "Hosts without strict revocation send and take no proofs")
 {
-    hosts[0]->proof = ManifestProof { bootTime(), {} };
+    hosts[0]->proof = ManifestProof { bootTime(), {}, {} };
     hosts[1]->exchangesProofs = true;
     runFor(1000ms);
     CHECK_FALSE(hosts[1]->proof);
--- a/Tests/Serving/ManifestFreshnessModelTest.cpp
+++ b/Tests/Serving/ManifestFreshnessModelTest.cpp
@@ -22,34 +22,50 @@
     SendersClock,
     OlderCopy,
     EraIgnored,
+    NewEraTrusted,
+    OtherManifest,
     ClockStopsWhileSuspended,
 };
 
 // The clocks of the hosts differ by this much.
 constexpr int clockOffset = 9;
 constexpr int boundTicks = 2;
-constexpr int lastTick = 4;
+// The operators write again before this time has passed what the store lost.
+constexpr int rewriteTicks = 2;
+constexpr int lastTick = 5;
 constexpr int none = -1;
 
-// The states of the store, in their order. It comes back from an older copy once, in a new era, and then the
-// manifest without the key is written, with a version that was given out before.
+// The states of the store, in their order. After the manifest without the key it comes back from an older
+// copy once, in a new era, in which versions are given out again; then the operators write that manifest
+// again.
 struct StoredManifest {
     StoreVersion version;
-    bool hasKey;
+    std::int64_t number;
+
+    bool hasKey() const { return number == 1; }
+    ManifestIdentity identity() const { return { number, 0 }; }
 };
 const std::array<StoredManifest, 4> manifests { {
-    { { StoreEra(1), RowVersion(1) }, true },
-    { { StoreEra(1), RowVersion(2) }, true },
-    { { StoreEra(2), RowVersion(1) }, true },
-    { { StoreEra(2), RowVersion(2) }, false },
+    { { StoreEra(1), RowVersion(1) }, 1 },
+    { { StoreEra(1), RowVersion(2) }, 2 },
+    { { StoreEra(2), RowVersion(1) }, 1 },
+    { { StoreEra(2), RowVersion(2) }, 2 },
 } };
-constexpr int removal = 3;
+constexpr int removal = 1;
+constexpr int restored = 2;
+constexpr int rewritten = 3;
 
 struct ModelHost {
     // Indices into the manifests, or none.
     int copy = none;
+    int inForce = none;
     int provenTick = none;
     int provenManifest = none;
+    // The era of the store, when the host learned of it, and whether another host has proven a manifest in
+    // it.
+    int era = none;
+    int eraSince = none;
+    int complete = 0;
     // Ticks in which the process was suspended, which the boot clock counts too.
     int suspended = 0;
 };
@@ -58,6 +74,7 @@
     int now = 0;
     int store = 0;
     int removedAt = none;
+    int restoredAt = none;
     // The reader asks the store; the follower gets frames from the reader.
     ModelHost reader, follower;
     // The read that is open: when it was sent, and what the store answered.
@@ -74,11 +91,14 @@
     std::string text() const
     {
         std::string text;
-        for (const int each :
-            { now, store, removedAt, askedAt, answer, heardProbe, framed, frameRows, frameProof, frameAge,
-                frameProbe, reader.copy, reader.provenTick, reader.provenManifest, reader.suspended,
-                follower.copy, follower.provenTick, follower.provenManifest, follower.suspended })
+        for (const int each : { now, store, removedAt, restoredAt, askedAt, answer, heardProbe, framed,
+                 frameRows, frameProof, frameAge, frameProbe })
             text += static_cast<char>(each);
+        for (const auto* host : { &reader, &follower }) {
+            for (const int each : { host->copy, host->inForce, host->provenTick, host->provenManifest,
+                     host->era, host->eraSince, host->complete, host->suspended })
+                text += static_cast<char>(each);
+        }
         return text;
     }
 };
@@ -119,24 +139,45 @@
         return state.now + offset - (m_flaw == Flaw::ClockStopsWhileSuspended ? host.suspended : 0);
     }
 
-    static ManifestFreshness freshnessOf(const ModelHost& host)
+    static StoreVersion versionOf(int manifest) { return manifests.at(manifest).version; }
+
+    StoreEra eraOf(int manifest) const
+    {
+        return m_flaw == Flaw::EraIgnored ? StoreEra(1) : versionOf(manifest).era;
+    }
+
+    StoreVersion seenVersion(int manifest) const { return { eraOf(manifest), versionOf(manifest).version }; }
+
+    ManifestFreshness freshnessOf(const ModelHost& host) const
     {
         RevocationBounds bounds;
         bounds.strict = true;
         bounds.time = std::chrono::seconds(boundTicks);
-        ManifestFreshness freshness(bounds, bounds.time, at(0));
+        bounds.rewriteTime = std::chrono::seconds(m_flaw == Flaw::NewEraTrusted ? 0 : rewriteTicks);
+        ManifestFreshness freshness(bounds, bounds.time, at(0), false);
         if (host.copy == none)
             return freshness;
-        const auto copy = manifests.at(host.copy).version;
-        freshness.onCopy(copy, true);
+        freshness.onEra(StoreEra(static_cast<std::uint64_t>(host.era)), at(host.eraSince));
+        tellCopy(freshness, host);
+        const auto identity = manifests.at(host.inForce).identity();
+        if (host.complete)
+            freshness.onProof({ at(-100), { StoreEra(static_cast<std::uint64_t>(host.era)), {} }, identity });
         if (host.provenTick != none)
-            freshness.onProof({ at(host.provenTick), manifests.at(host.provenManifest).version }, copy);
+            freshness.onProof({ at(host.provenTick), seenVersion(host.provenManifest),
+                manifests.at(host.provenManifest).identity() });
         return freshness;
     }
 
+    void tellCopy(ManifestFreshness& freshness, const ModelHost& host) const
+    {
+        const auto& inForce = manifests.at(host.inForce);
+        freshness.onCopy(
+            seenVersion(host.copy), inForce.identity(), manifests.at(host.copy).number == inForce.number);
+    }
+
     bool mayServeRemovedKey(const State& state, const ModelHost& host, int offset)
     {
-        if (host.copy == none || !manifests.at(host.copy).hasKey)
+        if (host.copy == none || !manifests.at(host.inForce).hasKey())
             return false;
         const auto now = at(clock(state, host, offset));
         if (!freshnessOf(host).keyTrust(now, now).serves)
@@ -146,37 +187,64 @@
         return state.removedAt != none && state.now > state.removedAt + boundTicks;
     }
 
-    // Applies rows and a proof with the code under test.
-    void learn(ModelHost& host, int rows, int provenTick, int provenManifest) const
+    void learnRows(ModelHost& host, ManifestFreshness& freshness, int rows, int now) const
     {
-        auto freshness = freshnessOf(host);
-        if (rows != none
-            && (host.copy == none || manifests.at(host.copy).version < manifests.at(rows).version)) {
-            host.copy = rows;
-            freshness.onCopy(manifests.at(rows).version, true);
+        freshness.onEra(eraOf(rows), at(now));
+        if (host.era < static_cast<int>(eraOf(rows).count())) {
+            host.era = static_cast<int>(eraOf(rows).count());
+            host.eraSince = now;
+            host.complete = 0;
         }
+        if (host.copy != none && host.copy >= rows)
+            return;
+        host.copy = rows;
+        if (host.inForce == none || manifests.at(host.inForce).number < manifests.at(rows).number)
+            host.inForce = rows;
+        tellCopy(freshness, host);
+    }
+
+    // Applies what the reader has read.
+    void learnRead(ModelHost& host, int rows, int sentAt, int now) const
+    {
+        auto freshness = freshnessOf(host);
+        learnRows(host, freshness, rows, now);
+        freshness.onRead(at(sentAt), seenVersion(rows), seenVersion(host.copy));
+        keepProof(host, freshness);
+    }
+
+    // Applies rows and a proof that the follower got.
+    void learnFrame(ModelHost& host, int rows, int provenTick, int provenManifest, int now) const
+    {
+        auto freshness = freshnessOf(host);
+        if (rows != none)
+            learnRows(host, freshness, rows, now);
         if (host.copy == none)
             return;
-        ManifestProof proof { at(provenTick), {} };
-        auto copy = manifests.at(host.copy).version;
-        if (provenManifest != none) {
-            proof.version = manifests.at(provenManifest).version;
-            if (m_flaw == Flaw::OlderCopy)
-                proof.version = copy;
-            if (m_flaw == Flaw::EraIgnored && proof.version.version.count() <= copy.version.count())
-                proof.version = copy;
-            freshness.onProof(proof, copy);
-        }
+        ManifestProof proof { at(provenTick), seenVersion(provenManifest),
+            manifests.at(provenManifest).identity() };
+        if (m_flaw == Flaw::OtherManifest)
+            proof.manifest = manifests.at(host.inForce).identity();
+        if (m_flaw == Flaw::OlderCopy && proof.version.era == seenVersion(host.copy).era)
+            proof.manifest = manifests.at(host.inForce).identity();
+        if (freshness.onProof(proof) && static_cast<int>(proof.version.era.count()) == host.era)
+            host.complete = 1;
+        keepProof(host, freshness);
+    }
+
+    void keepProof(ModelHost& host, const ManifestFreshness& freshness) const
+    {
         host.provenTick = host.provenManifest = none;
-        if (const auto& kept = freshness.proof()) {
-            const auto since = kept->provenAt - at(0);
-            host.provenTick
-                = static_cast<int>(std::chrono::duration_cast<std::chrono::seconds>(since).count());
-            for (int i = 0; i < static_cast<int>(manifests.size()); ++i) {
-                if (manifests.at(i).version == kept->version)
-                    host.provenManifest = i;
-            }
+        const auto& kept = freshness.proof();
+        if (!kept || kept->provenAt < at(-50))
+            return;
+        const auto since = kept->provenAt - at(0);
+        host.provenTick = static_cast<int>(std::chrono::duration_cast<std::chrono::seconds>(since).count());
+        for (int i = 0; i < static_cast<int>(manifests.size()); ++i) {
+            if (seenVersion(i) == kept->version && manifests.at(i).identity() == kept->manifest)
+                host.provenManifest = i;
         }
+        if (host.provenManifest == none)
+            host.provenManifest = host.inForce;
     }
 
     // Times that are older than the bound make no difference among each other.
@@ -185,6 +253,8 @@
         for (auto [host, offset] : { std::pair(&state.reader, 0), std::pair(&state.follower, clockOffset) }) {
             if (host->provenTick != none && host->provenTick <= clock(state, *host, offset) - boundTicks)
                 host->provenTick = host->provenManifest = none;
+            if (host->eraSince != none)
+                host->eraSince = std::max(host->eraSince, clock(state, *host, offset) - rewriteTicks);
         }
         const auto clamp
             = [](int& tick, int now) { tick = tick == none ? none : std::max(tick, now - boundTicks); };
@@ -210,7 +280,8 @@
     void expand(const State& state)
     {
         // Processes that take no step are suspended or slow.
-        for (int sleeping = 0; state.now < lastTick && sleeping < 4; ++sleeping) {
+        const bool rewriteIsDue = state.store == restored && state.now + 1 >= state.restoredAt + rewriteTicks;
+        for (int sleeping = 0; !rewriteIsDue && state.now < lastTick && sleeping < 4; ++sleeping) {
             if (m_flaw != Flaw::ClockStopsWhileSuspended && sleeping > 0)
                 break;
             apply(state, [sleeping](State& next) {
@@ -219,10 +290,13 @@
                 next.follower.suspended += sleeping >> 1;
             });
         }
-        if (state.store < removal)
+        if (state.store < rewritten)
             apply(state, [](State& next) {
-                if (++next.store == removal)
+                ++next.store;
+                if (next.store == removal)
                     next.removedAt = next.now;
+                if (next.store == restored)
+                    next.restoredAt = next.now;
             });
         apply(state, [this](State& next) {
             next.askedAt = clock(next, next.reader, 0);
@@ -234,7 +308,7 @@
             apply(state, [this](State& next) {
                 const bool late = m_flaw == Flaw::AgeFromResponse;
                 const auto provenTick = late ? clock(next, next.reader, 0) : next.askedAt;
-                learn(next.reader, next.answer, provenTick, next.answer);
+                learnRead(next.reader, next.answer, provenTick, clock(next, next.reader, 0));
                 next.askedAt = next.answer = none;
             });
         // A stamp that arrives late has the same effect as a frame that is made later.
@@ -273,7 +347,8 @@
                     provenTick = next.frameAge + 2 * clockOffset;
                 if (m_flaw == Flaw::AgeFromFrame)
                     provenTick = clock(next, next.follower, clockOffset) - next.frameAge;
-                learn(next.follower, next.frameRows, provenTick, next.frameProof);
+                learnFrame(next.follower, next.frameRows, provenTick, next.frameProof,
+                    clock(next, next.follower, clockOffset));
                 next.framed = none;
                 next.frameRows = next.frameProof = next.frameProbe = none;
                 next.frameAge = 0;
@@ -300,7 +375,7 @@
 TEST_CASE("Freshness of the manifest, with a deliberate error, is found to break the bound")
 {
     const auto flaw = GENERATE(Flaw::AgeFromResponse, Flaw::AgeFromFrame, Flaw::SendersClock, Flaw::OlderCopy,
-        Flaw::EraIgnored, Flaw::ClockStopsWhileSuspended);
+        Flaw::EraIgnored, Flaw::NewEraTrusted, Flaw::OtherManifest, Flaw::ClockStopsWhileSuspended);
     CAPTURE(static_cast<int>(flaw));
     FreshnessModel model(flaw);
     CHECK_FALSE(model.search());
--- a/Tests/Serving/ManifestFreshnessTest.cpp
+++ b/Tests/Serving/ManifestFreshnessTest.cpp
@@ -14,18 +14,33 @@
 
 class ManifestFreshnessFixture {
 public:
-    ManifestFreshnessFixture() { freshness.onCopy(version(5), true); }
+    explicit ManifestFreshnessFixture(bool firstStart = true)
+        : freshness { { true, 5s, 2s }, 4s, start, firstStart }
+    {
+        freshness.onEra(StoreEra(1), start);
+        freshness.onCopy(version(5), manifest, true);
+    }
 
-    bool prove(Nanoseconds at, StoreVersion about, StoreVersion copy)
+    // A read that was sent at the time.
+    bool prove(Nanoseconds at, StoreVersion newest, StoreVersion copy)
     {
-        return freshness.onProof({ start + at, about }, copy);
+        return freshness.onRead(start + at, newest, copy);
     }
 
     bool serves(Nanoseconds at) const { return freshness.keyTrust(start + at, start).serves; }
     bool denies(Nanoseconds at) const { return freshness.keyTrust(start + at, start).denies; }
 
     const MonotonicTime start { 1h };
-    ManifestFreshness freshness { { true, 5s }, 4s, start };
+    const ManifestIdentity manifest { 3, 33 };
+    ManifestFreshness freshness;
+};
+
+class RestartedHostFixture : public ManifestFreshnessFixture {
+public:
+    RestartedHostFixture()
+        : ManifestFreshnessFixture(false)
+    {
+    }
 };
 
 } // namespace
@@ -59,26 +74,84 @@
 TEST_CASE_METHOD(ManifestFreshnessFixture, "Manifest that is not in force gives no proof")
 {
     CHECK(prove(1s, version(5), version(5)));
-    freshness.onCopy(version(6), false);
+    freshness.onCopy(version(6), manifest, false);
     CHECK_FALSE(prove(2s, version(6), version(6)));
     CHECK(serves(5700ms));
     CHECK_FALSE(serves(6s));
     CHECK_FALSE(freshness.isReadDue(start + 6s));
-    freshness.onCopy(version(7), true);
+    freshness.onCopy(version(7), manifest, true);
     CHECK(prove(6s, version(7), version(7)));
     CHECK(serves(6s));
 }
 
-TEST_CASE_METHOD(ManifestFreshnessFixture, "New era of the store ends the proofs of the one before")
+// Guards against a withdrawn key that is served by a manifest which the store lost and the operators have not
+// written again.
+TEST_CASE_METHOD(
+    ManifestFreshnessFixture, "Read in a new era proves nothing until the operators have written again")
+{
+    CHECK(prove(1s, version(5), version(5)));
+    freshness.onEra(StoreEra(2), start + 2s);
+    freshness.onCopy(version(4, 2), manifest, true);
+    CHECK_FALSE(prove(3s, version(5), version(4, 2)));
+    CHECK_FALSE(prove(3900ms, version(4, 2), version(4, 2)));
+    CHECK_FALSE(freshness.isReadDue(start + 3900ms));
+    CHECK(freshness.startRead(start + 3900ms) == 100ms);
+    // What was proven before stays true.
+    CHECK(serves(5700ms));
+    CHECK_FALSE(serves(5800ms));
+    CHECK(prove(4s, version(4, 2), version(4, 2)));
+    CHECK(serves(5800ms));
+}
+
+TEST_CASE_METHOD(
+    ManifestFreshnessFixture, "Older manifest of a restored store gives no proof of the newer one")
 {
     CHECK(prove(1s, version(5), version(5)));
-    freshness.onCopy(version(4, 2), true);
-    CHECK_FALSE(serves(1s));
-    CHECK_FALSE(prove(2s, version(5), version(4, 2)));
-    CHECK(prove(2s, version(4, 2), version(4, 2)));
+    freshness.onEra(StoreEra(2), start + 2s);
+    freshness.onCopy(version(4, 2), manifest, false);
+    CHECK_FALSE(prove(5s, version(4, 2), version(4, 2)));
+    CHECK_FALSE(serves(5800ms));
+    freshness.onCopy(version(6, 2), manifest, true);
+    CHECK(prove(6s, version(6, 2), version(6, 2)));
+    CHECK(serves(6s));
+}
+
+// Guards against a host without memory that takes a restored store for one that has lost nothing.
+TEST_CASE_METHOD(
+    RestartedHostFixture, "Host that was restarted proves nothing alone until an era's time has passed")
+{
+    CHECK_FALSE(prove(1900ms, version(5), version(5)));
+    CHECK_FALSE(freshness.isReadDue(start + 1900ms));
+    CHECK(freshness.isReadDue(start + 2s));
+    CHECK(prove(2s, version(5), version(5)));
     CHECK(serves(2s));
 }
 
+TEST_CASE_METHOD(
+    RestartedHostFixture, "Host that was restarted counts proofs of others for its manifest or an older one")
+{
+    CHECK_FALSE(freshness.onProof({ start, version(5), { 4, 44 } }));
+    CHECK_FALSE(freshness.onProof({ start, version(5), { 3, 34 } }));
+    // Hosts of an older program do not say which manifest they prove.
+    CHECK_FALSE(freshness.onProof({ start, version(5), {} }));
+    CHECK_FALSE(serves(1s));
+    CHECK(freshness.onProof({ start, version(5, 0), { 2, 22 } }));
+    CHECK(serves(1s));
+    CHECK_FALSE(prove(1s, version(5), version(5)));
+    // A host that proves a manifest in this era knows that it is complete.
+    CHECK(freshness.onProof({ start, version(9), manifest }));
+    CHECK(prove(1s, version(5), version(5)));
+}
+
+TEST_CASE("Store that states no era is taken to lose nothing")
+{
+    const MonotonicTime start { 1h };
+    ManifestFreshness freshness { { true, 5s, 2s }, 4s, start, false };
+    freshness.onEra(StoreEra(0), start);
+    freshness.onCopy(version(5, 0), { 1, 1 }, true);
+    CHECK(freshness.onRead(start, version(5, 0), version(5, 0)));
+}
+
 TEST_CASE_METHOD(
     ManifestFreshnessFixture, "Store is read at half of the bound, without waiting, at most once a second")
 {
@@ -109,12 +182,14 @@
 {
     const MonotonicTime now { 1h };
     const auto bound = GENERATE(Nanoseconds(2s), Nanoseconds(3s));
-    ManifestFreshness plain({ false, 5s }, bound, now);
+    ManifestFreshness plain({ false, 5s }, bound, now, true);
+    plain.onEra(StoreEra(1), now);
     CHECK(plain.keyTrust(now, now - bound + 300ms).denies);
     CHECK_FALSE(plain.keyTrust(now, now - bound).denies);
-    ManifestFreshness strict({ true, 5s }, bound, now);
-    strict.onCopy(version(5), true);
-    CHECK(strict.onProof({ now, version(5) }, version(5)));
+    ManifestFreshness strict({ true, 5s }, bound, now, true);
+    strict.onEra(StoreEra(1), now);
+    strict.onCopy(version(5), { 1, 1 }, true);
+    CHECK(strict.onRead(now, version(5), version(5)));
     CHECK(strict.keyTrust(now + bound - 300ms, now).denies);
     CHECK_FALSE(strict.keyTrust(now + bound, now + bound).denies);
 }
@@ -122,10 +197,16 @@
 TEST_CASE("Without strict revocation, keys are served with any manifest, and denied with a current one")
 {
     const MonotonicTime now { 1h };
-    ManifestFreshness freshness({ false, 5s }, 4s, now);
+    ManifestFreshness freshness({ false, 5s }, 4s, now, false);
+    CHECK_FALSE(freshness.keyTrust(now, now).denies);
+    freshness.onEra(StoreEra(1), now - 2s);
     CHECK(freshness.keyTrust(now, now - 1h).serves);
     CHECK_FALSE(freshness.keyTrust(now, now - 1h).denies);
     CHECK(freshness.keyTrust(now, now - 3s).denies);
+    // A manifest that the store lost may have the key.
+    freshness.onEra(StoreEra(2), now);
+    CHECK_FALSE(freshness.keyTrust(now + 1900ms, now).denies);
+    CHECK(freshness.keyTrust(now + 2s, now).denies);
     CHECK_FALSE(freshness.isReadDue(now + 1h));
     CHECK(freshness.startRead(now) > 1h);
 }
