Hosts pass on the manifest in force, and one that starts waits for it

Cause: hosts passed on the rows of the store, which the restore had made old, and not what they had in force.

While the store's manifest is another version than the one in force, hosts send the text of theirs once over each link, ahead of the rows. A host that was restarted waits up to 0.6 s for the first frame of another host before it follows the store. The code that brings manifests into force leaves Host for ManifestAdoption, so that it can be tested.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -3,7 +3,6 @@
 #include "ConnectionLimits.h"
 #include "Core/LogEvent.h"
 #include "Core/RandomSource.h"
-#include "Core/TextHash.h"
 #include "Forwarding/AsyncEvent.h"
 #include "Forwarding/BootClock.h"
 #include "Forwarding/CallerSession.h"
@@ -11,12 +10,12 @@
 #include "Forwarding/Spawn.h"
 #include "HostMetrics.h"
 #include "Machine.h"
+#include "ManifestAdoption.h"
 #include "MemoryReport.h"
 #include "Peers/PeerNetwork.h"
 #include "PoolController.h"
 #include "RoleController.h"
 #include "Serving/BackendDirectory.h"
-#include "Serving/ManifestCheck.h"
 #include "Serving/ManifestFreshness.h"
 #include "Serving/ServiceReachability.h"
 #include "SettingsChange.h"
@@ -46,6 +45,9 @@
     // Time to send the responses of the requests that fail.
     constexpr Nanoseconds lastResponsesTime = std::chrono::milliseconds(200);
     constexpr Nanoseconds shutdownPollInterval = std::chrono::milliseconds(50);
+    // Another host answers within this time, also if the first seed does not.
+    constexpr Nanoseconds manifestWaitTime = std::chrono::milliseconds(600);
+    constexpr Nanoseconds manifestWaitPollInterval = std::chrono::milliseconds(20);
     constexpr Nanoseconds sweepInterval = std::chrono::milliseconds(250);
     // Read buffers, parser and coroutine frames of a connection to a server.
     constexpr std::size_t serverConnectionBytes = 24 << 10;
@@ -112,7 +114,10 @@
                   [this] { return m_context.serverSpeeds.localSums(bootTime()); },
                   [this](ServerSpeeds::Sums sums) {
                       m_context.serverSpeeds.setRemoteSums(std::move(sums), bootTime());
-                  } })
+                  },
+                  [this] { return m_adoption.superseding(); },
+                  [this](const std::string& text) { return m_adoption.onManifest(text); } })
+        , m_adoption(m_routes, m_freshness, m_settings.dataCentres, adoptionDeadline(), adoptionHooks())
         , m_tableSynchronizer(m_store, m_mirror, m_self, m_settings.tableBounds,
               { [this] { return m_network.isReader(); }, [this](SharedTable table) { onTableRead(table); },
                   [this](SharedTable table) { onTableReadFailed(table); },
@@ -218,6 +223,7 @@
             start(m_tableSynchronizer.follow(table));
         start(m_tableSynchronizer.enroll());
         start(m_network.run());
+        start(awaitManifest());
         start(m_dutyLease.run());
         start(m_roleController.run());
         if (m_poolController)
@@ -317,7 +323,7 @@
     {
         switch (table) {
         case SharedTable::Manifest:
-            applyManifest(rows, now);
+            m_adoption.onRows(rows, now);
             return;
         case SharedTable::Backends: {
             const auto changes = platform::decodeRegistrationRows(rows);
@@ -365,50 +371,40 @@
         }
     }
 
-    void applyManifest(const StoredRows& rows, MonotonicTime now)
+    ManifestAdoption::Hooks adoptionHooks()
     {
-        auto reading = platform::decodeManifestRows(rows);
-        if (reading.unreadable) {
-            LogEvent("manifest_unreadable", LogLevel::Warning)
-                .with("store_version", *reading.unreadable)
-                .with("in_force", m_routes.version());
-        }
-        if (!reading.manifest) {
-            // The table has other rows too.
-            m_copyInForce = m_copyInForce && !rows.whole && !newestManifestRow(rows);
-            m_freshness.onCopy(rows.newest, m_inForce, m_copyInForce);
-            return;
-        }
-        const auto version = reading.manifest->version;
-        const auto* row = newestManifestRow(rows);
-        const ManifestIdentity identity { version, addToTextHash(emptyTextHash, row->value) };
-        const auto errors = checkManifest(*reading.manifest, m_settings.dataCentres);
-        for (const auto& error : errors)
-            LogEvent("manifest_rejected", LogLevel::Error)
-                .with("version", reading.manifest->version)
-                .with("error", error)
-                .with("in_force", m_routes.version());
-        const bool adopted = errors.empty() && m_routes.adopt(std::move(*reading.manifest));
-        if (adopted)
-            m_inForce = identity;
-        // The store may have come back with an older manifest, or have got another one of the same version.
-        m_copyInForce = errors.empty() && !reading.unreadable && !row->removed && identity == m_inForce;
-        m_freshness.onCopy(rows.newest, m_inForce, m_copyInForce);
-        if (!adopted)
-            return;
+        return { [this] { return m_mirror.changesSince(SharedTable::Manifest, StoreVersion()); },
+            [this] { return m_network.hasHeardHost(); }, [this](bool fromHost) { onAdopted(fromHost); } };
+    }
+
+    // A host that was restarted may find an older manifest in the store than the other hosts have in force.
+    Deadline adoptionDeadline() const
+    {
+        return m_settings.firstStart ? Deadline() : Deadline::after(bootTime(), manifestWaitTime);
+    }
+
+    void onAdopted(bool fromHost)
+    {
+        const auto now = bootTime();
         const auto state = manifestState();
         const auto maxDelay = m_confirmedBefore == MonotonicTime() ? Nanoseconds() : now - m_confirmedBefore;
         m_metrics.onManifestInForce(maxDelay);
         LogEvent("manifest_in_force")
             .with("version", state.version)
             .with("routes", m_routes.manifest()->routes.size())
-            .with("store_version", rows.newest)
-            .with("from", copyOriginName(state.origin))
+            .with("store_version", m_mirror.version(SharedTable::Manifest))
+            .with("from", fromHost ? "host" : copyOriginName(state.origin))
             .with("age_ms", msOf(state.age))
             .with("max_delay_ms", msOf(maxDelay))
             .with("bound_ms", msOf(state.bound));
     }
 
+    awaitable<void> awaitManifest()
+    {
+        while (!m_adoption.poll(bootTime()))
+            co_await sleepFor(manifestWaitPollInterval);
+    }
+
     ManifestState manifestState() const
     {
         const auto table = SharedTable::Manifest;
@@ -421,13 +417,6 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
     }
 
-    // The last row of the manifest; null if there is none.
-    static const StoredRow* newestManifestRow(const StoredRows& rows)
-    {
-        const auto row = std::find_if(rows.rows.rbegin(), rows.rows.rend(), platform::isManifestRow);
-        return row == rows.rows.rend() ? nullptr : &*row;
-    }
-
     bool hasKeys() const { return m_routes.organisations(); }
 
     void applyHosts()
@@ -635,7 +624,7 @@
         LogEvent(refuses ? "manifest_too_old" : "manifest_proven", LogLevel::Warning)
             .with("version", m_routes.version())
             .with("age_ms", age ? msOf(*age) : -1)
-            .with("copy_in_force", m_copyInForce);
+            .with("copy_in_force", m_adoption.copyInForce());
     }
 
     void sweepCrashRecords()
@@ -726,9 +715,6 @@
     // When the copy of the manifest was last confirmed to be current, and the time before.
     MonotonicTime m_confirmedAt {};
     MonotonicTime m_confirmedBefore {};
-    // The manifest in force, and whether it is that of the store's newest row.
-    ManifestIdentity m_inForce;
-    bool m_copyInForce = false;
     bool m_refusesKeys = false;
     DemandMeter m_demand;
     DecodeTimes m_decodeTimes;
@@ -737,6 +723,7 @@
     RowMirror m_mirror;
     ServiceDemands m_peerDemand;
     PeerNetwork m_network;
+    ManifestAdoption m_adoption;
     TableSynchronizer m_tableSynchronizer;
     DutyLease m_dutyLease;
     RoleController m_roleController;
--- a/Source/Peers/PeerFrame.cpp
+++ b/Source/Peers/PeerFrame.cpp
@@ -400,6 +400,8 @@
     for (const auto& id : frame.storedUsage)
         stored.push_back({ id, {}, true });
     const auto storedList = encodeUsage(builder, stored);
+    const auto manifest
+        = frame.manifest ? builder.CreateString(*frame.manifest) : flatbuffers::Offset<flatbuffers::String>();
     const auto sent = frame.usageSent.value_or(SentReport());
     const auto speedList = encodeServerSpeeds(builder, frame.serverSpeeds);
     builder.Finish(peerwire::CreatePeerFrame(builder, host, dataCentre, frame.work.has_value(), loadList,
@@ -409,7 +411,7 @@
         frame.manifestProvenAge ? wholeMs(*frame.manifestProvenAge + roundUp) : 0, usageList, storedList,
         speedList, frame.manifestProvenVersion.version.count(), frame.manifestProvenVersion.era.count(),
         wholeMs(frame.echoedProbeAge), sent.window.count(), sent.body, frame.provenManifest.version,
-        frame.provenManifest.text));
+        frame.provenManifest.text, manifest));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -468,6 +470,8 @@
             frame.storedUsage.push_back(decodeUsage(*each).id);
     }
     frame.provenManifest = { from->proven_manifest(), from->proven_manifest_text() };
+    if (from->manifest())
+        frame.manifest = std::make_shared<const std::string>(textOf(from->manifest()));
     if (from->usage_sent() > 0)
         frame.usageSent = SentReport { UsageWindow(from->usage_sent()), from->usage_sent_body() };
     if (from->server_speeds()) {
--- a/Source/Peers/PeerFrame.h
+++ b/Source/Peers/PeerFrame.h
@@ -17,6 +17,7 @@
 #include "Serving/UsageRecord.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -78,6 +79,8 @@
     // What the proof is about, see ManifestProof.h. Hosts that do not know of eras go by the version.
     StoreVersion manifestProvenVersion;
     ManifestIdentity provenManifest;
+    // The text of the manifest in force, if that is not the one of the table; sent once over a link.
+    std::shared_ptr<const std::string> manifest;
     std::vector<UsageRecord> usage;
     // Records that are in the store.
     std::vector<UsageRecordId> storedUsage;
--- a/Source/Peers/PeerFrames_generated.h
+++ b/Source/Peers/PeerFrames_generated.h
@@ -1247,7 +1247,8 @@
     VT_USAGE_SENT = 54,
     VT_USAGE_SENT_BODY = 56,
     VT_PROVEN_MANIFEST = 58,
-    VT_PROVEN_MANIFEST_TEXT = 60
+    VT_PROVEN_MANIFEST_TEXT = 60,
+    VT_MANIFEST = 62
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -1336,6 +1337,9 @@
   uint64_t proven_manifest_text() const {
     return GetField<uint64_t>(VT_PROVEN_MANIFEST_TEXT, 0);
   }
+  const flatbuffers::String *manifest() const {
+    return GetPointer<const flatbuffers::String *>(VT_MANIFEST);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -1391,6 +1395,8 @@
            VerifyField<uint64_t>(verifier, VT_USAGE_SENT_BODY, 8) &&
            VerifyField<int64_t>(verifier, VT_PROVEN_MANIFEST, 8) &&
            VerifyField<uint64_t>(verifier, VT_PROVEN_MANIFEST_TEXT, 8) &&
+           VerifyOffset(verifier, VT_MANIFEST) &&
+           verifier.VerifyString(manifest()) &&
            verifier.EndTable();
   }
 };
@@ -1486,6 +1492,9 @@
   void add_proven_manifest_text(uint64_t proven_manifest_text) {
     fbb_.AddElement<uint64_t>(PeerFrame::VT_PROVEN_MANIFEST_TEXT, proven_manifest_text, 0);
   }
+  void add_manifest(flatbuffers::Offset<flatbuffers::String> manifest) {
+    fbb_.AddOffset(PeerFrame::VT_MANIFEST, manifest);
+  }
   explicit PeerFrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1527,7 +1536,8 @@
     int64_t usage_sent = 0,
     uint64_t usage_sent_body = 0,
     int64_t proven_manifest = 0,
-    uint64_t proven_manifest_text = 0) {
+    uint64_t proven_manifest_text = 0,
+    flatbuffers::Offset<flatbuffers::String> manifest = 0) {
   PeerFrameBuilder builder_(_fbb);
   builder_.add_proven_manifest_text(proven_manifest_text);
   builder_.add_proven_manifest(proven_manifest);
@@ -1537,6 +1547,7 @@
   builder_.add_manifest_proven_version(manifest_proven_version);
   builder_.add_echoed_probe(echoed_probe);
   builder_.add_probe(probe);
+  builder_.add_manifest(manifest);
   builder_.add_echoed_probe_age_ms(echoed_probe_age_ms);
   builder_.add_server_speeds(server_speeds);
   builder_.add_stored_usage(stored_usage);
@@ -1591,7 +1602,8 @@
     int64_t usage_sent = 0,
     uint64_t usage_sent_body = 0,
     int64_t proven_manifest = 0,
-    uint64_t proven_manifest_text = 0) {
+    uint64_t proven_manifest_text = 0,
+    const char *manifest = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<almondscale::peerwire::Load>(*loads) : 0;
@@ -1607,6 +1619,7 @@
   auto usage__ = usage ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>>(*usage) : 0;
   auto stored_usage__ = stored_usage ? _fbb.CreateVector<flatbuffers::Offset<almondscale::peerwire::UsageRecord>>(*stored_usage) : 0;
   auto server_speeds__ = server_speeds ? _fbb.CreateVectorOfStructs<almondscale::peerwire::ServerSpeed>(*server_speeds) : 0;
+  auto manifest__ = manifest ? _fbb.CreateString(manifest) : 0;
   return almondscale::peerwire::CreatePeerFrame(
       _fbb,
       host__,
@@ -1637,7 +1650,8 @@
       usage_sent,
       usage_sent_body,
       proven_manifest,
-      proven_manifest_text);
+      proven_manifest_text,
+      manifest__);
 }
 
 inline const almondscale::peerwire::PeerFrame *GetPeerFrame(const void *buf) {
--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -182,6 +182,7 @@
     std::uint64_t m_sentStoredUsagePosition = 0;
     std::optional<SentReport> m_toldUsageSent;
     std::optional<SentReport> m_statedUsageSent;
+    std::shared_ptr<const std::string> m_sentManifest;
     Deadline m_nextSpeeds;
     std::weak_ptr<Impl> m_self;
 };
@@ -235,6 +236,8 @@
 std::optional<SentReport>& PeerLink::toldUsageSent() { return m_impl->m_toldUsageSent; }
 std::optional<SentReport>& PeerLink::statedUsageSent() { return m_impl->m_statedUsageSent; }
 
+std::shared_ptr<const std::string>& PeerLink::sentManifest() { return m_impl->m_sentManifest; }
+
 std::uint64_t& PeerLink::sentLimitVersion() { return m_impl->m_sentLimitVersion; }
 
 Deadline& PeerLink::nextSpeeds() { return m_impl->m_nextSpeeds; }
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -64,6 +64,9 @@
     std::optional<SentReport>& toldUsageSent();
     std::optional<SentReport>& statedUsageSent();
 
+    // The text of the manifest in force that was last sent over this link; null if none was.
+    std::shared_ptr<const std::string>& sentManifest();
+
     // A stamp of this moment, to be sent with the next frame.
     std::uint64_t makeProbe();
     // The last stamp received from the other host, 0 if there is none, and when it arrived.
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -132,6 +132,12 @@
         return !lacking.empty();
     }
 
+    bool hasHeardHost() const
+    {
+        return std::any_of(
+            m_links.begin(), m_links.end(), [](const auto& link) { return !link->host().empty(); });
+    }
+
     bool hearsHosts() const { return m_hasCheckedLinks && (isOpen(m_readerLink) || !lacksDataCentre()); }
 
     bool othersKnowUsageSent(UsageWindow window) const
@@ -339,6 +345,9 @@
             frame.echoedProbeAge = now - link.probeReceivedAt();
             addProof(frame, now);
         }
+        const auto manifest = m_hooks.manifest ? m_hooks.manifest() : nullptr;
+        if (manifest && link.sentManifest() != manifest)
+            frame.manifest = link.sentManifest() = manifest;
         addUsage(frame, link);
         if (whole && m_hooks.localSpeeds && link.nextSpeeds().passed(now)) {
             link.nextSpeeds() = Deadline::after(now, speedInterval);
@@ -433,7 +442,8 @@
         const auto now = bootTime();
         // A frame may have waited for any time on its way.
         const auto madeAfter = link.madeAfter(frame);
-        bool changed = false;
+        // Before the rows of the table, which are older.
+        bool changed = frame.manifest && m_hooks.onManifest && m_hooks.onManifest(*frame.manifest);
         for (auto update : frame.tableUpdates) {
             const auto before = m_mirror.version(update.table);
             link.setKnownVersion(update.table, update.rows.newest);
@@ -553,6 +563,8 @@
 
 bool PeerNetwork::lacksDataCentre() const { return m_impl->lacksDataCentre(); }
 
+bool PeerNetwork::hasHeardHost() const { return m_impl->hasHeardHost(); }
+
 bool PeerNetwork::hearsHosts() const { return m_impl->hearsHosts(); }
 
 bool PeerNetwork::othersKnowUsageSent(UsageWindow window) const
--- a/Source/Peers/PeerNetwork.h
+++ b/Source/Peers/PeerNetwork.h
@@ -59,6 +59,10 @@
         std::function<ServerSpeeds::Sums()> localSpeeds = {};
         // Called with the samples of all other hosts, which replace the last ones.
         std::function<void(ServerSpeeds::Sums)> onRemoteSpeeds = {};
+        // The text of the manifest in force, if the store came back with an older one; null otherwise.
+        std::function<std::shared_ptr<const std::string>()> manifest = {};
+        // The text of one that another host has in force; returns whether it is newer than this host's.
+        std::function<bool(const std::string&)> onManifest = {};
     };
 
     // The seeds are peer addresses of other hosts, used until the table of hosts is known. They may be stale.
@@ -80,6 +84,8 @@
     bool isReader() const;
     // Whether this host has no link to any host of some other data centre.
     bool lacksDataCentre() const;
+    // Whether any host has sent a frame over a link that is open.
+    bool hasHeardHost() const;
     // Whether this host has links by which it learns what any other host has told: to the reader of each data
     // centre, or to its own reader.
     bool hearsHosts() const;
--- a/Tests/Peers/PeerNetworkTest.cpp
+++ b/Tests/Peers/PeerNetworkTest.cpp
@@ -56,6 +56,13 @@
                 usageSent = report;
             return isNew;
         };
+        hooks.manifest = [this] { return inForce; };
+        hooks.onManifest = [this](const std::string& text) {
+            if (inForce)
+                return false;
+            inForce = std::make_shared<const std::string>(text);
+            return true;
+        };
         hooks.exchangesProofs = [this] { return exchangesProofs; };
         hooks.manifestProof = [this] { return proof; };
         hooks.onManifestProof = [this](const ManifestProof& given) {
@@ -91,6 +98,7 @@
     int usageRecords = 0;
     std::vector<UsageRecordId> confirmed;
     std::optional<SentReport> usageSent;
+    std::shared_ptr<const std::string> inForce;
     bool exchangesProofs = false;
     std::optional<ManifestProof> proof;
     int proofsGiven = 0;
@@ -417,3 +425,23 @@
     runFor(500ms);
     CHECK(hosts.back()->usageSent == report);
 }
+
+// Guards against a host that starts by the older manifest of a restored store beside hosts that know a newer
+// one.
+TEST_CASE_METHOD(PeerNetworkFixture, "Manifest in force that the store has lost reaches a host that starts")
+{
+    hosts[3]->inForce = std::make_shared<const std::string>("newer");
+    CHECK_FALSE(hosts[3]->network.hasHeardHost());
+    runFor(1500ms);
+    for (const auto& host : hosts) {
+        REQUIRE(host->inForce);
+        CHECK(*host->inForce == "newer");
+    }
+    add("a4", "a", 0.5, { hosts[4]->record.peerAddress });
+    auto& started = *hosts.back();
+    for (int i = 0; i < 100 && !started.network.hasHeardHost(); ++i)
+        runFor(5ms);
+    // Its first frame has it, so that nothing older comes into force.
+    REQUIRE(started.inForce);
+    CHECK(*started.inForce == "newer");
+}
