BackendDirectory: an entry displaces a server only by evidence, and a displaced server returns

The server's own entries did not bring it back, since they differ in their heartbeat alone, which RowMirror reports as no change, and neither did the removal of the other entry.

All entries of an address are kept now and one is used, by an order that does not depend on that of the writes: a service of the manifest, no 421 from the address, written again since, the later start, the id. While an address has several, heartbeats count.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -152,9 +152,20 @@
         startDuties();
         configureMemory();
         m_store.onEraChange = [this](StoreEra before) { onStoreRestored(before); };
-        m_mirror.isEquivalent = [](SharedTable table, const std::string& before, const std::string& after) {
-            return table == SharedTable::Backends && platform::sameRegistration(before, after);
+        m_mirror.isEquivalent = [this](SharedTable table, const StoredRow& before, const StoredRow& after) {
+            return table == SharedTable::Backends && !m_directory.isContested(BackendId(after.key))
+                && platform::sameRegistration(before.value, after.value);
         };
+        m_directory.onDisplaced = [](const BackendRecord& displaced, const BackendRecord& used) {
+            LogEvent("backend_displaced", LogLevel::Warning)
+                .with("backend", displaced.id)
+                .with("service", displaced.service)
+                .with("by", used.id)
+                .with("by_service", used.service)
+                .with("address", used.address.text());
+        };
+        m_directory.isServed
+            = [this](const ServiceName& service) { return m_routes.service(service) != nullptr; };
         m_mirror.onCurrent = [this](SharedTable table, MonotonicTime now) {
             if (table == SharedTable::Backends)
                 m_directory.onCurrent(now);
@@ -178,6 +189,7 @@
             m_network.publish();
         };
         m_context.onServerBarred = [this](const BackendLifetime&) { m_metrics.onServerNotice("barred"); };
+        m_context.onWrongServer = [this](const BackendLifetime& server) { m_directory.noteAbsent(server); };
         m_context.onLimitChanged = [this] { m_network.publish(); };
         m_context.keyTrust
             = [this] { return m_freshness.keyTrust(bootTime(), m_mirror.currentAt(SharedTable::Manifest)); };
@@ -389,6 +401,7 @@
         const auto state = manifestState();
         const auto maxDelay = m_confirmedBefore == MonotonicTime() ? Nanoseconds() : now - m_confirmedBefore;
         m_metrics.onManifestInForce(maxDelay);
+        m_directory.onServicesChanged();
         LogEvent("manifest_in_force")
             .with("version", state.version)
             .with("routes", m_routes.manifest()->routes.size())
--- a/Source/Forwarding/RequestForwarder.cpp
+++ b/Source/Forwarding/RequestForwarder.cpp
@@ -428,7 +428,10 @@
 awaitable<AttemptOutcome> RequestForwarder::Impl::handleRefusal(
     const BackendId& id, const BackendReply& reply, Deadline deadline)
 {
+    const auto server = m_server;
     recordOutcome(id, reply.wrongBackend ? BackendOutcome::ConnectionLost : BackendOutcome::Refused);
+    if (reply.wrongBackend && m_context.onWrongServer)
+        m_context.onWrongServer(server);
     const auto body = co_await m_connection->readWholeBody(maxRefusalBytes, deadline);
     if (body)
         m_context.pool.release(std::move(m_connection));
--- a/Source/Forwarding/ServingContext.h
+++ b/Source/Forwarding/ServingContext.h
@@ -58,6 +58,8 @@
     // Called when a server announces that it is leaving, or asks for a pause (Retry-After).
     std::function<void(const BackendLifetime&)> onServerLeaving = {};
     std::function<void(const BackendLifetime&)> onServerBarred = {};
+    // Another server than the addressed one answered.
+    std::function<void(const BackendLifetime&)> onWrongServer = {};
     // Called when other hosts should hear of a server's limit at once.
     std::function<void()> onLimitChanged = {};
     // Called for each request sent to a server that has a limit.
--- a/Source/Serving/BackendDirectory.cpp
+++ b/Source/Serving/BackendDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include <iterator>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace almondscale {
@@ -70,7 +71,7 @@
     for (const auto& change : changes) {
         m_withheld.erase(change.id);
         if (change.record)
-            put(*change.record);
+            put(*change.record, true);
         else
             remove(change.id, now);
     }
@@ -121,8 +122,8 @@
 {
     const auto known = m_records.find(record.id);
     // Servers do not return from draining, but older copies of the store do.
-    if (known != m_records.end() && lifetimeOf(known->second) == lifetimeOf(record))
-        record.draining = record.draining || known->second.draining;
+    if (known != m_records.end() && lifetimeOf(known->second.record) == lifetimeOf(record))
+        record.draining = record.draining || known->second.record.draining;
     put(record);
 }
 
@@ -133,22 +134,103 @@
     m_departed[server] = Deadline::after(now, maxCopyAge);
 }
 
-void BackendDirectory::put(const BackendRecord& record)
+void BackendDirectory::put(const BackendRecord& record, bool reported)
 {
     m_lapsed.erase(record.id);
     m_departed.erase(lifetimeOf(record));
-    for (auto known = m_records.begin(); known != m_records.end(); ++known) {
-        if (known->first == record.id || known->second.address != record.address)
+    const auto before = m_records.find(record.id);
+    if (before != m_records.end()) {
+        const auto known = before->second.record;
+        const bool moved = known.address != record.address;
+        if (lifetimeOf(known) != lifetimeOf(record)) {
+            if (before->second.used && onRemoved)
+                onRemoved(known);
+            before->second = Registration { {}, before->second.used };
+        } else if (reported && !moved) {
+            before->second.reports = isContested(record.id);
+        }
+        if (moved)
+            forget(record.id, known.address);
+    }
+    m_records[record.id].record = record;
+    m_byAddress[record.address].insert(record.id);
+    choose(record.address);
+}
+
+bool BackendDirectory::isContested(const BackendId& id) const
+{
+    const auto known = m_records.find(id);
+    return known != m_records.end() && m_byAddress.at(known->second.record.address).size() > 1;
+}
+
+bool BackendDirectory::isBetter(const Registration& a, const Registration& b) const
+{
+    const auto rank = [this](const Registration& each) {
+        return std::tuple(isServed(each.record.service), !each.absent, each.reports, each.record.startedAtMs,
+            each.record.id);
+    };
+    return rank(b) < rank(a);
+}
+
+void BackendDirectory::choose(const Address& address)
+{
+    const auto claims = m_byAddress.find(address);
+    if (claims == m_byAddress.end())
+        return;
+    Registration* best = nullptr;
+    for (const auto& id : claims->second) {
+        auto& each = m_records.at(id);
+        if (claims->second.size() == 1)
+            each.reports = each.absent = false;
+        if (!best || isBetter(each, *best))
+            best = &each;
+    }
+    for (const auto& id : claims->second) {
+        auto& each = m_records.at(id);
+        if (&each == best)
             continue;
-        // A terminated server's address was reassigned to this one.
-        drop(BackendId(known->first));
-        break;
+        if (each.used && onDisplaced)
+            onDisplaced(each.record, best->record);
+        stopUsing(each);
     }
-    const auto before = m_records.find(record.id);
-    if (before != m_records.end() && lifetimeOf(before->second) != lifetimeOf(record) && onRemoved)
-        onRemoved(before->second);
-    m_records[record.id] = record;
-    m_table.put(record);
+    best->used = true;
+    m_table.put(best->record);
+}
+
+void BackendDirectory::stopUsing(Registration& registration)
+{
+    if (!std::exchange(registration.used, false))
+        return;
+    m_table.remove(registration.record.id);
+    if (onRemoved)
+        onRemoved(registration.record);
+}
+
+void BackendDirectory::forget(const BackendId& id, const Address& address)
+{
+    const auto claims = m_byAddress.find(address);
+    claims->second.erase(id);
+    if (claims->second.empty())
+        m_byAddress.erase(claims);
+    else
+        choose(address);
+}
+
+void BackendDirectory::onServicesChanged()
+{
+    for (const auto& entry : m_byAddress) {
+        if (entry.second.size() > 1)
+            choose(entry.first);
+    }
+}
+
+void BackendDirectory::noteAbsent(const BackendLifetime& server)
+{
+    const auto known = m_records.find(server.backend);
+    if (!isContested(server.backend) || lifetimeOf(known->second.record) != server)
+        return;
+    known->second.absent = true;
+    choose(known->second.record.address);
 }
 
 void BackendDirectory::remove(const BackendId& id, MonotonicTime now)
@@ -162,7 +244,7 @@
         m_lapsed.emplace(id, m_storeBackAt + reregistrationTime);
         return;
     }
-    noteDeparture(lifetimeOf(known->second), now);
+    noteDeparture(lifetimeOf(known->second.record), now);
     drop(id);
 }
 
@@ -172,11 +254,10 @@
     const auto found = m_records.find(id);
     if (found == m_records.end())
         return;
-    const auto record = found->second;
+    stopUsing(found->second);
+    const auto address = found->second.record.address;
     m_records.erase(found);
-    m_table.remove(id);
-    if (onRemoved)
-        onRemoved(record);
+    forget(id, address);
 }
 
 } // namespace almondscale
--- a/Source/Serving/BackendDirectory.h
+++ b/Source/Serving/BackendDirectory.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace almondscale {
@@ -15,6 +16,9 @@
 // Follows the registrations of backend servers and updates the BackendTable. Registrations that disappear
 // during an outage of the store, or because it came back from an older copy, stay in use until running
 // servers have had time to register again. A server that had left is not used because an older copy lists it.
+// Of several registrations with one address, one is used: an address may be assigned again, and a
+// registration may be of another writer, who is no server. The others are kept, and used again if the
+// evidence changes.
 class BackendDirectory {
 public:
     explicit BackendDirectory(BackendTable&);
@@ -37,9 +41,36 @@
 
     // Called for each server that is dropped, has restarted, or whose address belongs to another server now.
     std::function<void(const BackendRecord&)> onRemoved;
+    // Called when a server's registration is no longer used, since another one has its address.
+    std::function<void(const BackendRecord& displaced, const BackendRecord& used)> onDisplaced;
+    // Whether the manifest in force has the service.
+    std::function<bool(const ServiceName&)> isServed = [](const ServiceName&) { return true; };
+
+    // The services of the manifest have changed.
+    void onServicesChanged();
+    // Another server answered at the server's address.
+    void noteAbsent(const BackendLifetime&);
+    // Whether another registration has the server's address, so that repeated reports of the same are
+    // evidence.
+    bool isContested(const BackendId&) const;
 
 private:
-    void put(const BackendRecord&);
+    struct Registration {
+        BackendRecord record;
+        // It is in the table.
+        bool used = false;
+        // What is known since the address has several registrations: it was written again, as a server does
+        // at intervals; another server answered at its address.
+        bool reports = false;
+        bool absent = false;
+    };
+
+    void put(const BackendRecord&, bool reported = false);
+    // Uses the registration of the address that is the server's by the evidence.
+    void choose(const Address&);
+    bool isBetter(const Registration&, const Registration&) const;
+    void stopUsing(Registration&);
+    void forget(const BackendId&, const Address&);
     // Adds a registration from a snapshot, which may be older than what is known of the server.
     void putListed(BackendRecord);
     void remove(const BackendId&, MonotonicTime now);
@@ -47,7 +78,8 @@
     void noteDeparture(const BackendLifetime&, MonotonicTime now);
 
     BackendTable& m_table;
-    std::map<BackendId, BackendRecord> m_records;
+    std::map<BackendId, Registration> m_records;
+    std::map<Address, std::set<BackendId>> m_byAddress;
     // Registrations that disappeared around an outage of the store, with the time until which they are kept.
     std::map<BackendId, MonotonicTime> m_lapsed;
     // Servers whose registrations were removed lately.
--- a/Source/Serving/RowMirror.cpp
+++ b/Source/Serving/RowMirror.cpp
@@ -74,7 +74,7 @@
         return true;
     if (stored.removed || row.removed)
         return stored.removed && row.removed;
-    return stored.value == row.value || (isEquivalent && isEquivalent(which, stored.value, row.value));
+    return stored.value == row.value || (isEquivalent && isEquivalent(which, stored, row));
 }
 
 bool RowMirror::empty(SharedTable which) const
--- a/Source/Serving/RowMirror.h
+++ b/Source/Serving/RowMirror.h
@@ -22,8 +22,8 @@
 
     // Called whenever a table is confirmed to be current, before onUpdate.
     std::function<void(SharedTable, MonotonicTime now)> onCurrent;
-    // Whether two values of a row are equivalent; such a change is not reported.
-    std::function<bool(SharedTable, const std::string& before, const std::string& after)> isEquivalent;
+    // Whether the values of a row are equivalent before and after a change, which is then not reported.
+    std::function<bool(SharedTable, const StoredRow& before, const StoredRow& after)> isEquivalent;
 
     // Applies rows that were current at the given time, which is the default if it is unknown. Rows of an
     // older version than the replica are ignored, and changes in another era, since the rows that they do not
--- a/Tests/Forwarding/RequestForwarderTest.cpp
+++ b/Tests/Forwarding/RequestForwarderTest.cpp
@@ -81,6 +81,23 @@
     CHECK(full.requests <= 1);
 }
 
+// Guards against a server that is not known to be absent although another one answers at its address.
+TEST_CASE_METHOD(
+    ForwardingFixture, "Request answered by another server at the address is sent on, and tells so")
+{
+    addServer("s1", std::nullopt, whole(421, ""));
+    addServer("s2", std::nullopt, whole(200, "fine"));
+    std::vector<BackendLifetime> absent;
+    context.onWrongServer = [&](const BackendLifetime& server) { absent.push_back(server); };
+    for (int i = 0; i < 8 && absent.empty(); ++i) {
+        const auto reply = ask("POST", "/unsafe/x", "body");
+        REQUIRE(reply.ok());
+        CHECK(reply.value().body == "fine");
+    }
+    REQUIRE(absent.size() == 1);
+    CHECK(absent.front().backend == BackendId("s1"));
+}
+
 TEST_CASE_METHOD(
     ForwardingFixture, "Safe request that fails is retried once and then answered with the failure")
 {
--- a/Tests/Serving/RowMirrorTest.cpp
+++ b/Tests/Serving/RowMirrorTest.cpp
@@ -63,8 +63,8 @@
 
 TEST_CASE_METHOD(RowMirrorFixture, "Mirror, given an equivalent value, reports nothing")
 {
-    mirror.isEquivalent = [](SharedTable, const std::string& before, const std::string& after) {
-        return before.front() == after.front();
+    mirror.isEquivalent = [](SharedTable, const StoredRow& before, const StoredRow& after) {
+        return before.value.front() == after.value.front();
     };
     mirror.apply(table, rows(at(12), { row("x", "1 beat", 12) }), now, now);
     CHECK(updates.empty());
