BackendConnection: a status that is none ends the response

Cause: readHead() took every status below 200 for an interim response and read the next head from the bytes behind it.

Final responses have statuses from 200 to 599, interim ones from 100 on but for 101, without a stated body; everything else is no response: the attempt fails, as with other bytes that are none. 600 to 999, passed on until now, are among them: by RFC 9110 (15) they are invalid, to be treated like a failure of the server.

--- a/Source/Forwarding/BackendConnection.cpp
+++ b/Source/Forwarding/BackendConnection.cpp
@@ -31,6 +31,11 @@
     constexpr std::uint32_t maxHeadBytes = 64 << 10;
     // Bytes read ahead of the parser: a head, or a chunk header, and one read of the body.
     constexpr std::size_t maxBufferBytes = maxHeadBytes + chunkBytes;
+    // Statuses of HTTP responses; final ones begin at 200.
+    constexpr unsigned firstInterimStatus = 100;
+    constexpr unsigned firstFinalStatus = 200;
+    constexpr unsigned lastStatus = 599;
+    constexpr unsigned switchingProtocols = 101;
     // Interim (1xx) responses accepted before the final one.
     constexpr int maxInterimResponses = 8;
     // Idle connections are not reused this shortly before the server closes them.
@@ -61,6 +66,20 @@
         return text + "\r\n";
     }
 
+    // Whether other responses may follow. An interim response has no body, and no protocol is ever switched.
+    template <typename Message> bool isInterim(const Message& message)
+    {
+        const auto status = message.result_int();
+        return status >= firstInterimStatus && status < firstFinalStatus && status != switchingProtocols
+            && message.count(http::field::content_length) == 0
+            && message.count(http::field::transfer_encoding) == 0;
+    }
+
+    template <typename Message> bool isFinal(const Message& message)
+    {
+        return message.result_int() >= firstFinalStatus && message.result_int() <= lastStatus;
+    }
+
     awaitable<bool> answerAtOnce(bool value) { co_return value; }
 
     std::optional<int> parseKeepAliveTimeout(const std::string& value)
@@ -216,8 +235,11 @@
             = co_await http::async_read_header(impl->m_socket, impl->m_buffer, parser, noThrow);
         if (error)
             co_return impl->translateError(error);
-        if (parser.get().result_int() >= 200)
+        if (isFinal(parser.get()))
             break;
+        // What follows a status that is none may look like a response and is not one.
+        if (!isInterim(parser.get()))
+            co_return std::make_error_code(std::errc::bad_message);
     }
     impl->m_hasReadResponse = true;
     const auto& message = impl->m_parser->get();
--- a/Tests/Forwarding/BackendConnectionTest.cpp
+++ b/Tests/Forwarding/BackendConnectionTest.cpp
@@ -82,3 +82,26 @@
     CHECK_FALSE(answerOf("", true).ok());
     CHECK(bootTime() - before < 600ms);
 }
+
+// Guards against bytes behind a status that is none, which callers get as the server's response.
+TEST_CASE_METHOD(BackendConnectionFixture, "Status that is none is an error, whatever follows looks like")
+{
+    const std::string inner = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const auto status = GENERATE("000", "001", "099", "101", "600", "999", "1000");
+    const auto head = std::string("HTTP/1.1 ") + status + " X\r\n";
+    const auto length = "Content-Length: " + std::to_string(inner.size()) + "\r\n";
+    CAPTURE(status);
+    CHECK_FALSE(answerOf(head + "\r\n" + inner, true).ok());
+    backends.remove(BackendId("s"));
+    CHECK_FALSE(answerOf(head + length + "\r\n" + inner, true).ok());
+}
+
+TEST_CASE_METHOD(BackendConnectionFixture, "Interim response with a body is an error, one without is skipped")
+{
+    const std::string inner = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const auto fields
+        = GENERATE("Content-Length: 40\r\n", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n");
+    CHECK_FALSE(answerOf(std::string("HTTP/1.1 103 X\r\n") + fields + "\r\n" + inner, true).ok());
+    backends.remove(BackendId("s"));
+    CHECK(answerOf("HTTP/1.1 103 X\r\nLink: a\r\n\r\n" + inner, true).ok());
+}
--- a/Tests/Serving/BackendDirectoryTest.cpp
+++ b/Tests/Serving/BackendDirectoryTest.cpp
@@ -321,6 +321,7 @@
             break;
         default: {
             std::vector<BackendChange> all;
+            all.reserve(stored.size());
             for (const auto& entry : stored)
                 all.push_back(present(entry.second));
             std::shuffle(all.begin(), all.end(), random);
