BackendConnection: an answer that ends with its channel is complete only if its request was taken

Cause: the end of the stream counted as the end of the answer, and nothing looked at what came behind it. The upload had been handed to the kernel, so that the write had not failed; a reset behind the end shows only as a pending error.

At such an end the connection now looks for a pending error and for bytes that the server's kernel has not confirmed; for bodies over 16 KB it waits 20 ms at most for either. A reset or an unconfirmed rest makes the answer a broken one, as a reset before the end always did.

--- a/Source/Forwarding/BackendConnection.cpp
+++ b/Source/Forwarding/BackendConnection.cpp
@@ -1,5 +1,6 @@
 #include "Forwarding/BackendConnection.h"
 
+#include "Forwarding/AsyncEvent.h"
 #include "Forwarding/BootClock.h"
 #include "Forwarding/SocketOptions.h"
 #include "Forwarding/StepwiseString.h"
@@ -11,6 +12,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -38,6 +41,11 @@
     constexpr unsigned switchingProtocols = 101;
     // Interim (1xx) responses accepted before the final one.
     constexpr int maxInterimResponses = 8;
+    // A server that has read a head has usually read a body of this size with it.
+    constexpr std::size_t smallBodyBytes = 16 << 10;
+    // A server that closes a connection with unread bytes resets it at about the same time.
+    constexpr Nanoseconds resetTime = std::chrono::milliseconds(20);
+    constexpr Nanoseconds resetPollInterval = std::chrono::milliseconds(2);
     // Idle connections are not reused this shortly before the server closes them.
     constexpr Nanoseconds keepAliveMargin = std::chrono::milliseconds(700);
     // Keep-alive timeout of servers that send none.
@@ -160,8 +168,38 @@
     bool m_responseComplete = false;
     bool m_keepAlive = false;
     MonotonicTime m_idleUntil {};
+    std::size_t m_sentBodyBytes = 0;
     std::weak_ptr<Impl> m_self;
 
+    // Whether the server's kernel has confirmed all bytes that were sent.
+    bool hasTakenAll()
+    {
+        int unconfirmed = 0;
+        return ioctl(m_socket.native_handle(), SIOCOUTQ, &unconfirmed) != 0 || unconfirmed == 0;
+    }
+
+    bool isReset()
+    {
+        int error = 0;
+        socklen_t size = sizeof(error);
+        return getsockopt(m_socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error != 0;
+    }
+
+    // A response without a length ends with its connection. If the server ended it before it had taken the
+    // request, it may have broken off: a reset follows, or some of the request stays unconfirmed.
+    awaitable<std::error_code> checkEnd(Deadline deadline)
+    {
+        const auto until = std::min(deadline, Deadline::after(bootTime(), resetTime));
+        for (;;) {
+            if (m_closed || isReset())
+                co_return std::make_error_code(std::errc::connection_reset);
+            const bool taken = hasTakenAll();
+            if (until.passed(bootTime()) || (taken && m_sentBodyBytes <= smallBodyBytes))
+                co_return taken ? std::error_code() : std::make_error_code(std::errc::connection_reset);
+            co_await sleepFor(resetPollInterval);
+        }
+    }
+
     // Result of a read without blocking: 0 at the end of the connection or on an error, nullopt if
     // it would block.
     std::optional<ssize_t> peek()
@@ -211,6 +249,7 @@
     impl->m_responseComplete = false;
     impl->m_keepAlive = false;
     impl->m_parser.reset();
+    impl->m_sentBodyBytes = body.size();
     const std::string text = serializeHead(head, body.size());
     const std::array<boost::asio::const_buffer, 2> buffers { boost::asio::buffer(text),
         boost::asio::buffer(body) };
@@ -275,6 +314,12 @@
         chunk.bytes.assign(impl->m_chunk.data(), impl->m_chunk.size() - body.size);
     }
     chunk.last = parser.is_done();
+    if (chunk.last && parser.need_eof()) {
+        if (const auto error = co_await impl->checkEnd(deadline)) {
+            impl->m_closedByServer = !impl->m_closed;
+            co_return error;
+        }
+    }
     impl->m_responseComplete = chunk.last;
     // Idle connections hold no buffers.
     if (chunk.last && impl->m_buffer.size() == 0)
--- a/Tests/Forwarding/ForwardingFixture.h
+++ b/Tests/Forwarding/ForwardingFixture.h
@@ -139,10 +139,10 @@
         return askHead(requestHead(method, target, patienceMs));
     }
 
-    Result<HttpReply> askHead(HttpRequestHead head)
+    Result<HttpReply> askHead(HttpRequestHead head, std::string body = {})
     {
         std::optional<Result<HttpReply>> result;
-        spawn(loop.get_executor(), askInto(std::move(head), result));
+        spawn(loop.get_executor(), askInto(std::move(head), std::move(body), result));
         while (!result && loop.run_one() > 0) { }
         return *result;
     }
@@ -203,10 +203,10 @@
         co_return;
     }
 
-    awaitable<void> askInto(HttpRequestHead head, std::optional<Result<HttpReply>>& result)
+    awaitable<void> askInto(HttpRequestHead head, std::string body, std::optional<Result<HttpReply>>& result)
     {
         ConnectionPool own(loop.get_executor());
-        auto reply = co_await callHttp(own, address, std::move(head), std::string(),
+        auto reply = co_await callHttp(own, address, std::move(head), std::move(body),
             Deadline::after(bootTime(), std::chrono::seconds(4)));
         result.emplace(std::move(reply));
     }
--- a/Tests/Support/LoopbackServer.h
+++ b/Tests/Support/LoopbackServer.h
@@ -66,11 +66,13 @@
     {
         boost::beast::flat_buffer buffer;
         for (bool more = true; more;) {
-            Request request;
+            boost::beast::http::request_parser<boost::beast::http::string_body> parser;
+            parser.body_limit(boost::none);
             const auto [error, size]
-                = co_await boost::beast::http::async_read(*socket, buffer, request, noThrow);
+                = co_await boost::beast::http::async_read(*socket, buffer, parser, noThrow);
             if (error)
                 co_return;
+            const Request request = parser.release();
             ++self->requests;
             ++self->requestsByMethod[std::string(request.method_string())];
             more = co_await self->m_answer(request, *socket);
