HttpClient: a response whose status is none is a lost one

The daemon's client passed on any status that a service, an engine or the platform sent, 000 and 600 among them.

--- a/Source/Http/ClientCall.cpp
+++ b/Source/Http/ClientCall.cpp
@@ -15,6 +15,9 @@
     // With any other message the call may have been sent.
     constexpr const char* connectFailurePrefix = "while trying to connect to host";
 
+    constexpr int firstFinalStatus = 200;
+    constexpr int lastStatus = 599;
+
 } // namespace
 
 cxxtools::http::Request toCxxtoolsRequest(const HttpCall& call)
@@ -27,10 +30,12 @@
     return request;
 }
 
-HttpResponse responseHead(const cxxtools::http::ReplyHeader& header)
+std::optional<HttpResponse> responseHead(const cxxtools::http::ReplyHeader& header)
 {
     HttpResponse response;
     response.status = static_cast<int>(header.httpReturnCode());
+    if (response.status < firstFinalStatus || response.status > lastStatus)
+        return std::nullopt;
     for (const auto& [name, value] : header)
         response.headers[lowerCase(name)] = value;
     const auto type = response.headers.find("content-type");
--- a/Source/Http/ClientCall.h
+++ b/Source/Http/ClientCall.h
@@ -9,12 +9,14 @@
 #include <cxxtools/http/request.h>
 
 #include <exception>
+#include <optional>
 
 namespace almondscale {
 
 // Conversions that HttpClient and HttpStream share; not part of the public interface.
 cxxtools::http::Request toCxxtoolsRequest(const HttpCall&);
-HttpResponse responseHead(const cxxtools::http::ReplyHeader&);
+// Unset if the status is not one of a final response.
+std::optional<HttpResponse> responseHead(const cxxtools::http::ReplyHeader&);
 
 // Tells from the exception of a failed call whether the server may have received it.
 CallFailure classifyFailure(const std::exception&);
--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -16,9 +16,11 @@
         cxxtools::http::Client client(call.to.ip, call.to.port);
         const cxxtools::http::ReplyHeader& header
             = client.execute(toCxxtoolsRequest(call), timeUntil(call.deadline));
-        HttpResponse response = responseHead(header);
+        auto response = responseHead(header);
+        if (!response)
+            return result;
         client.readBody();
-        response.body = client.body();
+        response->body = client.body();
         result.response = std::move(response);
     } catch (const std::exception& error) {
         result.failure = classifyFailure(error);
--- a/Source/Http/HttpStream.cpp
+++ b/Source/Http/HttpStream.cpp
@@ -34,9 +34,9 @@
         result.failure = m_failure;
         if (!m_headerRead)
             return result;
-        HttpResponse response = responseHead(m_client.header());
-        if (response.status != okStatus)
-            response.body = readAll(call.deadline);
+        auto response = responseHead(m_client.header());
+        if (response && response->status != okStatus)
+            response->body = readAll(call.deadline);
         result.response = std::move(response);
         return result;
     }
--- a/Tests/Http/CallOnceTest.cpp
+++ b/Tests/Http/CallOnceTest.cpp
@@ -46,6 +46,17 @@
     CHECK(server.connections() == 0);
 }
 
+// Guards against a status that is none, which callers get as an answer.
+TEST_CASE("callOnce, response with a status that is none, is reported as lost")
+{
+    const auto status = GENERATE("000", "099", "600", "999");
+    test::FixedResponseServer server(std::string("HTTP/1.1 ") + status + " X\r\nContent-Length: 2\r\n\r\n{}");
+    const auto result = callOnce(bookingCall(server.address()));
+    CAPTURE(status);
+    CHECK_FALSE(result.ok());
+    CHECK(result.failure == CallFailure::AnswerLost);
+}
+
 TEST_CASE("callOnce, response truncated within its body, is reported as lost")
 {
     test::FixedResponseServer server("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"par");
--- a/Tests/Http/HttpStreamTest.cpp
+++ b/Tests/Http/HttpStreamTest.cpp
@@ -51,6 +51,17 @@
     CHECK(line == "POST 1048576");
 }
 
+// Guards against a stream behind a status that is none.
+TEST_CASE("HttpStream, response with a status that is none, is reported as lost")
+{
+    test::FixedResponseServer server(
+        "HTTP/1.1 000 X\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n");
+    HttpStream stream;
+    const auto result = stream.open(callTo(server.address()));
+    CHECK_FALSE(result.ok());
+    CHECK(result.failure == CallFailure::AnswerLost);
+}
+
 TEST_CASE("HttpStream, connection closed within a line, ends without the partial line")
 {
     test::FixedResponseServer server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\none\npart");
