EraObserver: a host that learns of an era by another's rows does not read by itself

Since hosts learn of an era by the rows of others, a host whose reader passed on one table of a new era took its other tables for outdated and read them itself at once: in a drill all hosts of a data centre instead of one (seen when reading the change; not measured). The era of the store's own responses decides again which tables are read. EraObserver joins both sources for what must be known of a restore: usage, crash records, proofs of the manifest.

EraObserverTest replaces the case of StoreClientTest on the same failure, with the same checks. ServingTest on eras and PlatformAdapterTest: passed.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -16,6 +16,7 @@
 #include "PoolController.h"
 #include "RoleController.h"
 #include "Serving/BackendDirectory.h"
+#include "Serving/EraObserver.h"
 #include "Serving/ManifestFreshness.h"
 #include "Serving/ServiceReachability.h"
 #include "SettingsChange.h"
@@ -151,7 +152,8 @@
     {
         startDuties();
         configureMemory();
-        m_store.onEraChange = [this](StoreEra before) { onStoreRestored(before); };
+        m_eras.onEra = [this](StoreEra before) { onEra(before); };
+        m_store.onEraChange = [this](StoreEra) { m_eras.note(m_store.era()); };
         m_mirror.isEquivalent = [this](SharedTable table, const StoredRow& before, const StoredRow& after) {
             return table == SharedTable::Backends && !m_directory.isContested(BackendId(after.key))
                 && platform::sameRegistration(before.value, after.value);
@@ -173,9 +175,7 @@
                 m_confirmedBefore = std::exchange(m_confirmedAt, m_mirror.currentAt(table));
         };
         m_mirror.onUpdate = [this](SharedTable table, const StoredRows& rows, MonotonicTime now) {
-            // A host that reads through another one learns of a restored store from its frames.
-            m_store.noteEra(rows.newest.era);
-            m_freshness.onEra(m_store.era(), now);
+            m_eras.note(rows.newest.era);
             applyRows(table, rows, now);
         };
         m_context.onRequestEnd = [this](const RequestSummary& end) { m_metrics.onRequestEnd(end); };
@@ -442,15 +442,21 @@
             LogEvent("hosts").with("count", m_network.hostCount());
     }
 
+    void onEra(StoreEra before)
+    {
+        m_freshness.onEra(m_eras.era(), bootTime());
+        if (before != StoreEra())
+            onStoreRestored(before);
+    }
+
     // The store came back from an older copy of itself.
     void onStoreRestored(StoreEra before)
     {
         LogEvent event("store_restored", LogLevel::Warning);
-        event.with("era", m_store.era()).with("era_before", before).with("in_force", m_routes.version());
+        event.with("era", m_eras.era()).with("era_before", before).with("in_force", m_routes.version());
         for (const auto table : sharedTables)
             event.with(sharedTableName(table), m_mirror.version(table));
         m_metrics.onStoreRestored();
-        m_freshness.onEra(m_store.era(), bootTime());
         m_suspectCoordinator.onStoreRestored();
         if (m_usage)
             m_usage->onStoreRestored();
@@ -734,6 +740,7 @@
     DemandMeter m_demand;
     DecodeTimes m_decodeTimes;
     HostRecord m_self;
+    EraObserver m_eras;
     platform::StoreClient m_store;
     RowMirror m_mirror;
     ServiceDemands m_peerDemand;
