ManifestFreshness: the read of a copy that is followed later proves it; hosts that start wait 0.2 s

The last read is kept and counts once its copy is in force; it was sent when it was sent, so that it proves as much as before.

--- a/Programs/almondscale-host/Host.cpp
+++ b/Programs/almondscale-host/Host.cpp
@@ -46,8 +46,8 @@
     // Time to send the responses of the requests that fail.
     constexpr Nanoseconds lastResponsesTime = std::chrono::milliseconds(200);
     constexpr Nanoseconds shutdownPollInterval = std::chrono::milliseconds(50);
-    // Another host answers within this time, also if the first seed does not.
-    constexpr Nanoseconds manifestWaitTime = std::chrono::milliseconds(600);
+    // A host that runs answers within this time. When all hosts start anew, callers wait for it.
+    constexpr Nanoseconds manifestWaitTime = std::chrono::milliseconds(200);
     constexpr Nanoseconds manifestWaitPollInterval = std::chrono::milliseconds(20);
     constexpr Nanoseconds sweepInterval = std::chrono::milliseconds(250);
     // Read buffers, parser and coroutine frames of a connection to a server.
--- a/Source/Serving/ManifestFreshness.cpp
+++ b/Source/Serving/ManifestFreshness.cpp
@@ -52,6 +52,9 @@
     m_copy = version;
     m_inForce = inForce;
     m_copyInForce = copyInForce;
+    // The read of a copy that a host has waited to follow counts once it does.
+    if (m_lastRead && m_lastRead->version == version)
+        onRead(m_lastRead->provenAt, version, version);
 }
 
 bool ManifestFreshness::isComplete(MonotonicTime time) const
@@ -61,6 +64,7 @@
 
 bool ManifestFreshness::onRead(MonotonicTime sentAt, StoreVersion newest, StoreVersion copy)
 {
+    m_lastRead = ManifestProof { sentAt, newest, {} };
     if (!m_copyInForce || copy.era != m_copy.era || newest.era != copy.era || copy < newest)
         return false;
     if (newest.era != m_era || !isComplete(sentAt))
--- a/Source/Serving/ManifestFreshness.h
+++ b/Source/Serving/ManifestFreshness.h
@@ -61,6 +61,8 @@
     bool m_copyInForce = false;
     ManifestIdentity m_inForce;
     MonotonicTime m_readStartedAt {};
+    // The time and version of the last read, whatever is in force.
+    std::optional<ManifestProof> m_lastRead;
 };
 
 } // namespace almondscale
--- a/Tests/Serving/ManifestFreshnessTest.cpp
+++ b/Tests/Serving/ManifestFreshnessTest.cpp
@@ -103,6 +103,19 @@
     CHECK(serves(5800ms));
 }
 
+// Guards against keyed requests that are refused until the next read when all hosts start anew.
+TEST_CASE("Read of a manifest that comes into force later proves it then")
+{
+    const MonotonicTime start { 1h };
+    ManifestFreshness freshness { { true, 5s, 2s }, 4s, start, false };
+    freshness.onEra(StoreEra(0), start);
+    CHECK_FALSE(freshness.onRead(start, version(5, 0), version(5, 0)));
+    freshness.onCopy(version(5, 0), { 1, 1 }, true);
+    CHECK(freshness.keyTrust(start + 1s, start).serves);
+    freshness.onCopy(version(6, 0), { 2, 2 }, true);
+    CHECK(freshness.proof()->version == version(5, 0));
+}
+
 TEST_CASE_METHOD(
     ManifestFreshnessFixture, "Older manifest of a restored store gives no proof of the newer one")
 {
