--- a/Source/Forwarding/HttpCaller.cpp
+++ b/Source/Forwarding/HttpCaller.cpp
@@ -1,5 +1,8 @@
 #include "Forwarding/HttpCaller.h"
 
+#include "Forwarding/BootClock.h"
+#include "Forwarding/StepwiseString.h"
+
 namespace almondscale {
 
 namespace {
@@ -8,10 +11,38 @@
     constexpr std::size_t maxResponseBodyBytes = 16 << 20;
     constexpr int statusOk = 200;
 
+    awaitable<Result<std::string>> readBody(
+        BackendConnection& connection, Deadline deadline, TransferProgress& progress)
+    {
+        std::string body;
+        progress.expected = connection.remainingBodyBytes().value_or(0);
+        for (;;) {
+            progress.lastByteAt = bootTime();
+            auto chunk = co_await connection.readBodyChunk(deadline);
+            if (!chunk)
+                co_return chunk.error();
+            appendStepwise(body, chunk.value().bytes);
+            chunk.value().bytes = std::string();
+            progress.received = body.size();
+            if (body.size() > maxResponseBodyBytes)
+                co_return std::make_error_code(std::errc::message_size);
+            if (chunk.value().last)
+                co_return body;
+        }
+    }
+
 } // namespace
 
 awaitable<Result<HttpReply>> callHttp(
     ConnectionPool& pool, Address address, HttpRequestHead head, std::string body, Deadline deadline)
+{
+    CallProgress progress;
+    co_return co_await callHttp(
+        pool, std::move(address), std::move(head), std::move(body), deadline, progress);
+}
+
+awaitable<Result<HttpReply>> callHttp(ConnectionPool& pool, Address address, HttpRequestHead head,
+    std::string body, Deadline deadline, CallProgress& progress)
 {
     auto connection = pool.take(address);
     if (!connection) {
@@ -26,7 +57,8 @@
     auto reply = co_await connection->readHead(head.method == "HEAD", deadline);
     if (!reply)
         co_return reply.error();
-    auto read = co_await connection->readWholeBody(maxResponseBodyBytes, deadline);
+    progress.respondedAt = bootTime();
+    auto read = co_await readBody(*connection, deadline, progress.body);
     if (!read)
         co_return read.error();
     pool.release(std::move(connection));
--- a/Source/Forwarding/HttpCaller.h
+++ b/Source/Forwarding/HttpCaller.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "Core/TransferProgress.h"
 #include "Forwarding/ConnectionPool.h"
 
+#include <optional>
+
 namespace almondscale {
 
 // A response with its complete body.
@@ -10,8 +13,18 @@
     std::string body;
 };
 
+// How far a call has come.
+struct CallProgress {
+    // When the head of the response had arrived; unset before.
+    std::optional<MonotonicTime> respondedAt;
+    // The body of the response.
+    TransferProgress body;
+};
+
 // Sends a request over a pooled connection and reads the response. On any error other than
 // `std::errc::connection_refused` the server may have executed the request.
+awaitable<Result<HttpReply>> callHttp(
+    ConnectionPool&, Address, HttpRequestHead, std::string body, Deadline, CallProgress&);
 awaitable<Result<HttpReply>> callHttp(ConnectionPool&, Address, HttpRequestHead, std::string body, Deadline);
 
 // Sends a request without a body and returns the body of the response; nullopt on an error or
--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -38,6 +38,11 @@
             static_cast<unsigned char>(size >> 8), static_cast<unsigned char>(size) };
     }
 
+    std::int64_t inMilliseconds(Nanoseconds time)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    }
+
     std::uint32_t decodeLength(const Length& bytes)
     {
         return std::uint32_t(bytes[0]) << 24 | std::uint32_t(bytes[1]) << 16 | std::uint32_t(bytes[2]) << 8
@@ -57,6 +62,7 @@
     {
         boost::system::error_code ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
+        m_incoming.lastByteAt = bootTime();
     }
 
     void close()
@@ -76,7 +82,12 @@
             const auto self = weak.lock();
             if (error || !self)
                 return;
-            LogEvent("peer_silent", LogLevel::Warning).with("host", self->m_host);
+            const auto& frame = self->m_incoming;
+            LogEvent("peer_silent", LogLevel::Warning)
+                .with("host", self->m_host)
+                .with("received", frame.received)
+                .with("expected", frame.expected)
+                .with("silent_ms", inMilliseconds(bootTime() - frame.lastByteAt));
             self->close();
         });
     }
@@ -106,6 +117,22 @@
         }
     }
 
+    // Fills the buffer; returns false if the connection ends before.
+    static awaitable<bool> receiveBytes(std::shared_ptr<Impl> self, std::string& bytes)
+    {
+        auto& frame = self->m_incoming;
+        frame = { 0, bytes.size(), bootTime() };
+        while (!frame.complete()) {
+            const auto rest = boost::asio::buffer(bytes) + frame.received;
+            const auto [error, size] = co_await self->m_socket.async_read_some(rest, noThrow);
+            if (error)
+                co_return false;
+            frame.received += size;
+            frame.lastByteAt = bootTime();
+        }
+        co_return true;
+    }
+
     static awaitable<void> receive(std::shared_ptr<Impl> self, std::shared_ptr<PeerLink> link)
     {
         while (self->m_open) {
@@ -116,9 +143,8 @@
             if (error || decodeLength(length) > maxFrameBytes)
                 break;
             std::string bytes(decodeLength(length), '\0');
-            const auto [failed, read]
-                = co_await boost::asio::async_read(self->m_socket, boost::asio::buffer(bytes), noThrow);
-            if (failed)
+            const bool whole = co_await receiveBytes(self, bytes);
+            if (!whole)
                 break;
             auto frame = decodePeerFrame(bytes, bootTime());
             if (!frame) {
@@ -163,6 +189,8 @@
     bool m_open = true;
     // The size of the last received frame.
     std::size_t m_receivedBytes = 0;
+    // The frame that is being received, or was last.
+    TransferProgress m_incoming;
     Deadline m_nextWholeFrame;
     HostId m_host;
     DataCentre m_dataCentre;
@@ -244,6 +272,8 @@
 
 std::size_t& PeerLink::sentRoleTransitionPosition() { return m_impl->m_sentRoleTransitionPosition; }
 
+const TransferProgress& PeerLink::incoming() const { return m_impl->m_incoming; }
+
 std::uint64_t PeerLink::makeProbe()
 {
     auto& probes = m_impl->m_probes;
--- a/Source/Peers/PeerLink.h
+++ b/Source/Peers/PeerLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/TransferProgress.h"
 #include "Forwarding/Asio.h"
 #include "Peers/PeerFrame.h"
 
@@ -67,6 +68,9 @@
     // The text of the manifest in force that was last sent over this link; null if none was.
     std::shared_ptr<const std::string>& sentManifest();
 
+    // The frame that is being received, or was last.
+    const TransferProgress& incoming() const;
+
     // A stamp of this moment, to be sent with the next frame.
     std::uint64_t makeProbe();
     // The last stamp received from the other host, 0 if there is none, and when it arrived.
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -194,6 +194,10 @@
             co_await sleepFor(firstFramePollInterval);
         if (!link->host().empty())
             co_return link;
+        LogEvent("peer_unanswered", LogLevel::Warning)
+            .with("address", address.text())
+            .with("received", link->incoming().received)
+            .with("expected", link->incoming().expected);
         link->close();
         co_return nullptr;
     }
