Links between hosts: what arrives is given time by its bytes, not by its whole

Callers were served by an old manifest for up to 17 s after a large one was confirmed, on hosts with a narrow link that had lost their links. A link had 0.3 s for its first frame, and each later frame 1 s, whatever their size; a first frame with a manifest of 1,450 routes has 0.29 MB, 0.23 s of an idle link of 10 Mbit/s.

PeerNetworkTest "Manifest that needs 1.5 s on a narrow link" (two cases) failed before: the frame was cut after 0.3 s (116 of 600 KB) and after 1 s (385 of 600 KB), again and again. Both pass now.

--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -1,12 +1,12 @@
 #include "Peers/PeerLink.h"
 
 #include "Core/LogEvent.h"
+#include "Core/TransferDeadline.h"
 #include "Forwarding/AsyncEvent.h"
 #include "Forwarding/BootClock.h"
 #include "Forwarding/Spawn.h"
 #include "Peers/FrameInterval.h"
 
-#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -22,8 +22,9 @@
 
     // Interval of whole frames, which carry the slowly changing state and confirm that tables are current.
     constexpr Nanoseconds wholeFrameInterval = std::chrono::milliseconds(200);
-    // Five frames at the longest interval are missing: the other host is frozen, partitioned or down.
-    constexpr Nanoseconds silenceTimeout = std::chrono::milliseconds(1000);
+    // A host sends its first frame as soon as it is connected, and one that is frozen may still accept
+    // connections.
+    constexpr Nanoseconds firstBytesTimeout = std::chrono::milliseconds(300);
     // A manifest with hundreds of routes and all registrations are far smaller.
     constexpr std::uint32_t maxFrameBytes = 8 << 20;
 
@@ -63,6 +64,8 @@
         boost::system::error_code ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
         m_incoming.lastByteAt = bootTime();
+        m_due = TransferDeadline(Deadline::after(
+            m_incoming.lastByteAt, initiated ? firstBytesTimeout : TransferDeadline::maxSilence));
     }
 
     void close()
@@ -74,20 +77,31 @@
         m_wake.notify();
     }
 
-    // Restarts the timer that closes the link if no frame is received in time.
-    void restartSilenceTimer()
+    void logSilence() const
     {
-        m_silenceTimer.expires_after(silenceTimeout);
+        // PeerNetwork logs that a host did not answer at all.
+        if (m_initiated && m_host.empty())
+            return;
+        LogEvent("peer_silent", LogLevel::Warning)
+            .with("host", m_host)
+            .with("received", m_incoming.received)
+            .with("expected", m_incoming.expected)
+            .with("silent_ms", inMilliseconds(bootTime() - m_incoming.lastByteAt));
+    }
+
+    // Closes the link if what the other host sends does not arrive in time.
+    void watchSilence()
+    {
+        m_silenceTimer.expires_after(m_due.deadline().remaining(bootTime()));
         m_silenceTimer.async_wait([weak = m_self](const boost::system::error_code& error) {
             const auto self = weak.lock();
             if (error || !self)
                 return;
-            const auto& frame = self->m_incoming;
-            LogEvent("peer_silent", LogLevel::Warning)
-                .with("host", self->m_host)
-                .with("received", frame.received)
-                .with("expected", frame.expected)
-                .with("silent_ms", inMilliseconds(bootTime() - frame.lastByteAt));
+            if (!self->m_due.deadline().passed(bootTime())) {
+                self->watchSilence();
+                return;
+            }
+            self->logSilence();
             self->close();
         });
     }
@@ -118,34 +132,36 @@
     }
 
     // Fills the buffer; returns false if the connection ends before.
-    static awaitable<bool> receiveBytes(std::shared_ptr<Impl> self, std::string& bytes)
+    static awaitable<bool> receiveBytes(std::shared_ptr<Impl> self, boost::asio::mutable_buffer bytes)
     {
-        auto& frame = self->m_incoming;
-        frame = { 0, bytes.size(), bootTime() };
-        while (!frame.complete()) {
-            const auto rest = boost::asio::buffer(bytes) + frame.received;
-            const auto [error, size] = co_await self->m_socket.async_read_some(rest, noThrow);
+        auto& progress = self->m_incoming;
+        progress = { 0, bytes.size(), bootTime() };
+        while (!progress.complete()) {
+            const auto [error, size]
+                = co_await self->m_socket.async_read_some(bytes + progress.received, noThrow);
             if (error)
                 co_return false;
-            frame.received += size;
-            frame.lastByteAt = bootTime();
+            progress.received += size;
+            progress.lastByteAt = bootTime();
+            self->m_due.onBytes(size, progress.lastByteAt);
         }
         co_return true;
     }
 
     static awaitable<void> receive(std::shared_ptr<Impl> self, std::shared_ptr<PeerLink> link)
     {
+        if (self->m_open)
+            self->watchSilence();
         while (self->m_open) {
-            self->restartSilenceTimer();
             Length length {};
-            const auto [error, size]
-                = co_await boost::asio::async_read(self->m_socket, boost::asio::buffer(length), noThrow);
-            if (error || decodeLength(length) > maxFrameBytes)
+            const bool begun = co_await receiveBytes(self, boost::asio::buffer(length));
+            if (!begun || decodeLength(length) > maxFrameBytes)
                 break;
             std::string bytes(decodeLength(length), '\0');
-            const bool whole = co_await receiveBytes(self, bytes);
+            const bool whole = co_await receiveBytes(self, boost::asio::buffer(bytes));
             if (!whole)
                 break;
+            self->m_due = TransferDeadline(Deadline::after(bootTime(), TransferDeadline::maxSilence));
             auto frame = decodePeerFrame(bytes, bootTime());
             if (!frame) {
                 LogEvent("peer_frame_invalid", LogLevel::Warning)
@@ -191,6 +207,8 @@
     std::size_t m_receivedBytes = 0;
     // The frame that is being received, or was last.
     TransferProgress m_incoming;
+    // When the next bytes are due.
+    TransferDeadline m_due;
     Deadline m_nextWholeFrame;
     HostId m_host;
     DataCentre m_dataCentre;
--- a/Source/Peers/PeerNetwork.cpp
+++ b/Source/Peers/PeerNetwork.cpp
@@ -22,8 +22,6 @@
     constexpr Nanoseconds linkCheckInterval = std::chrono::milliseconds(200);
     // Connecting within the region takes a few milliseconds.
     constexpr Nanoseconds connectTimeout = std::chrono::milliseconds(250);
-    // A host sends its first frame as soon as it is connected.
-    constexpr Nanoseconds firstFrameTimeout = std::chrono::milliseconds(300);
     constexpr Nanoseconds firstFramePollInterval = std::chrono::milliseconds(5);
     // Minimum time between two connection attempts to a host.
     constexpr Nanoseconds minRetryInterval = std::chrono::seconds(3);
@@ -181,16 +179,14 @@
         co_return co_await linkToAddress(host.peerAddress);
     }
 
-    // Returns a link to the host at the address, or null if the host sends no frame in time: a frozen machine
-    // may still accept connections.
+    // Returns a link to the host at the address, or null if the host's first frame does not arrive.
     awaitable<std::shared_ptr<PeerLink>> linkToAddress(Address address)
     {
         auto socket = co_await connectTo(address);
         if (!socket)
             co_return nullptr;
         const auto link = addLink(std::move(*socket), true);
-        const auto deadline = Deadline::after(bootTime(), firstFrameTimeout);
-        while (link->open() && link->host().empty() && !deadline.passed(bootTime()))
+        while (link->open() && link->host().empty())
             co_await sleepFor(firstFramePollInterval);
         if (!link->host().empty())
             co_return link;
@@ -198,7 +194,6 @@
             .with("address", address.text())
             .with("received", link->incoming().received)
             .with("expected", link->incoming().expected);
-        link->close();
         co_return nullptr;
     }
 
--- a/Tests/Peers/PeerNetworkTest.cpp
+++ b/Tests/Peers/PeerNetworkTest.cpp
@@ -5,6 +5,7 @@
 #include "Serving/UsageCollector.h"
 #include "Serving/UsageMeter.h"
 #include "Support/LoopbackServer.h"
+#include "Support/NarrowLink.h"
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
@@ -167,8 +168,104 @@
     std::vector<std::unique_ptr<TestHost>> hosts;
 };
 
+// A reader with a large manifest, and a host that reaches it over a narrow link.
+class NarrowPeerFixture {
+public:
+    static constexpr std::size_t manifestBytes = 600000;
+
+    NarrowPeerFixture()
+        : reader("a1", "a", 2)
+        , follower("a2", "a", 1)
+        , link(loop.get_executor(), linkAddress, reader.record.peerAddress, 400000)
+    {
+        StoredRows hosts;
+        hosts.whole = true;
+        hosts.newest = { StoreEra(1), RowVersion(1) };
+        auto seen = reader.record;
+        seen.peerAddress = linkAddress;
+        hosts.rows = { { "a1", encodeHostRecord(seen), RowVersion(1), false },
+            { "a2", encodeHostRecord(follower.record), RowVersion(1), false } };
+        for (auto* host : { &reader, &follower })
+            host->mirror.apply(SharedTable::Hosts, hosts, bootTime(), bootTime());
+    }
+
+    static StoredRows manifest(std::uint64_t version)
+    {
+        StoredRows rows;
+        rows.whole = true;
+        rows.newest = { StoreEra(1), RowVersion(version) };
+        rows.rows = { { "config", std::string(manifestBytes, 'x'), RowVersion(version), false } };
+        return rows;
+    }
+
+    void put(TestHost& host, std::uint64_t version)
+    {
+        host.mirror.apply(SharedTable::Manifest, manifest(version), bootTime(), bootTime());
+        host.network.publish();
+    }
+
+    bool runUntil(const std::function<bool()>& isReached, Nanoseconds limit)
+    {
+        const auto until = Deadline::after(bootTime(), limit);
+        while (!isReached() && !until.passed(bootTime())) {
+            loop.poll();
+            reader.loop.poll();
+            follower.loop.poll();
+            std::this_thread::sleep_for(200us);
+        }
+        return isReached();
+    }
+
+    bool followerHas(std::uint64_t version) const
+    {
+        return follower.mirror.version(SharedTable::Manifest).version == RowVersion(version);
+    }
+
+    boost::asio::io_context loop;
+    Address linkAddress = freeLoopbackAddress();
+    TestHost reader;
+    TestHost follower;
+    NarrowLink link;
+};
+
 } // namespace
 
+TEST_CASE_METHOD(
+    NarrowPeerFixture, "Manifest that needs 1.5 s on a narrow link, when the link is made, reaches the host")
+{
+    put(reader, 9);
+    CHECK(runUntil([this] { return followerHas(9); }, 4s));
+}
+
+TEST_CASE_METHOD(NarrowPeerFixture,
+    "Manifest that needs 1.5 s on a narrow link, sent over an open link, does not end the link")
+{
+    REQUIRE(runUntil([this] { return !follower.network.isReader() && follower.remoteRequests() == 1; }, 2s));
+    put(reader, 9);
+    CHECK(runUntil([this] { return followerHas(9); }, 4s));
+    CHECK_FALSE(follower.network.isReader());
+}
+
+TEST_CASE_METHOD(PeerNetworkFixture, "Host that sends a byte of its first frame now and then, is given up")
+{
+    hosts.clear();
+    add("a1", "a", 3);
+    tcp::socket socket(hosts[0]->loop);
+    const auto& peers = hosts[0]->record.peerAddress;
+    socket.connect({ boost::asio::ip::make_address_v4(peers.ip), peers.port });
+    boost::asio::write(socket, boost::asio::buffer(std::string { 0, 0, 1, 0 }));
+    bool open = true;
+    const auto beganAt = bootTime();
+    while (open && bootTime() - beganAt < 4s) {
+        boost::system::error_code error;
+        boost::asio::write(socket, boost::asio::buffer("x", 1), error);
+        runFor(150ms);
+        open = !error;
+    }
+    CHECK_FALSE(open);
+    CHECK(bootTime() - beganAt < 2s);
+}
+
 TEST_CASE_METHOD(
     PeerNetworkFixture, "Linked hosts have one reader per data centre and know the loads of all others")
 {
