Store calls: rows are given time by their bytes, not by their whole

A read had 0.43 to 0.9 s (ReadPacer, by the time of the last response of whatever size) for the connection and the whole response, a write 0.9 s for its rows and the response; the feed with two versions of a manifest of 1,450 routes has 0.67 MB, 0.54 s of an idle link of 10 Mbit/s. The time now holds until the response begins, and, for a request with rows, from the moment at which the store has taken them; the bytes of both go by TransferDeadline. The pace of reads follows the time until a response begins.

--- a/Programs/almondscale-host/TableSynchronizer.cpp
+++ b/Programs/almondscale-host/TableSynchronizer.cpp
@@ -107,13 +107,16 @@
     const bool whole = m_mirror.empty(table) || m_snapshotNeeded.count(table) > 0 || isOfEarlierEra(table);
     const auto wait = whole ? Nanoseconds() : startRead(table);
     auto& pacer = m_reads.at(table).pacer;
+    std::optional<MonotonicTime> respondedAt;
+    const auto noteResponse = [&respondedAt](MonotonicTime at) { respondedAt = respondedAt.value_or(at); };
     if (whole)
-        rows = co_await m_store.read(table);
+        rows = co_await m_store.read(table, noteResponse);
     else
-        rows = co_await m_store.readChanges(table, feedPosition(table), wait, pacer.answerTime());
+        rows = co_await m_store.readChanges(
+            table, feedPosition(table), wait, pacer.answerTime(), noteResponse);
     const auto answeredAt = bootTime();
-    if (rows)
-        pacer.onAnswer(std::max(Nanoseconds(), answeredAt - askedAt - wait));
+    if (rows && respondedAt)
+        pacer.onAnswer(std::max(Nanoseconds(), *respondedAt - askedAt - wait));
     // The changes since a version of an earlier era say nothing.
     if (rows && !whole && rows.value().newest.era != before.era)
         co_return true;
--- a/Source/Forwarding/BackendConnection.cpp
+++ b/Source/Forwarding/BackendConnection.cpp
@@ -46,6 +46,7 @@
     // A server that closes a connection with unread bytes resets it at about the same time.
     constexpr Nanoseconds resetTime = std::chrono::milliseconds(20);
     constexpr Nanoseconds resetPollInterval = std::chrono::milliseconds(2);
+    constexpr Nanoseconds takenPollInterval = std::chrono::milliseconds(10);
     // Idle connections are not reused this shortly before the server closes them.
     constexpr Nanoseconds keepAliveMargin = std::chrono::milliseconds(700);
     // Keep-alive timeout of servers that send none.
@@ -172,11 +173,39 @@
     std::size_t m_sentBodyBytes = 0;
     std::weak_ptr<Impl> m_self;
 
-    // Whether the server's kernel has confirmed all bytes that were sent.
-    bool hasTakenAll()
+    // Bytes that were sent and that the server's kernel has not confirmed; 0 if that is not known.
+    std::size_t unconfirmedBytes()
     {
         int unconfirmed = 0;
-        return ioctl(m_socket.native_handle(), SIOCOUTQ, &unconfirmed) != 0 || unconfirmed == 0;
+        const bool known = ioctl(m_socket.native_handle(), SIOCOUTQ, &unconfirmed) == 0;
+        return known ? static_cast<std::size_t>(std::max(0, unconfirmed)) : 0;
+    }
+
+    bool hasTakenAll() { return unconfirmedBytes() == 0; }
+
+    void beginRequest(std::size_t bodyBytes)
+    {
+        m_responseComplete = false;
+        m_keepAlive = false;
+        m_parser.reset();
+        m_sentBodyBytes = bodyBytes;
+    }
+
+    // Waits until the server has taken what was sent, or responds.
+    awaitable<std::error_code> awaitTaken(TransferDeadline due)
+    {
+        auto left = unconfirmedBytes();
+        while (left > 0 && !m_closed && !peek()) {
+            if (due.deadline().passed(bootTime())) {
+                close();
+                break;
+            }
+            co_await sleepFor(takenPollInterval);
+            const auto now = m_closed ? 0 : unconfirmedBytes();
+            due.onBytes(left - std::min(left, now), bootTime());
+            left = now;
+        }
+        co_return m_closed ? std::make_error_code(std::errc::operation_canceled) : std::error_code();
     }
 
     bool isReset()
@@ -247,10 +276,7 @@
 {
     const auto impl = m_impl;
     const Impl::DeadlineGuard guard(impl, deadline);
-    impl->m_responseComplete = false;
-    impl->m_keepAlive = false;
-    impl->m_parser.reset();
-    impl->m_sentBodyBytes = body.size();
+    impl->beginRequest(body.size());
     const std::string text = serializeHead(head, body.size());
     const std::array<boost::asio::const_buffer, 2> buffers { boost::asio::buffer(text),
         boost::asio::buffer(body) };
@@ -258,6 +284,26 @@
     co_return error ? impl->translateError(error) : std::error_code();
 }
 
+awaitable<std::error_code> BackendConnection::transfer(
+    const HttpRequestHead& head, const std::string& body, TransferDeadline due)
+{
+    const auto impl = m_impl;
+    impl->beginRequest(body.size());
+    const std::string request = serializeHead(head, body.size()) + body;
+    for (std::size_t sent = 0; sent < request.size();) {
+        const Impl::DeadlineGuard guard(impl, due.deadline());
+        const auto rest = boost::asio::buffer(request) + sent;
+        const auto [error, size] = co_await impl->m_socket.async_write_some(rest, noThrow);
+        if (error)
+            co_return impl->translateError(error);
+        sent += size;
+        due.onBytes(size, bootTime());
+    }
+    if (body.size() <= smallBodyBytes)
+        co_return std::error_code();
+    co_return co_await impl->awaitTaken(due);
+}
+
 awaitable<Result<HttpResponseHead>> BackendConnection::readHead(bool headRequest, Deadline deadline)
 {
     const auto impl = m_impl;
--- a/Source/Forwarding/BackendConnection.h
+++ b/Source/Forwarding/BackendConnection.h
@@ -3,6 +3,7 @@
 #include "Core/Address.h"
 #include "Core/Deadline.h"
 #include "Core/Result.h"
+#include "Core/TransferDeadline.h"
 #include "Forwarding/Asio.h"
 #include "Serving/HttpHeads.h"
 
@@ -35,6 +36,9 @@
     awaitable<std::error_code> connect(Deadline);
     // Sends a request with its body. The head must not contain Content-Length, which is added.
     awaitable<std::error_code> send(const HttpRequestHead&, const std::string& body, Deadline);
+    // Sends a request with a body of any size, as long as the server takes its bytes. Returns once it has
+    // taken all of a large one, or begins to respond.
+    awaitable<std::error_code> transfer(const HttpRequestHead&, const std::string& body, TransferDeadline);
     // Reads the head of the next final response; interim (1xx) responses are skipped.
     awaitable<Result<HttpResponseHead>> readHead(bool headRequest, Deadline);
     // Returns the next bytes of the body as soon as any arrive.
--- a/Tests/PlatformAdapter/StoreClientTest.cpp
+++ b/Tests/PlatformAdapter/StoreClientTest.cpp
@@ -2,6 +2,7 @@
 
 #include "Forwarding/BootClock.h"
 #include "Support/LoopbackServer.h"
+#include "Support/NarrowLink.h"
 #include "platform/Base64.h"
 
 #include <boost/asio/io_context.hpp>
@@ -64,8 +65,57 @@
     }
 };
 
+// A client that reaches the store over a link of 400 KB/s.
+class NarrowStoreFixture : public StoreClientFixture {
+public:
+    static constexpr std::size_t rowBytes = 600000;
+
+    NarrowStoreFixture()
+        : link(loop.get_executor(), linkAddress, address, 400000)
+        , narrowClient(pool, linkAddress)
+    {
+    }
+
+    Address linkAddress = freeLoopbackAddress();
+    NarrowLink link;
+    StoreClient narrowClient;
+};
+
 } // namespace
 
+TEST_CASE_METHOD(
+    NarrowStoreFixture, "Rows that need 1.5 s on a narrow link, once the response has begun, are read")
+{
+    answers = { LoopbackServer::response(200,
+        R"({"rows":[{"key":"a","value":")" + std::string(rowBytes, 'A')
+            + R"(","rowVersion":1}],"hasMore":false,"rowVersion":10})") };
+    std::optional<MonotonicTime> respondedAt;
+    const auto rows = run(narrowClient.readChanges(
+        SharedTable::Manifest, RowVersion(0), 0ms, 400ms, [&](MonotonicTime at) { respondedAt = at; }));
+    REQUIRE(rows.ok());
+    CHECK(rows.value().rows.front().value.size() == rowBytes / 4 * 3);
+    REQUIRE(respondedAt);
+    CHECK(bootTime() - *respondedAt > 1s);
+}
+
+TEST_CASE_METHOD(NarrowStoreFixture, "Rows that need 1.5 s on a narrow link are written")
+{
+    answers = { LoopbackServer::response(200, R"({"rowVersion":4})") };
+    std::vector<RowWrite> rows;
+    rows.push_back({ "k", std::string(rowBytes / 4 * 3, 'x'), RowVersion(0), true });
+    CHECK(run(narrowClient.writeOwnRows("t", std::move(rows))).outcome == WriteOutcome::Applied);
+}
+
+TEST_CASE_METHOD(StoreClientFixture, "Response whose bytes cease, is given up a second later")
+{
+    auto whole = LoopbackServer::response(200, std::string(1000, ' '));
+    answers = { whole.substr(0, whole.size() - 1) };
+    const auto beganAt = bootTime();
+    CHECK_FALSE(run(client.read(SharedTable::Manifest)).ok());
+    CHECK(bootTime() - beganAt > 900ms);
+    CHECK(bootTime() - beganAt < 2s);
+}
+
 TEST_CASE_METHOD(
     StoreClientFixture, "Table of several pages is read completely, with the version of its first page")
 {
--- a/Tests/Support/NarrowLink.h
+++ b/Tests/Support/NarrowLink.h
@@ -43,6 +43,8 @@
         std::tie(error) = co_await far->async_connect(endpoint, noThrow);
         if (error)
             co_return;
+        // Bytes that are received here count as taken by the other side.
+        near->set_option(boost::asio::socket_base::receive_buffer_size(32768), error);
         spawn(near->get_executor(), pass(near, far, self, nullptr));
         spawn(near->get_executor(), pass(far, near, self, &self->passedBack));
     }
