--- a/Tests/PlatformAdapter/StoreClientTest.cpp
+++ b/Tests/PlatformAdapter/StoreClientTest.cpp
@@ -103,7 +103,8 @@
     answers = { LoopbackServer::response(200, R"({"rowVersion":4})") };
     std::vector<RowWrite> rows;
     rows.push_back({ "k", std::string(rowBytes / 4 * 3, 'x'), RowVersion(0), true });
-    CHECK(run(narrowClient.writeOwnRows("t", std::move(rows))).outcome == WriteOutcome::Applied);
+    const auto written = run(narrowClient.writeOwnRows("t", std::move(rows)));
+    CHECK(written.outcome == WriteOutcome::Applied);
 }
 
 TEST_CASE_METHOD(StoreClientFixture, "Response whose bytes cease, is given up a second later")
--- a/Tests/Soak/configuration.py
+++ b/Tests/Soak/configuration.py
@@ -1,12 +1,14 @@
 #!/usr/bin/env python3
 """Changes of the manifest while readers are late, links between hosts are slow and the store fails some hosts.
 
-Usage: Tests/Soak/configuration.py --program FILE [--seeds FIRST-LAST] [--parallel N] [--play all|readers] [--before FILE]
+Usage: Tests/Soak/configuration.py --program FILE [--seeds FIRST-LAST] [--parallel N] [--play all|readers|narrow]
+       [--before FILE]
 
 A request that is sent later than the bound after a change was acknowledged, to a host without a fault of its own, is
 not handled as only an older manifest allows: no 404 for a route that is there, no answer on a dropped one. No host goes
-back to an older manifest. With --play readers, the store has no faults. With --before, every second host runs an older
-program and is not judged.
+back to an older manifest. With --play readers, the store has no faults. With --play narrow, manifests have 1,400 routes
+more, connections carry 400 KB/s, the bound is 3 s, and hosts are paused for long enough to lose their links. With
+--before, every second host runs an older program and is not judged.
 """
 import argparse
 import asyncio
@@ -24,6 +26,8 @@
 HOSTS = 8
 # A host is judged only if for so long there was no fault of its own, and none of the store.
 STABLE_S = 4.0
+# With --play narrow: bytes a second of a connection, about a third of a link of 10 Mbit/s.
+NARROW_RATE = 400e3
 # A host that has once followed a change does not go back later than this.
 ROLLBACK_S = 0.25
 PLAY_S = 28.0
@@ -34,46 +38,53 @@
     """Passes bytes on in their order, each as much later as it is told."""
 
     late_s = 0.0
+    # Bytes a second of each connection; None: as many as there are.
+    rate = None
 
     async def pump(self, reader, writer, direction):
-        waiting = asyncio.Queue()
+        waiting = asyncio.Queue(maxsize=4 if self.rate else 0)
         passing = asyncio.create_task(self.write_in_time(waiting, writer))
         try:
-            while data := await reader.read(65536):
+            while data := await reader.read(16384 if self.rate else 65536):
                 if self.mode != "silent":
-                    waiting.put_nowait((time.monotonic() + self.late_s, data))
+                    await waiting.put((time.monotonic() + self.late_s, data))
         except ConnectionError:
             pass
-        waiting.put_nowait((0, None))
+        await waiting.put((0, None))
         await passing
 
-    @staticmethod
-    async def write_in_time(waiting, writer):
+    async def write_in_time(self, waiting, writer):
         try:
             while True:
                 at, data = await waiting.get()
                 if data is None:
                     return
                 await asyncio.sleep(max(0, at - time.monotonic()))
+                if self.rate:
+                    await asyncio.sleep(len(data) / self.rate)
                 writer.write(data)
                 await writer.drain()
         except ConnectionError:
-            pass
+            while (await waiting.get())[1] is not None:
+                pass
 
 
 class Configuration(World):
-    def __init__(self, program, seed, store_fails, before, folder):
+    def __init__(self, program, seed, kind, before, folder):
         super().__init__(program, seed, HOSTS, folder)
-        self.store_fails = store_fails
+        self.kind = kind
         for host in self.hosts[1::2]:
             host.program = before
-        self.bound_s = self.random.choice([2.0, 3.0])
+        self.bound_s = 3.0 if kind == "narrow" else self.random.choice([2.0, 3.0])
         strict = self.random.random() < 0.5
         self.more_settings = f"bounds.configApplyMs={int(self.bound_s * 1000)}\n" + (
             "bounds.strictRevoke=true\nbounds.revokeMs=5000\n" if strict else "")
         self.add_peer_proxies()
         self.peer_proxies = [LateProxy(proxy.address, proxy.target) for proxy in self.peer_proxies]
         self.store_proxies = [LateProxy(proxy.address, proxy.target) for proxy in self.store_proxies]
+        if kind == "narrow":
+            for proxy in self.peer_proxies + self.store_proxies:
+                proxy.rate = NARROW_RATE
         # By number of the route: when the store acknowledged that it was added and dropped.
         self.added, self.dropped = {0: 0.0}, {}
         # By host process and route: when the host was first seen to know it, or to have dropped it.
@@ -96,7 +107,8 @@
     async def changes(self):
         """Each change adds a route and drops the one before: alone, in series, and in large manifests."""
         while not self.over:
-            await asyncio.sleep(self.random.choice([0.05, 0.3, 0.8, 0.8, 2.5, 5.0]))
+            pauses = [2.5, 5.0] if self.kind == "narrow" else [0.05, 0.3, 0.8, 0.8, 2.5, 5.0]
+            await asyncio.sleep(self.random.choice(pauses))
             if self.store.mode == "sound" and time.monotonic() > self.quiet_until:
                 self.change()
 
@@ -104,7 +116,7 @@
         newest = max(self.added)
         now = time.monotonic()
         self.added[newest + 1], self.dropped[newest] = now, now
-        self.put_manifest(filler=self.random.choice([0, 0, 0, 150]))
+        self.put_manifest(filler=1400 if self.kind == "narrow" else self.random.choice([0, 0, 0, 150]))
 
     async def probes(self, host):
         rng = random.Random(self.seed * 1000 + host.number)
@@ -171,6 +183,14 @@
             if self.random.random() < 0.5:
                 await task
 
+    async def long_pauses(self):
+        """Of hosts that lose their links, and get manifests that came meanwhile when they run again."""
+        end = time.monotonic() + PLAY_S
+        while time.monotonic() < end:
+            victims = self.random.sample(self.hosts, 2)
+            await asyncio.gather(*[self.pause(host, self.random.uniform(1.2, 4.0)) for host in victims])
+            await asyncio.sleep(self.random.uniform(4.0, 7.0))
+
     async def store_faults(self):
         """Rare, since no host is judged for some seconds after one."""
         await asyncio.sleep(self.random.uniform(4, 8))
@@ -268,8 +288,9 @@
         tasks = await self.begin()
         tasks.append(asyncio.create_task(self.changes()))
         tasks += [asyncio.create_task(self.probes(host)) for host in self.hosts]
-        faults = [self.reader_faults()] + ([self.store_faults()] if self.store_fails else [])
-        await asyncio.gather(*faults)
+        faults = {"all": [self.reader_faults, self.store_faults], "readers": [self.reader_faults],
+                  "narrow": [self.long_pauses]}
+        await asyncio.gather(*[fault() for fault in faults[self.kind]])
         await asyncio.sleep(3)
         if self.judged < SEEN_AT_LEAST:
             self.fail(f"only {self.judged} answers could be judged")
@@ -287,7 +308,7 @@
     parser.add_argument("--program", required=True, help="the almondscale-host to run")
     parser.add_argument("--seeds", default="1-1", help="FIRST-LAST")
     parser.add_argument("--parallel", type=int, default=1)
-    parser.add_argument("--play", choices=["all", "readers"], default="all")
+    parser.add_argument("--play", choices=["all", "readers", "narrow"], default="all")
     parser.add_argument("--before", help="an older almondscale-host, which every second host runs")
     arguments = parser.parse_args()
     program = os.path.abspath(arguments.program)
@@ -296,7 +317,7 @@
     def play_seed(seed):
         random.seed(seed)
         folder = tempfile.mkdtemp(prefix=f"configuration-{seed}-")
-        return run_world(Configuration(program, seed, arguments.play == "all", before, folder))
+        return run_world(Configuration(program, seed, arguments.play, before, folder))
 
     sys.exit(0 if run_seeds(arguments.seeds, arguments.parallel, play_seed) else 1)
 
--- a/Tests/Support/NarrowLink.h
+++ b/Tests/Support/NarrowLink.h
@@ -8,8 +8,10 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <utility>
 
@@ -19,7 +21,7 @@
 class NarrowLink {
 public:
     NarrowLink(const boost::asio::any_io_executor& executor, const Address& address, Address target,
-        double bytesPerSecond)
+        std::size_t bytesPerSecond)
         : m_bytesPerSecond(bytesPerSecond)
         , m_listener(executor, [this, target = std::move(target)](tcp::socket socket) {
             const auto executor = socket.get_executor();
@@ -52,8 +54,9 @@
     static awaitable<void> pass(Socket from, Socket to, NarrowLink* self, std::size_t* count)
     {
         constexpr auto step = std::chrono::milliseconds(5);
+        constexpr std::size_t stepsPerSecond = 200;
         std::array<char, 65536> bytes {};
-        const auto most = std::min<std::size_t>(bytes.size(), self->m_bytesPerSecond * 0.005);
+        const auto most = std::min(bytes.size(), self->m_bytesPerSecond / stepsPerSecond);
         for (;;) {
             const auto [error, size]
                 = co_await from->async_read_some(boost::asio::buffer(bytes.data(), most), noThrow);
@@ -72,7 +75,7 @@
         to->close(ignored);
     }
 
-    double m_bytesPerSecond;
+    std::size_t m_bytesPerSecond;
     HttpListener m_listener;
 };
 
