PeerLink: the limit of a frame names what it is for

The comment spoke of manifests with hundreds of routes; the store takes manifests of up to 4 MB, whose frames are within the limit of 8 MB. No change of behaviour.

--- a/Source/Peers/PeerLink.cpp
+++ b/Source/Peers/PeerLink.cpp
@@ -25,7 +25,7 @@
     // A host sends its first frame as soon as it is connected, and one that is frozen may still accept
     // connections.
     constexpr Nanoseconds firstBytesTimeout = std::chrono::milliseconds(300);
-    // A manifest with hundreds of routes and all registrations are far smaller.
+    // The largest manifest that the store takes has 4 MB.
     constexpr std::uint32_t maxFrameBytes = 8 << 20;
 
     // Stamps that are remembered; the other host has as many whole frames to echo one.
