--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -3,6 +3,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -299,6 +300,7 @@
             for task in lab.tasks:
                 task.cancel()
             await asyncio.sleep(0.2)
+            shutil.rmtree(lab.folder, ignore_errors=True)
 
     try:
         asyncio.run(run())
