--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -1,5 +1,6 @@
 """Stand-ins and helpers of the third review's cases: host processes, replicas and the store, on loopback addresses."""
 import asyncio
+import base64
 import json
 import os
 import random
