Review: cases 11 and 13 write their records themselves

Cause: record.txt was written by the shared stand-ins alone, so that nothing in the folders named it; it lacked what ran and the answers to other callers, and a failure before the play ended with 1 and without a record.

--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -87,8 +87,14 @@
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             return False
 
-    async def ask(self, request, path, body=b"x" * 100, method="POST", deadline=5000, parts=None, more="", wait_s=7.0):
+    async def ask(self, request, path, **options):
         """Sends a request on a channel of its own; returns (status, fields, body), or (None, reason, b"")."""
+        self.lab.record(f"{request} is sent to n{self.number}")
+        status, fields, answer = await self.exchange(request, path, **options)
+        self.lab.record(f"{request} is answered {status}" + (f" ({fields})" if status is None else ""))
+        return status, fields, answer
+
+    async def exchange(self, request, path, body=b"x" * 100, method="POST", deadline=5000, parts=None, more="", wait_s=7.0):
         head = (f"{method} {path} HTTP/1.1\r\nHost: h\r\nRequest-Id: {request}\r\nDeadline-Ms: {deadline}\r\n"
                 f"Content-Length: {len(body)}\r\n{more}")
         if parts:
@@ -113,8 +119,8 @@
     more_settings = {}
     first_start = True
 
-    def __init__(self, folder, hosts=1):
-        self.record_file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, record_file, hosts=1):
+        self.record_file = record_file
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.net = self.reserve_network()
         self.store = Store(f"{self.net}.0.1:7000")
@@ -242,6 +248,8 @@
         if wanted and wanted != self.id:
             writer.write(response(421, Instance_Id=self.id, Request_Id=request))
             return True
+        self.lab.record(f"{request} " + ("is prefilled by" if fields.get("serving-stage") == "prefill" else "runs at")
+                        + f" {self.id}")
         return await self.run(method, target, request, fields, body, writer)
 
     def control(self, target, body, writer):
@@ -289,13 +297,14 @@
         return True
 
 
-def play(lab, coroutine, limit_s=110):
-    """Runs the case; exits with 1 if a rule was broken, 0 if it held, 2 if the case could not run."""
+def play(make_lab, record_path, limit_s=110):
+    """Plays a case and writes its record; exits with 1 if a rule was broken, 0 if it held, 2 if it could not run."""
+    record_file = open(record_path, "w", encoding="utf-8")
 
     async def run():
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         try:
-            await asyncio.wait_for(coroutine, limit_s)
+            await asyncio.wait_for(lab.play(), limit_s)
         finally:
             lab.end()
             for task in lab.tasks:
@@ -304,9 +313,11 @@
             shutil.rmtree(lab.folder, ignore_errors=True)
 
     try:
+        lab = make_lab(record_file)
         asyncio.run(run())
     except Exception:  # noqa: BLE001
-        lab.record("could not run: " + traceback.format_exc())
+        record_file.write("could not run: " + traceback.format_exc())
+        record_file.close()
         print("could not run; see record.txt")
         sys.exit(2)
     verdict = "broken: " + lab.broken[0] if lab.broken else "held"
